Add the core values, the configuration document and the platform's store

Cause: the whole path needs its values, a checked document and a store.

Ruled out: a struct per table with TOML tags in core, since core must not know an encoding and the forms, the explanations and the checks would each list the options again; one table of options serves all of them.

Conclusion: the document refuses what it can't justify; nothing routes yet.

--- /dev/null
+++ b/core/blconfig/check.go
@@ -0,0 +1,189 @@
+package blconfig
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing that a document can't justify.
+type Fault struct {
+	// Where is the path of the setting or section.
+	Where string
+	// What says what is wrong.
+	What string
+	// Allowed is the allowed range, if the fault is about a range.
+	Allowed string
+	// SetBy says what sets the range.
+	SetBy string
+}
+
+// String returns the fault on one line.
+func (f Fault) String() string {
+	text := f.Where + ": " + f.What
+	if f.Allowed != "" {
+		text += "; allowed: " + f.Allowed + " (set by " + f.SetBy + ")"
+	}
+	return text
+}
+
+// FaultsError reports all faults of a document at once.
+type FaultsError struct {
+	Faults []Fault
+}
+
+// Error returns the faults, one a line.
+func (e FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, fault := range e.Faults {
+		lines = append(lines, fault.String())
+	}
+	return fmt.Sprintf("document has %d faults:\n%s", len(lines), strings.Join(lines, "\n"))
+}
+
+// shortestReason is the least length of a reason, in bytes, below which it
+// explains nothing.
+const shortestReason = 12
+
+// Check returns every fault of the document, or none.
+func Check(d Document) []Fault {
+	var faults []Fault
+	faults = append(faults, checkMissing(d)...)
+	reasons := map[string]Path{}
+	for _, path := range d.Paths() {
+		setting, _ := d.Get(path)
+		faults = append(faults, checkReason(path, setting, reasons)...)
+		faults = append(faults, checkRange(d, path, setting)...)
+	}
+	return append(faults, checkDigests(d)...)
+}
+
+// FindOption returns the option that describes path.
+func FindOption(path Path) (Option, bool) {
+	for _, option := range Options() {
+		if option.Section == path.Section && option.Name == path.Option {
+			return option, true
+		}
+	}
+	return Option{}, false
+}
+
+func checkMissing(d Document) []Fault {
+	var faults []Fault
+	for _, section := range Sections() {
+		entries := []string{""}
+		if section.Named {
+			entries = d.Entries(section.Name)
+		}
+		if section.Required && len(entries) == 0 {
+			faults = append(faults, Fault{Where: section.Name, What: "the section has no entry"})
+		}
+		for _, entry := range entries {
+			faults = append(faults, checkEntry(d, section, entry)...)
+		}
+	}
+	return faults
+}
+
+func checkEntry(d Document, section Section, entry string) []Fault {
+	var faults []Fault
+	if section.Named && !validName(entry) {
+		faults = append(faults, Fault{
+			Where: section.Name + "." + entry, What: "the name is not in snake case",
+			Allowed: fmt.Sprintf("1 to %d characters a-z, 0-9, _", LongestName), SetBy: "the project's own formats",
+		})
+	}
+	for _, option := range Options() {
+		if option.Section != section.Name {
+			continue
+		}
+		path := Path{Section: section.Name, Entry: entry, Option: option.Name}
+		if _, ok := d.Get(path); !ok && needed(d, option, entry) {
+			faults = append(faults, Fault{Where: path.String(), What: "the setting is missing"})
+		}
+	}
+	return faults
+}
+
+func needed(d Document, option Option, entry string) bool {
+	if option.Section == SectionServices && option.Name == "partitions" {
+		return newService(d, entry).Kind == ServiceExclusive
+	}
+	return option.Required
+}
+
+func checkReason(path Path, setting Setting, seen map[string]Path) []Fault {
+	reason := strings.ToLower(strings.Join(strings.Fields(setting.Reason), " "))
+	if reason == "" {
+		return []Fault{{Where: path.String(), What: "the reason is missing"}}
+	}
+	if len(reason) < shortestReason {
+		return []Fault{{Where: path.String(), What: "the reason is too short to explain the value"}}
+	}
+	if first, ok := seen[reason]; ok {
+		return []Fault{{Where: path.String(), What: "the reason is copied from " + first.String()}}
+	}
+	seen[reason] = path
+	return nil
+}
+
+func checkRange(d Document, path Path, setting Setting) []Fault {
+	option, ok := FindOption(path)
+	if !ok {
+		return []Fault{{Where: path.String(), What: "no such option"}}
+	}
+	if setting.Value.Kind != option.Kind {
+		return []Fault{{Where: path.String(), What: fmt.Sprintf("the value is %s, want %s", setting.Value.Kind, option.Kind)}}
+	}
+	held := option.check(d, path.Entry, setting.Value)
+	if held.Holds {
+		return nil
+	}
+	return []Fault{{
+		Where: path.String(), What: fmt.Sprintf("value %q is outside its range", setting.Value), Allowed: held.Allowed, SetBy: held.SetBy,
+	}}
+}
+
+func checkDigests(d Document) []Fault {
+	var faults []Fault
+	seen := map[string]string{}
+	for _, name := range d.Entries(SectionAccounts) {
+		for _, digest := range newAccount(d, name).KeyDigests {
+			if first, ok := seen[digest]; ok {
+				faults = append(faults, Fault{
+					Where: Path{Section: SectionAccounts, Entry: name, Option: "key_digests"}.String(),
+					What:  "a client key stands twice, first under " + first,
+				})
+			}
+			seen[digest] = name
+		}
+	}
+	return faults
+}
+
+// Explanation is what an operator reads beside a setting.
+type Explanation struct {
+	Path    Path
+	Value   string
+	Reason  string
+	Allowed string
+	SetBy   string
+	ActsOn  string
+}
+
+// Explain returns the explanation of every setting, in order.
+func Explain(d Document) []Explanation {
+	var explanations []Explanation
+	for _, path := range d.Paths() {
+		setting, _ := d.Get(path)
+		option, ok := FindOption(path)
+		if !ok {
+			continue
+		}
+		held := option.check(d, path.Entry, setting.Value)
+		explanations = append(explanations, Explanation{
+			Path: path, Value: setting.Value.String(), Reason: setting.Reason,
+			Allowed: held.Allowed, SetBy: held.SetBy, ActsOn: option.Explanation,
+		})
+	}
+	return explanations
+}
--- /dev/null
+++ b/core/blconfig/document.go
@@ -0,0 +1,108 @@
+// Package blconfig holds the configuration document of a deployment: its
+// settings, the checks that refuse what can't be justified, and the
+// explanation of each option.
+package blconfig
+
+import (
+	"slices"
+	"sort"
+
+	"bergamotlead/core/bltable"
+)
+
+// Document is an immutable set of settings.
+type Document struct {
+	settings bltable.Table[Path, Setting]
+}
+
+// Get returns the setting at path and whether the document has one.
+func (d Document) Get(path Path) (Setting, bool) {
+	return d.settings.Get(path)
+}
+
+// With returns the document in which path has the given setting.
+func (d Document) With(path Path, setting Setting) Document {
+	d.settings = d.settings.With(path, setting)
+	return d
+}
+
+// Without returns the document without the setting at path.
+func (d Document) Without(path Path) Document {
+	d.settings = d.settings.Without(path)
+	return d
+}
+
+// Paths returns the paths of all settings in order.
+func (d Document) Paths() []Path {
+	paths := make([]Path, 0, d.settings.Len())
+	for path := range d.settings.All() {
+		paths = append(paths, path)
+	}
+	sort.Slice(paths, func(i, j int) bool { return paths[i].Less(paths[j]) })
+	return paths
+}
+
+// Entries returns the names of the entries of a section in order.
+func (d Document) Entries(section string) []string {
+	var entries []string
+	for path := range d.settings.All() {
+		if path.Section == section && path.Entry != "" {
+			entries = append(entries, path.Entry)
+		}
+	}
+	sort.Strings(entries)
+	return slices.Compact(entries)
+}
+
+func (d Document) value(section, entry, option string) Value {
+	setting, _ := d.settings.Get(Path{Section: section, Entry: entry, Option: option})
+	return setting.Value
+}
+
+// Change is one difference between two documents.
+type Change struct {
+	Path Path
+	// Before is nil when the setting is new.
+	Before *Setting
+	// After is nil when the setting was removed.
+	After *Setting
+}
+
+// Difference returns the changes that lead from before to after, in order.
+func Difference(before, after Document) []Change {
+	paths := append(before.Paths(), after.Paths()...)
+	sort.Slice(paths, func(i, j int) bool { return paths[i].Less(paths[j]) })
+	var changes []Change
+	for _, path := range slices.Compact(paths) {
+		old, hadOld := before.Get(path)
+		current, hasNew := after.Get(path)
+		if hadOld == hasNew && old.Value.Equal(current.Value) && old.Reason == current.Reason {
+			continue
+		}
+		change := Change{Path: path}
+		if hadOld {
+			change.Before = &old
+		}
+		if hasNew {
+			change.After = &current
+		}
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+// Accepted is a document that the store holds, with the revision under which
+// it does. Revisions only rise.
+type Accepted struct {
+	Revision uint64
+	Document Document
+	// Source is the text from which the document was read.
+	Source string
+	// Plan is the document in the form that decisions read.
+	Plan Plan
+}
+
+// NewAccepted returns the accepted form of document.
+func NewAccepted(revision uint64, document Document, source string) Accepted {
+	return Accepted{Revision: revision, Document: document, Source: source, Plan: NewPlan(document)}
+}
--- /dev/null
+++ b/core/blconfig/options.go
@@ -0,0 +1,305 @@
+package blconfig
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+)
+
+// Bounds that follow from the targets of the deployment.
+const (
+	// RecoveryTarget is the time within which a key is served again after a
+	// loss.
+	RecoveryTarget = 2 * time.Second
+	// ForceTarget is the time within which a configuration is in force.
+	ForceTarget = 6 * time.Second
+	// HeartbeatsPerGrant is how many heartbeats may be lost in a row before a
+	// grant lapses.
+	HeartbeatsPerGrant = 3
+	// LongestBurst is the longest time for which an account may save up.
+	LongestBurst = 10 * time.Second
+
+	shortestHeartbeat    = 100 * time.Millisecond
+	mostPartitions       = 65536
+	partitionsAnUpstream = 4
+	digestBytes          = 32
+)
+
+// Options returns all options in the order in which pages show them.
+func Options() []Option {
+	var options []Option
+	options = append(options, serviceOptions()...)
+	options = append(options, accountOptions()...)
+	options = append(options, routeOptions()...)
+	options = append(options, timingOptions()...)
+	return append(options, limitOptions()...)
+}
+
+func serviceOptions() []Option {
+	return []Option{
+		{SectionDeployment, "name", KindText, true, "Names the deployment in logs, metrics and pages.", names},
+		{
+			SectionServices, "kind", KindText, true,
+			"exclusive: each key has exactly one owning upstream. shared: any upstream may answer.",
+			choices("the two ways of dividing a service", string(ServiceExclusive), string(ServiceShared)),
+		},
+		{
+			SectionServices, "partitions", KindInteger, false,
+			"The number of parts into which the keys of an exclusive service are hashed. Ownership moves by partition.",
+			partitionRange,
+		},
+		{
+			SectionServices, "slots", KindInteger, true,
+			"The number of requests that one upstream works on at once when it is warm.",
+			integers(1, 4096, "what one upstream can bear"),
+		},
+		{
+			SectionServices, "cold_start_limit", KindInteger, true,
+			"The number of requests at once with which an upstream in cold start begins.",
+			coldStartRange,
+		},
+		{
+			SectionServices, "service_time", KindDuration, true,
+			"How long an upstream works on an ordinary request. Sets the capacity against which rates are held.",
+			durations(100*time.Microsecond, 10*time.Second, "the deadline of a caller"),
+		},
+		{
+			SectionServices, "upstreams", KindInteger, true,
+			"The number of upstreams that the operators run. Sets the capacity against which rates are held.",
+			integers(1, 4096, "the size of a region"),
+		},
+		{
+			SectionDomains, "state", KindText, true,
+			"in: hosts of the failure domain take work. out: they get no new work after a few seconds.",
+			choices("the two states of a failure domain", string(DomainIn), string(DomainOut)),
+		},
+		{
+			SectionUpstreams, "state", KindText, true,
+			"drain: the upstream gets no new work and hands its keys back. in: it takes work.",
+			choices("the two states of an upstream", UpstreamDrain, "in"),
+		},
+	}
+}
+
+func accountOptions() []Option {
+	return []Option{
+		{
+			SectionAccounts, "rate", KindInteger, true,
+			"The requests a second that the account may spend, summed over all hosts.",
+			rateRange,
+		},
+		{
+			SectionAccounts, "burst", KindInteger, true,
+			"The requests that the account may spend at once after a pause.",
+			burstRange,
+		},
+		{
+			SectionAccounts, "key_digests", KindList, true,
+			"The SHA-256 digests of the account's client keys, in hexadecimal. The keys themselves are kept nowhere.",
+			digestRange,
+		},
+		{
+			SectionAccounts, "services", KindList, true,
+			"The services that the account may call.",
+			serviceListRange,
+		},
+	}
+}
+
+func routeOptions() []Option {
+	return []Option{
+		{SectionRoutes, "service", KindText, true, "The service to which the route leads.", serviceRange},
+		{
+			SectionRoutes, "method", KindText, true, "The HTTP method that the route takes.",
+			choices("the methods of HTTP", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"),
+		},
+		{SectionRoutes, "path", KindText, true, "The part of the URL after the key, or * for any.", pathRange},
+		{
+			SectionRoutes, "idempotent", KindBoolean, true,
+			"Whether running a request twice does the same as once. Only such requests are sent again after a doubt.",
+			anyBoolean,
+		},
+		{
+			SectionRoutes, "open", KindBoolean, true,
+			"Whether callers without a client key may take the route.", anyBoolean,
+		},
+		{
+			SectionRoutes, "priority", KindText, true,
+			"Which requests get a slot first when an upstream is busy.",
+			choices("the priority classes", string(PriorityUrgent), string(PriorityNormal)),
+		},
+	}
+}
+
+func timingOptions() []Option {
+	return []Option{
+		{
+			SectionTiming, "heartbeat", KindDuration, true,
+			"How often each node reports to the lead and renews its grants.", heartbeatRange,
+		},
+		{
+			SectionTiming, "grant_ttl", KindDuration, true,
+			"How long a node may serve its keys without a renewal.", grantRange,
+		},
+		{
+			SectionTiming, "lead_lease", KindDuration, true,
+			"How long the lead stays lead without a renewal by the store.", leadLeaseRange,
+		},
+		{
+			SectionTiming, "freshness", KindDuration, true,
+			"How long a node that hears no lead goes on admitting requests. Bounds how long a withdrawn key works.",
+			freshnessRange,
+		},
+		{
+			SectionTiming, "clock_margin", KindDuration, true,
+			"What the lead waits beyond a grant for the drift of two clocks.",
+			durations(5*time.Millisecond, 200*time.Millisecond, "1% drift over a grant, and the recovery target"),
+		},
+		{
+			SectionTiming, "settle", KindDuration, true,
+			"What the lead waits in addition before it gives away keys of an upstream that checks no fence.",
+			durations(0, time.Second, "the longest pause between a node's check and its write"),
+		},
+	}
+}
+
+func limitOptions() []Option {
+	return []Option{
+		{
+			SectionLimits, "body_bytes", KindInteger, true, "The largest body of a request, in bytes.",
+			integers(1024, 1<<30, "the memory of a node"),
+		},
+		{
+			SectionLimits, "queue_length", KindInteger, true,
+			"The requests that may wait for one upstream.",
+			integers(1, 4096, "the memory of a node and the deadline of a caller"),
+		},
+		{
+			SectionLimits, "request_timeout", KindDuration, true,
+			"How long a caller waits when it names no time of its own.",
+			durations(50*time.Millisecond, 5*time.Minute, "what callers bear"),
+		},
+		{
+			SectionLimits, "shutdown_grace", KindDuration, true,
+			"How long a leaving node waits for the requests that still run.",
+			shutdownRange,
+		},
+		{
+			SectionLimits, "retry_percent", KindInteger, true,
+			"The requests that may be sent again, in percent of all.",
+			integers(0, 50, "the load that a retry adds to upstreams in trouble"),
+		},
+		{
+			SectionLimits, "hedge_percent", KindInteger, true,
+			"The idempotent requests that may be sent to a second upstream, in percent of all.",
+			integers(0, 20, "the load that a hedge adds"),
+		},
+	}
+}
+
+func partitionRange(d Document, entry string, v Value) Range {
+	upstreams := d.value(SectionServices, entry, "upstreams").Integer
+	return integerRange(v, max(partitionsAnUpstream*upstreams, 1), mostPartitions,
+		"four partitions an upstream to share load evenly, and the 16 bits of a partition's number")
+}
+
+func coldStartRange(d Document, entry string, v Value) Range {
+	return integerRange(v, 1, d.value(SectionServices, entry, "slots").Integer, "the service's slots")
+}
+
+func capacity(d Document) int64 {
+	total := 0.0
+	for _, name := range d.Entries(SectionServices) {
+		service := newService(d, name)
+		if service.ServiceTime <= 0 {
+			continue
+		}
+		total += float64(service.Slots*service.Upstreams) / service.ServiceTime.Seconds()
+	}
+	return int64(total)
+}
+
+func rateRange(d Document, entry string, v Value) Range {
+	others := int64(0)
+	for _, name := range d.Entries(SectionAccounts) {
+		if name != entry {
+			others += d.value(SectionAccounts, name, "rate").Integer
+		}
+	}
+	return integerRange(v, 1, max(capacity(d)-others, 0),
+		"the slots of all upstreams over their service time, less the rates of the other accounts")
+}
+
+func burstRange(d Document, entry string, v Value) Range {
+	rate := d.value(SectionAccounts, entry, "rate").Integer
+	return integerRange(v, 1, max(rate*int64(LongestBurst/time.Second), 1),
+		fmt.Sprintf("%s of the account's rate", LongestBurst))
+}
+
+func digestRange(_ Document, _ string, v Value) Range {
+	holds := true
+	for _, digest := range v.List {
+		raw, err := hex.DecodeString(digest)
+		holds = holds && err == nil && len(raw) == digestBytes
+	}
+	return Range{Allowed: "64 hexadecimal digits each", SetBy: "SHA-256", Holds: holds}
+}
+
+func serviceListRange(d Document, _ string, v Value) Range {
+	holds := len(v.List) > 0
+	known := d.Entries(SectionServices)
+	for _, name := range v.List {
+		holds = holds && contains(known, name)
+	}
+	return Range{Allowed: "one or more of " + joinWords(known), SetBy: "the services of the document", Holds: holds}
+}
+
+func serviceRange(d Document, _ string, v Value) Range {
+	known := d.Entries(SectionServices)
+	return Range{Allowed: "one of " + joinWords(known), SetBy: "the services of the document", Holds: contains(known, v.Text)}
+}
+
+func pathRange(_ Document, _ string, v Value) Range {
+	return Range{
+		Allowed: "a path without a leading slash, or *",
+		SetBy:   "the form of a caller's URL, /service/key/path",
+		Holds:   len(v.Text) <= 256 && (v.Text == "" || v.Text[0] != '/'),
+	}
+}
+
+func heartbeatRange(d Document, _ string, v Value) Range {
+	ttl := d.value(SectionTiming, "", "grant_ttl").Duration
+	return durationRange(v, shortestHeartbeat, ttl/HeartbeatsPerGrant,
+		"the control traffic of a node, and a third of grant_ttl")
+}
+
+func grantRange(d Document, _ string, v Value) Range {
+	heartbeat := d.value(SectionTiming, "", "heartbeat").Duration
+	lease := d.value(SectionTiming, "", "lead_lease").Duration
+	return durationRange(v, HeartbeatsPerGrant*heartbeat, RecoveryTarget-lease-heartbeat,
+		"three heartbeats, and the recovery target less lead_lease and a heartbeat")
+}
+
+func leadLeaseRange(d Document, _ string, v Value) Range {
+	return durationRange(v, 200*time.Millisecond, d.value(SectionTiming, "", "grant_ttl").Duration,
+		"four renewals by the store, and a takeover within grant_ttl")
+}
+
+func freshnessRange(d Document, _ string, v Value) Range {
+	return durationRange(v, d.value(SectionTiming, "", "grant_ttl").Duration, ForceTarget/2,
+		"grant_ttl, and half of the time in which a configuration is in force")
+}
+
+func shutdownRange(d Document, _ string, v Value) Range {
+	return durationRange(v, d.value(SectionLimits, "", "request_timeout").Duration, 10*time.Minute,
+		"request_timeout, so that no request is cut short")
+}
+
+func contains(list []string, word string) bool {
+	for _, item := range list {
+		if item == word {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/blconfig/plan.go
@@ -0,0 +1,241 @@
+package blconfig
+
+import (
+	"time"
+
+	"bergamotlead/core/blvalue"
+)
+
+// ServiceKind tells whether a service is divided by key.
+type ServiceKind string
+
+// The kinds of services.
+const (
+	// ServiceExclusive has exactly one owning upstream for each key.
+	ServiceExclusive ServiceKind = "exclusive"
+	// ServiceShared lets any upstream answer any request.
+	ServiceShared ServiceKind = "shared"
+)
+
+// Service is one service of the deployment.
+type Service struct {
+	Name           blvalue.ServiceName
+	Kind           ServiceKind
+	Partitions     int
+	Slots          int
+	ColdStartLimit int
+	ServiceTime    time.Duration
+	Upstreams      int
+}
+
+// Account is a client account and what it may spend.
+type Account struct {
+	Name blvalue.AccountName
+	// Rate is in requests a second, summed over all hosts.
+	Rate int64
+	// Burst is in requests.
+	Burst      int64
+	KeyDigests []string
+	Services   []blvalue.ServiceName
+}
+
+// MayCall reports whether the account may call service.
+func (a Account) MayCall(service blvalue.ServiceName) bool {
+	for _, allowed := range a.Services {
+		if allowed == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Priority orders requests that wait for a slot.
+type Priority string
+
+// The priority classes.
+const (
+	PriorityUrgent Priority = "urgent"
+	PriorityNormal Priority = "normal"
+)
+
+// AnyPath matches every path of a service.
+const AnyPath = "*"
+
+// Route says how requests of one method to one service are treated.
+type Route struct {
+	Name    string
+	Service blvalue.ServiceName
+	Method  string
+	// Path is the part of the URL after the key, or AnyPath.
+	Path       string
+	Idempotent bool
+	Open       bool
+	Priority   Priority
+}
+
+// DomainState tells whether a failure domain takes work.
+type DomainState string
+
+// The states of a failure domain.
+const (
+	DomainIn  DomainState = "in"
+	DomainOut DomainState = "out"
+)
+
+// UpstreamDrain is the state of an upstream that operators drain.
+const UpstreamDrain = "drain"
+
+// Timing holds the intervals of the control exchanges.
+type Timing struct {
+	Heartbeat time.Duration
+	GrantTTL  time.Duration
+	LeadLease time.Duration
+	Freshness time.Duration
+	// Margin covers the drift of clocks over one grant.
+	Margin time.Duration
+	// Settle is waited in addition where an upstream doesn't check fences.
+	Settle time.Duration
+}
+
+// Limits holds the bounds on a request.
+type Limits struct {
+	BodyBytes      int64
+	QueueLength    int
+	RequestTimeout time.Duration
+	ShutdownGrace  time.Duration
+	// RetryPercent and HedgePercent bound extra work, in percent of requests.
+	RetryPercent int64
+	HedgePercent int64
+}
+
+// Plan is a document in the form that decisions read. It is immutable.
+type Plan struct {
+	Deployment string
+	Services   map[blvalue.ServiceName]Service
+	Accounts   map[blvalue.AccountName]Account
+	// Digests maps the digest of a client key to its account.
+	Digests map[string]blvalue.AccountName
+	Routes  []Route
+	Domains map[blvalue.DomainName]DomainState
+	// Drained holds the upstreams that operators drain.
+	Drained map[blvalue.UpstreamName]bool
+	Timing  Timing
+	Limits  Limits
+}
+
+// NewPlan returns the plan of a document that passed its checks.
+func NewPlan(d Document) Plan {
+	plan := Plan{
+		Deployment: d.value(SectionDeployment, "", "name").Text,
+		Services:   map[blvalue.ServiceName]Service{},
+		Accounts:   map[blvalue.AccountName]Account{},
+		Digests:    map[string]blvalue.AccountName{},
+		Domains:    map[blvalue.DomainName]DomainState{},
+		Drained:    map[blvalue.UpstreamName]bool{},
+		Timing:     newTiming(d),
+		Limits:     newLimits(d),
+	}
+	for _, name := range d.Entries(SectionServices) {
+		plan.Services[blvalue.ServiceName(name)] = newService(d, name)
+	}
+	for _, name := range d.Entries(SectionAccounts) {
+		account := newAccount(d, name)
+		plan.Accounts[account.Name] = account
+		for _, digest := range account.KeyDigests {
+			plan.Digests[digest] = account.Name
+		}
+	}
+	for _, name := range d.Entries(SectionRoutes) {
+		plan.Routes = append(plan.Routes, newRoute(d, name))
+	}
+	for _, name := range d.Entries(SectionDomains) {
+		plan.Domains[blvalue.DomainName(name)] = DomainState(d.value(SectionDomains, name, "state").Text)
+	}
+	for _, name := range d.Entries(SectionUpstreams) {
+		plan.Drained[blvalue.UpstreamName(name)] = d.value(SectionUpstreams, name, "state").Text == UpstreamDrain
+	}
+	return plan
+}
+
+func newService(d Document, name string) Service {
+	return Service{
+		Name:           blvalue.ServiceName(name),
+		Kind:           ServiceKind(d.value(SectionServices, name, "kind").Text),
+		Partitions:     int(d.value(SectionServices, name, "partitions").Integer),
+		Slots:          int(d.value(SectionServices, name, "slots").Integer),
+		ColdStartLimit: int(d.value(SectionServices, name, "cold_start_limit").Integer),
+		ServiceTime:    d.value(SectionServices, name, "service_time").Duration,
+		Upstreams:      int(d.value(SectionServices, name, "upstreams").Integer),
+	}
+}
+
+func newAccount(d Document, name string) Account {
+	account := Account{
+		Name:       blvalue.AccountName(name),
+		Rate:       d.value(SectionAccounts, name, "rate").Integer,
+		Burst:      d.value(SectionAccounts, name, "burst").Integer,
+		KeyDigests: d.value(SectionAccounts, name, "key_digests").List,
+	}
+	for _, service := range d.value(SectionAccounts, name, "services").List {
+		account.Services = append(account.Services, blvalue.ServiceName(service))
+	}
+	return account
+}
+
+func newRoute(d Document, name string) Route {
+	return Route{
+		Name:       name,
+		Service:    blvalue.ServiceName(d.value(SectionRoutes, name, "service").Text),
+		Method:     d.value(SectionRoutes, name, "method").Text,
+		Path:       d.value(SectionRoutes, name, "path").Text,
+		Idempotent: d.value(SectionRoutes, name, "idempotent").Boolean,
+		Open:       d.value(SectionRoutes, name, "open").Boolean,
+		Priority:   Priority(d.value(SectionRoutes, name, "priority").Text),
+	}
+}
+
+func newTiming(d Document) Timing {
+	return Timing{
+		Heartbeat: d.value(SectionTiming, "", "heartbeat").Duration,
+		GrantTTL:  d.value(SectionTiming, "", "grant_ttl").Duration,
+		LeadLease: d.value(SectionTiming, "", "lead_lease").Duration,
+		Freshness: d.value(SectionTiming, "", "freshness").Duration,
+		Margin:    d.value(SectionTiming, "", "clock_margin").Duration,
+		Settle:    d.value(SectionTiming, "", "settle").Duration,
+	}
+}
+
+func newLimits(d Document) Limits {
+	return Limits{
+		BodyBytes:      d.value(SectionLimits, "", "body_bytes").Integer,
+		QueueLength:    int(d.value(SectionLimits, "", "queue_length").Integer),
+		RequestTimeout: d.value(SectionLimits, "", "request_timeout").Duration,
+		ShutdownGrace:  d.value(SectionLimits, "", "shutdown_grace").Duration,
+		RetryPercent:   d.value(SectionLimits, "", "retry_percent").Integer,
+		HedgePercent:   d.value(SectionLimits, "", "hedge_percent").Integer,
+	}
+}
+
+// Route returns the route that a request takes, the one that names its path
+// before the one that takes any path.
+func (p Plan) Route(service blvalue.ServiceName, method, path string) (Route, bool) {
+	var found Route
+	ok := false
+	for _, route := range p.Routes {
+		if route.Service != service || route.Method != method {
+			continue
+		}
+		if route.Path == path {
+			return route, true
+		}
+		if route.Path == AnyPath {
+			found, ok = route, true
+		}
+	}
+	return found, ok
+}
+
+// DomainTakesWork reports whether operators left the failure domain in.
+func (p Plan) DomainTakesWork(domain blvalue.DomainName) bool {
+	return p.Domains[domain] == DomainIn
+}
--- /dev/null
+++ b/core/blvalue/identity.go
@@ -0,0 +1,53 @@
+// Package blvalue holds the immutable values that slices exchange.
+package blvalue
+
+// HostName names a machine that runs one process of the system.
+type HostName string
+
+// DomainName names a failure domain.
+type DomainName string
+
+// ServiceName names a service, such as pot or wishlist.
+type ServiceName string
+
+// UpstreamName names one server of a service.
+type UpstreamName string
+
+// AccountName names a client account.
+type AccountName string
+
+// Incarnation is the random identity that a process draws when it starts.
+type Incarnation string
+
+// Host is one process of the system and where it is reached.
+type Host struct {
+	Name        HostName
+	Incarnation Incarnation
+	Domain      DomainName
+	// Address is the IP address and port at which other nodes reach it.
+	Address string
+}
+
+// IsZero reports whether the host is unset.
+func (h Host) IsZero() bool {
+	return h.Incarnation == ""
+}
+
+// Upstream is one server of a service, as its node announces it.
+type Upstream struct {
+	Name        UpstreamName
+	Incarnation Incarnation
+	Service     ServiceName
+	// Slots is the number of requests that the server works on at once.
+	Slots int
+	// ChecksFence tells whether the server refuses orders with an old fence.
+	ChecksFence bool
+	// Leaving tells that the server takes no new work.
+	Leaving bool
+}
+
+// WithLeaving returns the upstream with its leaving state set.
+func (u Upstream) WithLeaving(leaving bool) Upstream {
+	u.Leaving = leaving
+	return u
+}
--- /dev/null
+++ b/core/blvalue/partition_set.go
@@ -0,0 +1,114 @@
+package blvalue
+
+import (
+	"iter"
+	"math/bits"
+)
+
+const wordBits = 64
+
+// PartitionSet is an immutable set of partitions, held as a bitmap. The zero
+// value is empty.
+type PartitionSet struct {
+	words []uint64
+}
+
+// NewPartitionSet returns the set of the given partitions.
+func NewPartitionSet(partitions ...Partition) PartitionSet {
+	var set PartitionSet
+	for _, p := range partitions {
+		set.insert(p)
+	}
+	return set
+}
+
+// PartitionSetOfWords returns the set whose bitmap is words, lowest partition
+// first. The caller must not change words afterwards.
+func PartitionSetOfWords(words []uint64) PartitionSet {
+	return PartitionSet{words: words}
+}
+
+// Words returns the bitmap, lowest partition first. It must not be changed.
+func (s PartitionSet) Words() []uint64 {
+	return s.words
+}
+
+func (s *PartitionSet) insert(p Partition) {
+	index := int(p) / wordBits
+	for len(s.words) <= index {
+		s.words = append(s.words, 0)
+	}
+	s.words[index] |= 1 << (p % wordBits)
+}
+
+func (s PartitionSet) clone() PartitionSet {
+	return PartitionSet{words: append([]uint64(nil), s.words...)}
+}
+
+// With returns the set with p added.
+func (s PartitionSet) With(p Partition) PartitionSet {
+	next := s.clone()
+	next.insert(p)
+	return next
+}
+
+// Without returns the set with the partitions of other removed.
+func (s PartitionSet) Without(other PartitionSet) PartitionSet {
+	next := s.clone()
+	for i := range min(len(next.words), len(other.words)) {
+		next.words[i] &^= other.words[i]
+	}
+	return next
+}
+
+// Union returns the partitions that are in either set.
+func (s PartitionSet) Union(other PartitionSet) PartitionSet {
+	if len(s.words) < len(other.words) {
+		s, other = other, s
+	}
+	next := s.clone()
+	for i, word := range other.words {
+		next.words[i] |= word
+	}
+	return next
+}
+
+// Intersect returns the partitions that are in both sets.
+func (s PartitionSet) Intersect(other PartitionSet) PartitionSet {
+	return s.Without(s.Without(other))
+}
+
+// Has reports whether p is in the set.
+func (s PartitionSet) Has(p Partition) bool {
+	index := int(p) / wordBits
+	return index < len(s.words) && s.words[index]&(1<<(p%wordBits)) != 0
+}
+
+// Len returns the number of partitions in the set.
+func (s PartitionSet) Len() int {
+	count := 0
+	for _, word := range s.words {
+		count += bits.OnesCount64(word)
+	}
+	return count
+}
+
+// Equal reports whether both sets have the same partitions.
+func (s PartitionSet) Equal(other PartitionSet) bool {
+	return s.Without(other).Len() == 0 && other.Without(s).Len() == 0
+}
+
+// All iterates over the partitions in rising order.
+func (s PartitionSet) All() iter.Seq[Partition] {
+	return func(yield func(Partition) bool) {
+		for i, word := range s.words {
+			for word != 0 {
+				bit := bits.TrailingZeros64(word)
+				if !yield(Partition(i*wordBits + bit)) { //nolint:gosec // the index stays below 65536
+					return
+				}
+				word &= word - 1
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/blvalue/value_test.go
@@ -0,0 +1,61 @@
+package blvalue_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"bergamotlead/core/blvalue"
+)
+
+func ExamplePartitionSet_With() {
+	set := blvalue.NewPartitionSet(3)
+	larger := set.With(70)
+	fmt.Println(set.Len(), larger.Len(), larger.Has(70))
+	// Output: 1 2 true
+}
+
+func ExampleFence_Less() {
+	old := blvalue.Fence{Term: 3, Sequence: 90}
+	fmt.Println(old.Less(blvalue.Fence{Term: 4, Sequence: 1}))
+	// Output: true
+}
+
+func ExamplePartitionOf() {
+	fmt.Println(blvalue.PartitionOf("awa", 64) == blvalue.PartitionOf("awa", 64))
+	// Output: true
+}
+
+func TestPartitionSetAgreesWithMap(t *testing.T) {
+	partitions := rapid.SliceOf(rapid.Uint16Range(0, 300))
+	rapid.Check(t, func(t *rapid.T) {
+		left, leftModel := drawSet(partitions.Draw(t, "left"))
+		right, rightModel := drawSet(partitions.Draw(t, "right"))
+		for p := range blvalue.Partition(301) {
+			cases := map[string][2]bool{
+				"union":     {left.Union(right).Has(p), leftModel[p] || rightModel[p]},
+				"without":   {left.Without(right).Has(p), leftModel[p] && !rightModel[p]},
+				"intersect": {left.Intersect(right).Has(p), leftModel[p] && rightModel[p]},
+			}
+			for name, c := range cases {
+				if got, want := c[0], c[1]; got != want {
+					t.Fatalf("%s has %d: got %t, want %t", name, p, got, want)
+				}
+			}
+		}
+		if got, want := left.Len(), len(leftModel); got != want {
+			t.Fatalf("Len: got %d, want %d", got, want)
+		}
+	})
+}
+
+func drawSet(numbers []uint16) (blvalue.PartitionSet, map[blvalue.Partition]bool) {
+	var set blvalue.PartitionSet
+	model := map[blvalue.Partition]bool{}
+	for _, number := range numbers {
+		set = set.With(blvalue.Partition(number))
+		model[blvalue.Partition(number)] = true
+	}
+	return set, model
+}
--- /dev/null
+++ b/io/blsettings/process.go
@@ -0,0 +1,108 @@
+package blsettings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"bergamotlead/core/blvalue"
+)
+
+// Process holds the settings of one bergamotlead process.
+type Process struct {
+	// Host names the machine.
+	Host blvalue.HostName `toml:"host"`
+	// Region names the region; its lead, assignment and rates are its own.
+	Region string `toml:"region"`
+	// Domain names the failure domain in which the machine stands.
+	Domain blvalue.DomainName `toml:"failure_domain"`
+	// CallerListen takes callers' requests, as an IP address and port.
+	CallerListen string `toml:"caller_listen"`
+	// NodeListen takes other nodes' calls.
+	NodeListen string `toml:"node_listen"`
+	// UpstreamListen takes the announcements of the upstream beside the node.
+	UpstreamListen string `toml:"upstream_listen"`
+	// OperatorListen takes operators' calls.
+	OperatorListen string `toml:"operator_listen"`
+	// OperatorTokenFile holds the token that operators present. Without it the
+	// operators' listener answers reads alone.
+	OperatorTokenFile string `toml:"operator_token_file"`
+	// Store is the address of the platform's store.
+	Store string `toml:"store"`
+	// LogLevel is trace, debug, info, warn or error.
+	LogLevel string `toml:"log_level"`
+	// TraceFile is where spans are written, or empty for none.
+	TraceFile string `toml:"trace_file"`
+}
+
+// SettingError reports a process setting that can't be used.
+type SettingError struct {
+	Name string
+	What string
+}
+
+// Error returns the refusal as text.
+func (e SettingError) Error() string {
+	return fmt.Sprintf("setting %s: %s", e.Name, e.What)
+}
+
+// ReadProcess reads the process settings in the file at path. Unknown names
+// are refused.
+func ReadProcess(path string) (Process, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Process{}, fmt.Errorf("read process settings: %w", err)
+	}
+	return ParseProcess(text)
+}
+
+// ParseProcess reads process settings. All faults are reported at once.
+func ParseProcess(text []byte) (Process, error) {
+	process := Process{LogLevel: "info"}
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(&process); err != nil {
+		return Process{}, fmt.Errorf("read process settings: %w", strict(err))
+	}
+	if err := process.check(); err != nil {
+		return Process{}, fmt.Errorf("check process settings: %w", err)
+	}
+	return process, nil
+}
+
+func strict(err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		return fmt.Errorf("unknown name:\n%s", unknown.String())
+	}
+	return positioned(err)
+}
+
+func (p Process) check() error {
+	var faults []error
+	names := map[string]string{
+		"host": string(p.Host), "region": p.Region, "failure_domain": string(p.Domain),
+	}
+	for name, value := range names {
+		if value == "" {
+			faults = append(faults, SettingError{Name: name, What: "is missing"})
+		}
+	}
+	addresses := map[string]string{
+		"caller_listen": p.CallerListen, "node_listen": p.NodeListen, "upstream_listen": p.UpstreamListen,
+		"operator_listen": p.OperatorListen, "store": p.Store,
+	}
+	for name, value := range addresses {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			faults = append(faults, SettingError{Name: name, What: fmt.Sprintf("want an IP address and port: %v", err)})
+		}
+	}
+	if host, _, err := net.SplitHostPort(p.NodeListen); err == nil && net.ParseIP(host).IsUnspecified() {
+		faults = append(faults, SettingError{Name: "node_listen", What: "want an address that other nodes can reach"})
+	}
+	return errors.Join(faults...)
+}
--- /dev/null
+++ b/standin/platform/handlers.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+type server struct {
+	state *state
+}
+
+type entryBody struct {
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+type swapBody struct {
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"expected_revision"`
+	Lease    string `json:"lease"`
+}
+
+type leaseBody struct {
+	ID  string `json:"id,omitempty"`
+	TTL int64  `json:"ttl_ms,omitempty"`
+}
+
+func newHandler(s *state) http.Handler {
+	srv := server{state: s}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv/{key}", srv.counted("get", srv.get))
+	mux.HandleFunc("PUT /kv/{key}", srv.counted("swap", srv.swap))
+	mux.HandleFunc("GET /watch/{key}", srv.counted("watch", srv.watch))
+	mux.HandleFunc("POST /leases", srv.counted("open_lease", srv.openLease))
+	mux.HandleFunc("PUT /leases/{id}", srv.counted("renew_lease", srv.renewLease))
+	mux.HandleFunc("DELETE /leases/{id}", srv.counted("end_lease", srv.endLease))
+	mux.HandleFunc("GET /calls", srv.calls)
+	mux.HandleFunc("POST /faults", srv.setFaults)
+	return mux
+}
+
+// counted counts the call and applies the faults that hold for every call.
+func (s server) counted(kind string, handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f := s.state.count(kind)
+		if f.DelayMS > 0 {
+			time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+		}
+		if f.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		handle(w, r)
+	}
+}
+
+func respond(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s server) get(w http.ResponseWriter, r *http.Request) {
+	current, _ := s.state.get(r.PathValue("key"))
+	respond(w, http.StatusOK, entryBody{Value: current.value, Revision: current.revision})
+}
+
+func (s server) watch(w http.ResponseWriter, r *http.Request) {
+	revision, _ := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		current, changed := s.state.get(r.PathValue("key"))
+		if current.revision != revision {
+			respond(w, http.StatusOK, entryBody{Value: current.value, Revision: current.revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			respond(w, http.StatusOK, entryBody{Value: current.value, Revision: current.revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// loseAnswer ends the connection in place of an answer when a fault says so.
+func (s server) loseAnswer() {
+	if s.state.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s server) swap(w http.ResponseWriter, r *http.Request) {
+	var body swapBody
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2<<20)).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	current, result := s.state.swap(r.PathValue("key"), body.Revision, body.Value, body.Lease)
+	s.loseAnswer()
+	status := http.StatusOK
+	switch result {
+	case swapDone:
+		current.value = nil
+	case swapConflict:
+		status = http.StatusConflict
+	case swapLeaseGone:
+		status = http.StatusGone
+	}
+	respond(w, status, entryBody{Value: current.value, Revision: current.revision})
+}
+
+func (s server) openLease(w http.ResponseWriter, r *http.Request) {
+	var body leaseBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id := s.state.openLease(time.Duration(body.TTL) * time.Millisecond)
+	s.loseAnswer()
+	respond(w, http.StatusOK, leaseBody{ID: id})
+}
+
+func (s server) renewLease(w http.ResponseWriter, r *http.Request) {
+	s.leaseAnswer(w, s.state.renewLease(r.PathValue("id")))
+}
+
+func (s server) endLease(w http.ResponseWriter, r *http.Request) {
+	s.leaseAnswer(w, s.state.endLease(r.PathValue("id")))
+}
+
+func (s server) leaseAnswer(w http.ResponseWriter, alive bool) {
+	if !alive {
+		respond(w, http.StatusGone, leaseBody{})
+		return
+	}
+	respond(w, http.StatusOK, leaseBody{})
+}
+
+func (s server) calls(w http.ResponseWriter, _ *http.Request) {
+	respond(w, http.StatusOK, s.state.callCounts())
+}
+
+func (s server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.state.setFaults(f)
+	respond(w, http.StatusOK, f)
+}
--- /dev/null
+++ b/standin/platform/state.go
@@ -0,0 +1,184 @@
+// Package main is a stand-in for the platform's key-value store, for tests,
+// measurements and the demonstration. It holds everything in memory.
+package main
+
+import (
+	"strconv"
+	"sync"
+	"time"
+)
+
+type record struct {
+	value    []byte
+	revision uint64
+	lease    string
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// faults are the switches that the stand-in's /faults page sets.
+type faults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// DelayMS holds every answer back, in milliseconds.
+	DelayMS int `json:"delay_ms"`
+	// LoseAnswers drops the answers of the next writes after they took effect.
+	LoseAnswers int `json:"lose_answers"`
+	// LapseLeases ends every lease at once.
+	LapseLeases bool `json:"lapse_leases"`
+}
+
+type state struct {
+	mu       sync.Mutex
+	records  map[string]record
+	leases   map[string]lease
+	revision uint64
+	leaseID  int
+	changed  chan struct{}
+	faults   faults
+	calls    map[string]int
+}
+
+func newState() *state {
+	return &state{
+		records: map[string]record{},
+		leases:  map[string]lease{},
+		changed: make(chan struct{}),
+		calls:   map[string]int{},
+	}
+}
+
+// notify wakes every watch. The caller holds the lock.
+func (s *state) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// lapse drops leases that have run out and their keys. The caller holds the
+// lock.
+func (s *state) lapse(now time.Time) {
+	for id, l := range s.leases {
+		if now.Before(l.expires) {
+			continue
+		}
+		s.dropLease(id)
+	}
+}
+
+func (s *state) dropLease(id string) {
+	delete(s.leases, id)
+	for key, r := range s.records {
+		if r.lease == id {
+			delete(s.records, key)
+		}
+	}
+	s.notify()
+}
+
+func (s *state) get(key string) (record, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse(time.Now())
+	return s.records[key], s.changed
+}
+
+type swapResult int
+
+const (
+	swapDone swapResult = iota
+	swapConflict
+	swapLeaseGone
+)
+
+func (s *state) swap(key string, expected uint64, value []byte, leaseID string) (record, swapResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse(time.Now())
+	current := s.records[key]
+	if current.revision != expected {
+		return current, swapConflict
+	}
+	if _, ok := s.leases[leaseID]; leaseID != "" && !ok {
+		return current, swapLeaseGone
+	}
+	s.revision++
+	next := record{value: value, revision: s.revision, lease: leaseID}
+	s.records[key] = next
+	s.notify()
+	return next, swapDone
+}
+
+func (s *state) openLease(ttl time.Duration) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaseID++
+	id := "lease_" + strconv.Itoa(s.leaseID)
+	s.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	return id
+}
+
+func (s *state) renewLease(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapse(time.Now())
+	l, ok := s.leases[id]
+	if !ok {
+		return false
+	}
+	l.expires = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	return true
+}
+
+func (s *state) endLease(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[id]; !ok {
+		return false
+	}
+	s.dropLease(id)
+	return true
+}
+
+func (s *state) count(kind string) faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[kind]++
+	return s.faults
+}
+
+// loseAnswer reports whether the answer of a write is to be dropped.
+func (s *state) loseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswers == 0 {
+		return false
+	}
+	s.faults.LoseAnswers--
+	return true
+}
+
+func (s *state) setFaults(f faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.LapseLeases {
+		for id := range s.leases {
+			s.dropLease(id)
+		}
+		f.LapseLeases = false
+	}
+	s.faults = f
+}
+
+func (s *state) callCounts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := make(map[string]int, len(s.calls))
+	for kind, count := range s.calls {
+		counts[kind] = count
+	}
+	return counts
+}
