Add the lead, ownership and grant slices as pure decisions

Ruled out: a lead record that hangs on the lease itself, since the record has to outlive the lease; a lease for each server in the store, since its rate would grow with the fleet; one claim list per partition with expiry, since each renewal would then copy every chunk.

Change: core/bllead (record, lease, standby's promise, hold, takeover), core/blassign (chunks by compare-and-swap, releases, settling, four placement policies as type parameters), core/blgrant (holder's side).

--- /dev/null
+++ b/core/blassign/decide.go
@@ -0,0 +1,131 @@
+package blassign
+
+import (
+	"fmt"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/blplatform"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+// Decide computes the next state and the effects of one message.
+func (s State[P]) Decide(message Message, now bltimer.Instant) (State[P], []Effect) {
+	switch m := message.(type) {
+	case Tick:
+		return s.tick(now)
+	case AuthorityChanged:
+		return s.authorityChanged(m)
+	case ConfigSeen:
+		return s.configSeen(m)
+	case ChunkLoaded:
+		return s.chunkLoaded(m)
+	case ChunkWritten:
+		return s.chunkWritten(m)
+	case Heartbeat:
+		return s.heartbeat(m, now)
+	}
+	return s, nil
+}
+
+// Decide is the decision of a duty whose state is State[P].
+func Decide[P Policy](s State[P], message Message, now bltimer.Instant) (State[P], []Effect) {
+	return s.Decide(message, now)
+}
+
+// authorityChanged forgets everything when a new term begins: a lead starts
+// from the store, never from its memory.
+func (s State[P]) authorityChanged(m AuthorityChanged) (State[P], []Effect) {
+	began := m.Authority.Term != 0 && m.Authority.Term != s.authority.Term
+	s.authority = m.Authority
+	if !began {
+		return s, nil
+	}
+	return s.withoutMemory(), []Effect{LoadConfig{}}
+}
+
+// configSeen takes a configuration of a later revision; an earlier one is a
+// late answer.
+func (s State[P]) configSeen(m ConfigSeen) (State[P], []Effect) {
+	if s.authority.Term == 0 || m.Accepted.Revision <= s.config.Revision {
+		return s, nil
+	}
+	s.config = m.Accepted
+	var effects []Effect
+	for name, service := range s.config.Plan.Services {
+		if _, ok := s.services.Get(name); ok || service.Kind != blconfig.ServiceExclusive {
+			continue
+		}
+		ownership := NewOwnership(service.Partitions)
+		s = s.withService(name, ownership)
+		for index := range ownership.chunkCount() {
+			effects = append(effects, LoadChunk{Term: s.authority.Term, ID: ChunkID{Service: name, Index: index}})
+		}
+	}
+	return s, effects
+}
+
+func (s State[P]) chunkLoaded(m ChunkLoaded) (State[P], []Effect) {
+	ownership, ok := s.services.Get(m.ID.Service)
+	if m.Term != s.authority.Term || !ok || m.Failed {
+		return s, nil
+	}
+	current, had := ownership.chunks.Get(m.ID.Index)
+	if had && m.Chunk.Revision <= current.Revision {
+		return s, nil
+	}
+	return s.withOwners(m.ID, ownership, m.Chunk), nil
+}
+
+// withOwners takes a chunk as the store holds it.
+func (s State[P]) withOwners(id ChunkID, ownership Ownership, chunk Chunk) State[P] {
+	owners := make([]blvalue.UpstreamName, min(ChunkSize, ownership.partitions-id.Index*ChunkSize))
+	copy(owners, chunk.Owners)
+	chunk.Owners = owners
+	s.version++
+	return s.withService(id.Service, ownership.withChunk(id.Index, ownedChunk{Chunk: chunk, changed: s.version}))
+}
+
+// chunkWritten learns what became of a write. While that is in doubt, the
+// partitions that it moves are renewed for nobody.
+func (s State[P]) chunkWritten(m ChunkWritten) (State[P], []Effect) {
+	ownership, ok := s.services.Get(m.ID.Service)
+	if m.Term != s.authority.Term || !ok {
+		return s, nil
+	}
+	chunk, ok := ownership.chunks.Get(m.ID.Index)
+	if !ok || chunk.pending == nil || chunk.pending.WriteID != m.WriteID {
+		return s, nil
+	}
+	switch m.Outcome {
+	case blplatform.Written, blplatform.Conflicted:
+		return s.withOwners(m.ID, ownership, m.Current), nil
+	case blplatform.NotSent:
+		if chunk.doubtful {
+			return s, nil
+		}
+		chunk.pending = nil
+	case blplatform.Unresolved:
+		chunk.doubtful = true
+	}
+	return s.withService(m.ID.Service, ownership.withChunk(m.ID.Index, chunk)), nil
+}
+
+func (s State[P]) withPending(id ChunkID, owners []blvalue.UpstreamName) (State[P], Effect) {
+	ownership, _ := s.services.Get(id.Service)
+	chunk, _ := ownership.chunks.Get(id.Index)
+	s.writes++
+	pending := Chunk{
+		Term:    s.authority.Term,
+		WriteID: fmt.Sprintf("%d.%d", s.authority.Term, s.writes),
+		Owners:  owners,
+	}
+	for i, owner := range owners {
+		if owner != chunk.Owners[i] {
+			s.moves++
+		}
+	}
+	chunk.pending = &pending
+	s = s.withService(id.Service, ownership.withChunk(id.Index, chunk))
+	return s, WriteChunk{ID: id, Base: chunk.Revision, Chunk: pending}
+}
--- /dev/null
+++ b/core/blassign/heartbeat.go
@@ -0,0 +1,212 @@
+package blassign
+
+import (
+	"time"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/blgrant"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+// soon is how long a node waits that has partitions coming to it.
+const soon = 40 * time.Millisecond
+
+// heartbeat takes a node's report and answers with its grants.
+func (s State[P]) heartbeat(m Heartbeat, now bltimer.Instant) (State[P], []Effect) {
+	if !s.authority.Holds(now) || !s.ready() {
+		return s, []Effect{Answer{Reply: m.Reply}}
+	}
+	known := s.members.Len()
+	s = s.withReleases(m, now)
+	s = s.withMember(m, now)
+	reply := HeartbeatReply{Term: s.authority.Term, Standby: s.authority.Standby}
+	if m.ConfigRevision < s.config.Revision {
+		config := s.config
+		reply.Config = &config
+	}
+	for _, upstream := range m.Upstreams {
+		var offer blgrant.Offer
+		var waits bool
+		s, offer, waits = s.offer(m, upstream, now)
+		if offer.Service != "" {
+			reply.Offers = append(reply.Offers, offer)
+		}
+		if waits {
+			reply.Soon = soon
+		}
+	}
+	reply.Directory = s.directorySince(m.Directory)
+	effects := []Effect{Answer{Reply: m.Reply, HeartbeatReply: reply}}
+	if s.members.Len() != known {
+		effects = append(effects, PeersSeen{Peers: s.peers(now)})
+	}
+	return s, effects
+}
+
+// withReleases takes what the node no longer uses: sets older than the fence
+// that it reports, and everything of upstreams or of an earlier run of the
+// node that are gone.
+func (s State[P]) withReleases(m Heartbeat, now bltimer.Instant) State[P] {
+	old, known := s.members.Get(m.Node.Name)
+	if known {
+		s = s.withoutEnded(old, m)
+	}
+	for _, held := range m.Held {
+		holder := Holder{Node: m.Node.Incarnation, Upstream: held.Incarnation}
+		outstanding, ok := s.outstanding.Get(holder)
+		if !ok || held.Fence.Term != s.authority.Term {
+			continue
+		}
+		s.outstanding = s.outstanding.With(holder, outstanding.withoutReleased(held.Fence, now))
+	}
+	return s
+}
+
+// withoutEnded drops the holders behind a node that its new report no longer
+// lists. A node stops listing an upstream only when nothing runs there. An
+// earlier run of the node has ended when another one answers at its address.
+func (s State[P]) withoutEnded(old Member, m Heartbeat) State[P] {
+	restarted := old.Host.Incarnation != m.Node.Incarnation
+	if restarted && old.Host.Address != m.Node.Address {
+		return s
+	}
+	for _, upstream := range old.Upstreams {
+		if !restarted && lists(m.Upstreams, upstream.Incarnation) {
+			continue
+		}
+		s.outstanding = s.outstanding.Without(Holder{Node: old.Host.Incarnation, Upstream: upstream.Incarnation})
+	}
+	return s
+}
+
+func lists(upstreams []blvalue.Upstream, incarnation blvalue.Incarnation) bool {
+	for _, upstream := range upstreams {
+		if upstream.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func (s State[P]) withMember(m Heartbeat, now bltimer.Instant) State[P] {
+	s.members = s.members.With(m.Node.Name, Member{
+		Host: m.Node, HeardAt: now, ConfigRevision: m.ConfigRevision, Leaving: m.Leaving, Upstreams: m.Upstreams,
+	})
+	for _, upstream := range m.Upstreams {
+		if s.mayAnswerTo(m.Node, upstream) {
+			s = s.withEntry(Entry{Upstream: upstream.WithLeaving(s.leaves(m, upstream)), Node: m.Node})
+		}
+	}
+	return s
+}
+
+func (s State[P]) leaves(m Heartbeat, upstream blvalue.Upstream) bool {
+	plan := s.config.Plan
+	return m.Leaving || upstream.Leaving || plan.Drained[upstream.Name] || !plan.DomainTakesWork(m.Node.Domain)
+}
+
+// mayAnswerTo reports whether the upstream is the one that its name stands for.
+// A second one of the same name has to wait until the first is gone.
+func (s State[P]) mayAnswerTo(node blvalue.Host, upstream blvalue.Upstream) bool {
+	entry, ok := s.entries.Get(upstream.Name)
+	if !ok || entry.Gone {
+		return true
+	}
+	sameNode := entry.Node.Name == node.Name && entry.Node.Address == node.Address
+	return sameNode || entry.Upstream.Incarnation == upstream.Incarnation && entry.Node.Incarnation == node.Incarnation
+}
+
+// offer computes the grant of one upstream. It reports whether partitions are
+// on their way to it that another holder may still use.
+func (s State[P]) offer(m Heartbeat, upstream blvalue.Upstream, now bltimer.Instant) (State[P], blgrant.Offer, bool) {
+	ownership, ok := s.services.Get(upstream.Service)
+	if !ok || !s.mayAnswerTo(m.Node, upstream) {
+		return s, blgrant.Offer{}, false
+	}
+	holder := Holder{Node: m.Node.Incarnation, Upstream: upstream.Incarnation}
+	held := heldBy(m, upstream)
+	owned := ownership.OwnedBy(upstream.Name)
+	allowed := s.allowed(ownership, holder, owned, held, now)
+	outstanding, _ := s.outstanding.Get(holder)
+	current := outstanding.current()
+	fence := current.fence
+	if fence.Term != s.authority.Term || !current.set.Equal(allowed) {
+		s.sequence++
+		fence = blvalue.Fence{Term: s.authority.Term, Sequence: s.sequence}
+	}
+	timing := s.config.Plan.Timing
+	outstanding.service = upstream.Service
+	outstanding = outstanding.withSent(fence, allowed, now.Add(s.lapseAfter(timing, upstream)))
+	s.outstanding = s.outstanding.With(holder, outstanding)
+	s = s.withService(upstream.Service, ownership.withClaims(allowed, holder))
+	offer := blgrant.Offer{
+		Upstream: upstream.Name, Incarnation: upstream.Incarnation, Service: upstream.Service,
+		Fence: fence, TTL: timing.GrantTTL,
+	}
+	if held.Fence != fence {
+		offer.HasSet = true
+		offer.Set = allowed
+	}
+	return s, offer, allowed.Len() < owned.Len()
+}
+
+// lapseAfter returns how long a grant may be in use, counted from the reply.
+func (s State[P]) lapseAfter(timing blconfig.Timing, upstream blvalue.Upstream) time.Duration {
+	if upstream.ChecksFence {
+		return timing.GrantTTL + timing.Margin
+	}
+	return timing.GrantTTL + timing.Margin + timing.Settle
+}
+
+// allowed returns the partitions that the holder may use: those it owns that
+// no other holder may still be using. Until the grants of older terms have
+// lapsed, these are only what it holds already.
+func (s State[P]) allowed(
+	ownership Ownership, holder Holder, owned blvalue.PartitionSet, held blgrant.Held, now bltimer.Instant,
+) blvalue.PartitionSet {
+	if !s.authority.Settled(now) {
+		owned = owned.Intersect(s.heldUnder(holder, held, now))
+	}
+	for p := range owned.All() {
+		claimant, ok := ownership.claims.Get(p)
+		if !ok || claimant == holder {
+			continue
+		}
+		outstanding, ok := s.outstanding.Get(claimant)
+		if ok && outstanding.mayUse(p, now) {
+			owned = owned.Without(blvalue.NewPartitionSet(p))
+		}
+	}
+	return owned
+}
+
+// heldUnder returns what the holder still uses, by its own report or by a
+// grant of this term.
+func (s State[P]) heldUnder(holder Holder, held blgrant.Held, now bltimer.Instant) blvalue.PartitionSet {
+	outstanding, _ := s.outstanding.Get(holder)
+	current := outstanding.current()
+	if now.Before(current.expires) {
+		return held.Set.Union(current.set)
+	}
+	return held.Set
+}
+
+func heldBy(m Heartbeat, upstream blvalue.Upstream) blgrant.Held {
+	for _, held := range m.Held {
+		if held.Incarnation == upstream.Incarnation {
+			return held
+		}
+	}
+	return blgrant.Held{}
+}
+
+func (s State[P]) peers(now bltimer.Instant) []blvalue.Host {
+	var peers []blvalue.Host
+	for _, member := range s.Members() {
+		if !member.Leaving && now.Sub(member.HeardAt) < s.config.Plan.Timing.GrantTTL {
+			peers = append(peers, member.Host)
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/core/blassign/messages.go
@@ -0,0 +1,113 @@
+package blassign
+
+import (
+	"time"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/blgrant"
+	"bergamotlead/core/bllead"
+	"bergamotlead/core/blplatform"
+	"bergamotlead/core/blring"
+	"bergamotlead/core/blvalue"
+)
+
+// Message is what the ownership duty reads from its ring.
+type Message interface{ assignMessage() }
+
+// Tick tells that time has passed.
+type Tick struct{}
+
+// AuthorityChanged tells what this process may do as lead.
+type AuthorityChanged struct{ Authority bllead.Authority }
+
+// ConfigSeen carries an accepted configuration.
+type ConfigSeen struct{ Accepted blconfig.Accepted }
+
+// ChunkLoaded answers LoadChunk.
+type ChunkLoaded struct {
+	Term  uint64
+	ID    ChunkID
+	Chunk Chunk
+	// Failed tells that the store didn't answer.
+	Failed bool
+}
+
+// ChunkWritten answers WriteChunk.
+type ChunkWritten struct {
+	Term    uint64
+	ID      ChunkID
+	WriteID string
+	Outcome blplatform.Outcome
+	// Current is what the store held when the outcome was learned.
+	Current Chunk
+}
+
+// Heartbeat is a node's report to the lead.
+type Heartbeat struct {
+	Node      blvalue.Host
+	Upstreams []blvalue.Upstream
+	Held      []blgrant.Held
+	// ConfigRevision is the revision that is in force at the node.
+	ConfigRevision uint64
+	// Directory is the version of the directory that the node has.
+	Directory DirectoryVersion
+	// Leaving tells that the node takes no new work.
+	Leaving bool
+	Reply   blring.Reply[HeartbeatReply]
+}
+
+// HeartbeatReply is the lead's answer to a heartbeat.
+type HeartbeatReply struct {
+	// Term is zero when this process isn't lead or not ready to answer.
+	Term   uint64
+	Offers []blgrant.Offer
+	// Config is set when the node has an older revision.
+	Config *blconfig.Accepted
+	// Directory is set when the node has an older version.
+	Directory *Directory
+	// Standby is the process to ask when the lead is gone.
+	Standby blvalue.Host
+	// Soon tells the node to report again without waiting for its period.
+	Soon time.Duration
+}
+
+func (Tick) assignMessage()             {}
+func (AuthorityChanged) assignMessage() {}
+func (ConfigSeen) assignMessage()       {}
+func (ChunkLoaded) assignMessage()      {}
+func (ChunkWritten) assignMessage()     {}
+func (Heartbeat) assignMessage()        {}
+
+// Effect is what the ownership duty wants done.
+type Effect interface{ assignEffect() }
+
+// LoadConfig reads the configuration from the store.
+type LoadConfig struct{}
+
+// LoadChunk reads one chunk of an assignment.
+type LoadChunk struct {
+	Term uint64
+	ID   ChunkID
+}
+
+// WriteChunk sets one chunk of an assignment by compare-and-swap.
+type WriteChunk struct {
+	ID    ChunkID
+	Base  uint64
+	Chunk Chunk
+}
+
+// Answer answers a heartbeat.
+type Answer struct {
+	Reply          blring.Reply[HeartbeatReply]
+	HeartbeatReply HeartbeatReply
+}
+
+// PeersSeen tells the lead duty which nodes are up.
+type PeersSeen struct{ Peers []blvalue.Host }
+
+func (LoadConfig) assignEffect() {}
+func (LoadChunk) assignEffect()  {}
+func (WriteChunk) assignEffect() {}
+func (Answer) assignEffect()     {}
+func (PeersSeen) assignEffect()  {}
--- /dev/null
+++ b/core/blassign/ownership.go
@@ -0,0 +1,143 @@
+package blassign
+
+import (
+	"bergamotlead/core/bltable"
+	"bergamotlead/core/blvalue"
+)
+
+// ChunkSize is the number of partitions that one value in the store holds.
+const ChunkSize = 64
+
+// Chunk is a part of a service's assignment, as the store holds it.
+type Chunk struct {
+	// Revision is the chunk's revision in the store, zero before its first
+	// write.
+	Revision uint64
+	// Term is the term of the lead that wrote it.
+	Term    uint64
+	WriteID string
+	Owners  []blvalue.UpstreamName
+}
+
+// ChunkID names one chunk.
+type ChunkID struct {
+	Service blvalue.ServiceName
+	Index   int
+}
+
+// ownedChunk is a chunk together with what the lead remembers of it.
+type ownedChunk struct {
+	Chunk
+
+	// pending is the write whose outcome isn't known yet.
+	pending *Chunk
+	// doubtful tells that the answer of the pending write was lost.
+	doubtful bool
+	// changed is the directory version at which the owners last changed.
+	changed uint64
+}
+
+// Ownership is the immutable assignment of one service.
+type Ownership struct {
+	partitions int
+	chunks     bltable.Table[int, ownedChunk]
+	byOwner    bltable.Table[blvalue.UpstreamName, blvalue.PartitionSet]
+	claims     bltable.Table[blvalue.Partition, Holder]
+	// loaded counts the chunks that were read from the store.
+	loaded int
+}
+
+// NewOwnership returns the ownership of a service whose chunks have yet to be
+// loaded.
+func NewOwnership(partitions int) Ownership {
+	return Ownership{partitions: partitions}
+}
+
+func (o Ownership) chunkCount() int {
+	return (o.partitions + ChunkSize - 1) / ChunkSize
+}
+
+func (o Ownership) isLoaded() bool {
+	return o.loaded == o.chunkCount()
+}
+
+// Owner returns the owner of p, or empty when it has none.
+func (o Ownership) Owner(p blvalue.Partition) blvalue.UpstreamName {
+	chunk, ok := o.chunks.Get(int(p) / ChunkSize)
+	if !ok || int(p)%ChunkSize >= len(chunk.Owners) {
+		return ""
+	}
+	return chunk.Owners[int(p)%ChunkSize]
+}
+
+// Owners returns the owner of every partition.
+func (o Ownership) Owners() []blvalue.UpstreamName {
+	owners := make([]blvalue.UpstreamName, o.partitions)
+	for i := range owners {
+		owners[i] = o.Owner(blvalue.Partition(i)) //nolint:gosec // partitions fit 16 bits
+	}
+	return owners
+}
+
+// OwnedBy returns the partitions that the store gives to the upstream, less
+// those whose move is not resolved.
+func (o Ownership) OwnedBy(name blvalue.UpstreamName) blvalue.PartitionSet {
+	set, _ := o.byOwner.Get(name)
+	return set
+}
+
+// withChunk returns the ownership with one chunk replaced.
+func (o Ownership) withChunk(index int, chunk ownedChunk) Ownership {
+	old, had := o.chunks.Get(index)
+	if !had {
+		o.loaded++
+	}
+	o.chunks = o.chunks.With(index, chunk)
+	for i := range max(len(old.Owners), len(chunk.Owners)) {
+		p := blvalue.Partition(index*ChunkSize + i) //nolint:gosec // partitions fit 16 bits
+		o = o.withOwner(p, steady(old, i), steady(chunk, i))
+	}
+	return o
+}
+
+// steady returns the owner at position i unless a pending write changes it.
+func steady(chunk ownedChunk, i int) blvalue.UpstreamName {
+	if i >= len(chunk.Owners) {
+		return ""
+	}
+	if chunk.pending != nil && chunk.pending.Owners[i] != chunk.Owners[i] {
+		return ""
+	}
+	return chunk.Owners[i]
+}
+
+func (o Ownership) withOwner(p blvalue.Partition, old, owner blvalue.UpstreamName) Ownership {
+	if old == owner {
+		return o
+	}
+	if old != "" {
+		o.byOwner = o.byOwner.With(old, o.OwnedBy(old).Without(blvalue.NewPartitionSet(p)))
+	}
+	if owner != "" {
+		o.byOwner = o.byOwner.With(owner, o.OwnedBy(owner).With(p))
+	}
+	return o
+}
+
+func (o Ownership) hasPending() bool {
+	for _, chunk := range o.chunks.All() {
+		if chunk.pending != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (o Ownership) withClaims(set blvalue.PartitionSet, holder Holder) Ownership {
+	for p := range set.All() {
+		if current, ok := o.claims.Get(p); !ok || current != holder {
+			o.claims = o.claims.With(p, holder)
+		}
+	}
+	return o
+}
--- /dev/null
+++ b/core/blassign/place.go
@@ -0,0 +1,175 @@
+package blassign
+
+import (
+	"sort"
+	"time"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+// placeEvery is how often the lead looks for partitions to move.
+const placeEvery = 50 * time.Millisecond
+
+// loadEvery is how often a new lead asks again for what it has not read.
+const loadEvery = 200 * time.Millisecond
+
+// tick removes nodes that are gone, and moves partitions.
+func (s State[P]) tick(now bltimer.Instant) (State[P], []Effect) {
+	if !s.authority.Holds(now) {
+		return s, nil
+	}
+	if !s.ready() {
+		return s.loadMissing(now)
+	}
+	known := s.members.Len()
+	s = s.withoutGone(now)
+	var effects []Effect
+	if s.members.Len() != known {
+		effects = append(effects, PeersSeen{Peers: s.peers(now)})
+	}
+	if !s.authority.MayChange || !s.authority.Settled(now) || now.Sub(s.placedAt) < placeEvery {
+		return s, effects
+	}
+	s.placedAt = now
+	s, resolving := s.resolve()
+	s, moves := s.place()
+	return s, append(append(effects, resolving...), moves...)
+}
+
+// loadMissing asks again for what has not been loaded.
+func (s State[P]) loadMissing(now bltimer.Instant) (State[P], []Effect) {
+	if now.Sub(s.placedAt) < loadEvery {
+		return s, nil
+	}
+	s.placedAt = now
+	if s.config.Revision == 0 {
+		return s, []Effect{LoadConfig{}}
+	}
+	var effects []Effect
+	for name, ownership := range s.services.All() {
+		for index := range ownership.chunkCount() {
+			if _, ok := ownership.chunks.Get(index); !ok {
+				effects = append(effects, LoadChunk{Term: s.authority.Term, ID: ChunkID{Service: name, Index: index}})
+			}
+		}
+	}
+	return s, effects
+}
+
+// withoutGone drops nodes whose grants have lapsed.
+func (s State[P]) withoutGone(now bltimer.Instant) State[P] {
+	timing := s.config.Plan.Timing
+	for _, member := range s.members.All() {
+		if now.Sub(member.HeardAt) <= timing.GrantTTL+timing.Margin {
+			continue
+		}
+		if !s.holdersLapsed(member, now) {
+			continue
+		}
+		s.members = s.members.Without(member.Host.Name)
+		s = s.withoutHolders(member)
+	}
+	return s
+}
+
+func (s State[P]) holdersLapsed(member Member, now bltimer.Instant) bool {
+	for _, upstream := range member.Upstreams {
+		holder := Holder{Node: member.Host.Incarnation, Upstream: upstream.Incarnation}
+		if outstanding, ok := s.outstanding.Get(holder); ok && !outstanding.lapsed(now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s State[P]) withoutHolders(member Member) State[P] {
+	for _, upstream := range member.Upstreams {
+		s.outstanding = s.outstanding.Without(Holder{Node: member.Host.Incarnation, Upstream: upstream.Incarnation})
+		entry, ok := s.entries.Get(upstream.Name)
+		if ok && entry.Node.Incarnation == member.Host.Incarnation {
+			gone := entry.Entry
+			gone.Gone = true
+			s = s.withEntry(gone)
+		}
+	}
+	return s
+}
+
+// resolve sends writes again whose outcome is in doubt. The same write can't
+// take effect twice, since its base moves with the first.
+func (s State[P]) resolve() (State[P], []Effect) {
+	var effects []Effect
+	for name, ownership := range s.services.All() {
+		for index, chunk := range ownership.chunks.All() {
+			if chunk.pending != nil && chunk.doubtful {
+				effects = append(effects, WriteChunk{
+					ID: ChunkID{Service: name, Index: index}, Base: chunk.Revision, Chunk: *chunk.pending,
+				})
+			}
+		}
+	}
+	return s, effects
+}
+
+// place moves partitions of every exclusive service that has no move pending.
+func (s State[P]) place() (State[P], []Effect) {
+	var effects []Effect
+	for name, service := range s.config.Plan.Services {
+		ownership, ok := s.services.Get(name)
+		if !ok || service.Kind != blconfig.ServiceExclusive || ownership.hasPending() {
+			continue
+		}
+		candidates := s.candidates(name)
+		if len(candidates) == 0 {
+			continue
+		}
+		var writes []Effect
+		s, writes = s.placeService(name, ownership, candidates)
+		effects = append(effects, writes...)
+	}
+	return s, effects
+}
+
+func (s State[P]) placeService(
+	name blvalue.ServiceName, ownership Ownership, candidates []Candidate,
+) (State[P], []Effect) {
+	var effects []Effect
+	current := ownership.Owners()
+	wanted := s.policy.Place(current, candidates)
+	for index := range ownership.chunkCount() {
+		first := index * ChunkSize
+		last := min(first+ChunkSize, len(current))
+		if sameOwners(current[first:last], wanted[first:last]) {
+			continue
+		}
+		var write Effect
+		s, write = s.withPending(ChunkID{Service: name, Index: index}, wanted[first:last])
+		effects = append(effects, write)
+	}
+	return s, effects
+}
+
+func sameOwners(a, b []blvalue.UpstreamName) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// candidates returns the upstreams of a service that may own partitions,
+// sorted by name.
+func (s State[P]) candidates(service blvalue.ServiceName) []Candidate {
+	var candidates []Candidate
+	for name, entry := range s.entries.All() {
+		if entry.Gone || entry.Upstream.Leaving || entry.Upstream.Service != service {
+			continue
+		}
+		candidates = append(candidates, Candidate{Name: name, Weight: entry.Upstream.Slots})
+	}
+	sort.Slice(candidates, func(i, j int) bool { return candidates[i].Name < candidates[j].Name })
+	return candidates
+}
--- /dev/null
+++ b/core/blassign/policy.go
@@ -0,0 +1,182 @@
+package blassign
+
+import (
+	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bergamotlead/core/blvalue"
+)
+
+// Candidate is an upstream that may own partitions.
+type Candidate struct {
+	Name blvalue.UpstreamName
+	// Weight is the upstream's share relative to others, such as its slots.
+	Weight int
+}
+
+// Policy chooses owners. Place returns one owner for each partition, given the
+// current owners, of which some may be empty or no longer candidates. It must
+// be deterministic. Candidates are sorted by name and not empty.
+type Policy interface {
+	Place(current []blvalue.UpstreamName, candidates []Candidate) []blvalue.UpstreamName
+}
+
+func totalWeight(candidates []Candidate) int {
+	total := 0
+	for _, c := range candidates {
+		total += max(c.Weight, 1)
+	}
+	return total
+}
+
+func score(name blvalue.UpstreamName, partition int) uint64 {
+	return xxhash.Sum64String(string(name) + "/" + strconv.Itoa(partition))
+}
+
+// Modulo gives partition i to candidate i modulo their number. Nearly every
+// partition moves when a candidate comes or goes.
+type Modulo struct{}
+
+// Place implements Policy.
+func (Modulo) Place(current []blvalue.UpstreamName, candidates []Candidate) []blvalue.UpstreamName {
+	owners := make([]blvalue.UpstreamName, len(current))
+	for i := range owners {
+		owners[i] = candidates[i%len(candidates)].Name
+	}
+	return owners
+}
+
+// Rendezvous gives each partition to the candidate with the highest hash. Few
+// partitions move, and shares differ by chance.
+type Rendezvous struct{}
+
+// Place implements Policy.
+func (Rendezvous) Place(current []blvalue.UpstreamName, candidates []Candidate) []blvalue.UpstreamName {
+	owners := make([]blvalue.UpstreamName, len(current))
+	for i := range owners {
+		owners[i] = ranked(i, candidates)[0].Name
+	}
+	return owners
+}
+
+// ranked returns the candidates by falling hash for the partition.
+func ranked(partition int, candidates []Candidate) []Candidate {
+	type scored struct {
+		candidate Candidate
+		score     uint64
+	}
+	list := make([]scored, 0, len(candidates))
+	for _, c := range candidates {
+		list = append(list, scored{c, score(c.Name, partition)})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].score != list[j].score {
+			return list[i].score > list[j].score
+		}
+		return list[i].candidate.Name < list[j].candidate.Name
+	})
+	order := make([]Candidate, 0, len(list))
+	for _, s := range list {
+		order = append(order, s.candidate)
+	}
+	return order
+}
+
+// BoundedRendezvous gives each partition to the candidate with the highest
+// hash that is below its share, so that no candidate is above its share by
+// more than one partition.
+type BoundedRendezvous struct{}
+
+// Place implements Policy.
+func (BoundedRendezvous) Place(current []blvalue.UpstreamName, candidates []Candidate) []blvalue.UpstreamName {
+	owners := make([]blvalue.UpstreamName, len(current))
+	limits := shareLimits(len(current), candidates)
+	for i := range owners {
+		for _, c := range ranked(i, candidates) {
+			if limits[c.Name] == 0 {
+				continue
+			}
+			limits[c.Name]--
+			owners[i] = c.Name
+			break
+		}
+	}
+	return owners
+}
+
+// shareLimits returns the greatest number of partitions for each candidate:
+// its share of the weight, rounded up.
+func shareLimits(partitions int, candidates []Candidate) map[blvalue.UpstreamName]int {
+	total := totalWeight(candidates)
+	limits := make(map[blvalue.UpstreamName]int, len(candidates))
+	for _, c := range candidates {
+		limits[c.Name] = (partitions*max(c.Weight, 1) + total - 1) / total
+	}
+	return limits
+}
+
+// LeastMoves leaves each partition where it is unless its owner is gone or
+// above its share, and gives what is left to the candidates that are furthest
+// below theirs. It moves the least that even shares allow.
+type LeastMoves struct{}
+
+// Place implements Policy.
+func (LeastMoves) Place(current []blvalue.UpstreamName, candidates []Candidate) []blvalue.UpstreamName {
+	owners := make([]blvalue.UpstreamName, len(current))
+	free := exactShares(current, candidates)
+	var homeless []int
+	for i, owner := range current {
+		if free[owner] == 0 {
+			homeless = append(homeless, i)
+			continue
+		}
+		free[owner]--
+		owners[i] = owner
+	}
+	for _, i := range homeless {
+		owner := roomiest(i, candidates, free)
+		free[owner]--
+		owners[i] = owner
+	}
+	return owners
+}
+
+// exactShares returns how many partitions each candidate gets. The shares add
+// up to all partitions; what rounding leaves goes to those that hold the most
+// already, so that it moves nothing.
+func exactShares(current []blvalue.UpstreamName, candidates []Candidate) map[blvalue.UpstreamName]int {
+	total := totalWeight(candidates)
+	shares := make(map[blvalue.UpstreamName]int, len(candidates))
+	held := map[blvalue.UpstreamName]int{}
+	for _, owner := range current {
+		held[owner]++
+	}
+	left := len(current)
+	for _, c := range candidates {
+		shares[c.Name] = len(current) * max(c.Weight, 1) / total
+		left -= shares[c.Name]
+	}
+	order := append([]Candidate(nil), candidates...)
+	sort.SliceStable(order, func(i, j int) bool {
+		return held[order[i].Name]-shares[order[i].Name] > held[order[j].Name]-shares[order[j].Name]
+	})
+	for i := range left {
+		shares[order[i%len(order)].Name]++
+	}
+	return shares
+}
+
+// roomiest returns the candidate with the most room, by hash among equals.
+func roomiest(partition int, candidates []Candidate, free map[blvalue.UpstreamName]int) blvalue.UpstreamName {
+	best := candidates[0].Name
+	for _, c := range candidates[1:] {
+		more := free[c.Name] > free[best]
+		equal := free[c.Name] == free[best]
+		if more || equal && score(c.Name, partition) > score(best, partition) {
+			best = c.Name
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/blassign/state.go
@@ -0,0 +1,138 @@
+// Package blassign is the lead's duty of ownership: it keeps the assignment of
+// partitions to upstreams in the store, hands out fenced grants in answer to
+// heartbeats, and moves partitions when upstreams come and go.
+package blassign
+
+import (
+	"sort"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/bllead"
+	"bergamotlead/core/bltable"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+// Member is a node as the lead knows it.
+type Member struct {
+	Host           blvalue.Host
+	HeardAt        bltimer.Instant
+	ConfigRevision uint64
+	Leaving        bool
+	Upstreams      []blvalue.Upstream
+}
+
+// directoryEntry is an entry and the directory version at which it changed.
+type directoryEntry struct {
+	Entry
+
+	changed uint64
+}
+
+// State is the ownership duty's immutable state under a placement policy.
+type State[P Policy] struct {
+	policy    P
+	authority bllead.Authority
+	config    blconfig.Accepted
+
+	members     bltable.Table[blvalue.HostName, Member]
+	entries     bltable.Table[blvalue.UpstreamName, directoryEntry]
+	services    bltable.Table[blvalue.ServiceName, Ownership]
+	outstanding bltable.Table[Holder, Outstanding]
+
+	// sequence numbers grants, version numbers directories, and writes
+	// numbers writes, each within a term.
+	sequence uint64
+	version  uint64
+	writes   uint64
+	placedAt bltimer.Instant
+	moves    uint64
+}
+
+// New returns the state of a process that isn't lead.
+func New[P Policy](policy P) State[P] {
+	return State[P]{policy: policy}
+}
+
+// Authority returns what the process may do as lead.
+func (s State[P]) Authority() bllead.Authority {
+	return s.authority
+}
+
+// Config returns the configuration that this lead hands out.
+func (s State[P]) Config() blconfig.Accepted {
+	return s.config
+}
+
+// Moves returns the number of partitions that were moved in this term.
+func (s State[P]) Moves() uint64 {
+	return s.moves
+}
+
+// Ownership returns the assignment of a service.
+func (s State[P]) Ownership(service blvalue.ServiceName) (Ownership, bool) {
+	return s.services.Get(service)
+}
+
+// Members returns the nodes in the order of their names.
+func (s State[P]) Members() []Member {
+	members := make([]Member, 0, s.members.Len())
+	for _, member := range s.members.All() {
+		members = append(members, member)
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Host.Name < members[j].Host.Name })
+	return members
+}
+
+// InForce reports whether the revision is in force on every node that may
+// still admit requests.
+func (s State[P]) InForce(revision uint64, now bltimer.Instant) bool {
+	freshness := s.config.Plan.Timing.Freshness
+	if !s.authority.Settled(now) {
+		return false
+	}
+	for _, member := range s.members.All() {
+		if now.Sub(member.HeardAt) <= freshness && member.ConfigRevision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// ready reports whether everything that a lead must know has been loaded.
+func (s State[P]) ready() bool {
+	if s.config.Revision == 0 {
+		return false
+	}
+	for name, service := range s.config.Plan.Services {
+		if service.Kind != blconfig.ServiceExclusive {
+			continue
+		}
+		ownership, ok := s.services.Get(name)
+		if !ok || !ownership.isLoaded() {
+			return false
+		}
+	}
+	return true
+}
+
+// withoutMemory returns the state of a lead whose term has just begun: it
+// knows nothing but what it reads from the store.
+func (s State[P]) withoutMemory() State[P] {
+	return State[P]{policy: s.policy, authority: s.authority}
+}
+
+func (s State[P]) withService(name blvalue.ServiceName, ownership Ownership) State[P] {
+	s.services = s.services.With(name, ownership)
+	return s
+}
+
+func (s State[P]) withEntry(entry Entry) State[P] {
+	current, ok := s.entries.Get(entry.Upstream.Name)
+	if ok && current.Entry == entry {
+		return s
+	}
+	s.version++
+	s.entries = s.entries.With(entry.Upstream.Name, directoryEntry{Entry: entry, changed: s.version})
+	return s
+}
--- /dev/null
+++ b/core/blgrant/state.go
@@ -0,0 +1,200 @@
+package blgrant
+
+import (
+	"bergamotlead/core/bltable"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+// running is a request that runs under a grant.
+type running struct {
+	upstream  blvalue.UpstreamName
+	partition blvalue.Partition
+	cancel    func()
+	// until is when the grant ends for this request unless it is renewed.
+	until bltimer.Instant
+}
+
+// State is the grant duty's immutable state.
+type State struct {
+	grants  bltable.Table[blvalue.UpstreamName, Grant]
+	running bltable.Table[PermitID, running]
+	nextID  PermitID
+	term    uint64
+}
+
+// New returns the state of a node without grants.
+func New() State {
+	return State{}
+}
+
+// Grants returns the current grants in no particular order.
+func (s State) Grants() []Grant {
+	grants := make([]Grant, 0, s.grants.Len())
+	for _, grant := range s.grants.All() {
+		grants = append(grants, grant)
+	}
+	return grants
+}
+
+// Running returns the number of requests that run.
+func (s State) Running() int {
+	return s.running.Len()
+}
+
+// Decide computes the next state and the effects of one message.
+func Decide(s State, message Message, now bltimer.Instant) (State, []Effect) {
+	switch m := message.(type) {
+	case Tick:
+		return s.cancelLapsed(now)
+	case Offered:
+		return s.offered(m)
+	case UpstreamsSeen:
+		return s.upstreamsSeen(m)
+	case Begin:
+		return s.begin(m, now)
+	case End:
+		return s.end(m)
+	case ReportAsked:
+		return s, []Effect{Report{Reply: m.Reply, Held: s.report(now)}}
+	}
+	return s, nil
+}
+
+// offered takes the grants of a heartbeat's answer. A node that has heard of a
+// term takes nothing from a lower one.
+func (s State) offered(m Offered) (State, []Effect) {
+	if m.Term < s.term {
+		return s, nil
+	}
+	s.term = m.Term
+	var effects []Effect
+	for _, offer := range m.Offers {
+		grant, ok := s.grants.Get(offer.Upstream)
+		if !ok || grant.Incarnation != offer.Incarnation {
+			continue
+		}
+		next := grant.WithOffer(offer, m.SentAt)
+		s.grants = s.grants.With(offer.Upstream, next)
+		s = s.renewRunning(next)
+		var settled []Effect
+		s, settled = s.settleDropping(next)
+		effects = append(effects, GrantChanged{Grant: next})
+		effects = append(effects, settled...)
+	}
+	return s, effects
+}
+
+// renewRunning extends the requests whose partition is still granted.
+func (s State) renewRunning(grant Grant) State {
+	for id, r := range s.running.All() {
+		if r.upstream == grant.Upstream && grant.Set.Has(r.partition) && r.until < grant.Until {
+			r.until = grant.Until
+			s.running = s.running.With(id, r)
+		}
+	}
+	return s
+}
+
+// upstreamsSeen keeps a grant for each upstream beside this node. The grant of
+// an upstream that is gone, or was started anew, ends with its requests.
+func (s State) upstreamsSeen(m UpstreamsSeen) (State, []Effect) {
+	var effects []Effect
+	for name, grant := range s.grants.All() {
+		if hasIncarnation(m.Upstreams, grant.Incarnation) {
+			continue
+		}
+		s.grants = s.grants.Without(name)
+		for id, r := range s.running.All() {
+			if r.upstream == name {
+				effects = append(effects, CancelRequest{Cancel: r.cancel})
+				s.running = s.running.Without(id)
+			}
+		}
+	}
+	for _, upstream := range m.Upstreams {
+		if _, ok := s.grants.Get(upstream.Name); !ok {
+			s.grants = s.grants.With(upstream.Name, Grant{
+				Upstream: upstream.Name, Incarnation: upstream.Incarnation, Service: upstream.Service,
+			})
+		}
+	}
+	return s, effects
+}
+
+func hasIncarnation(upstreams []blvalue.Upstream, incarnation blvalue.Incarnation) bool {
+	for _, upstream := range upstreams {
+		if upstream.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func (s State) begin(m Begin, now bltimer.Instant) (State, []Effect) {
+	for _, grant := range s.grants.All() {
+		if grant.Service != m.Service || !grant.Covers(m.Partition, now) {
+			continue
+		}
+		s.nextID++
+		s.running = s.running.With(s.nextID, running{
+			upstream: grant.Upstream, partition: m.Partition, cancel: m.Cancel, until: grant.Until,
+		})
+		permit := Permit{ID: s.nextID, Upstream: grant.Upstream, Fence: grant.Fence, Until: grant.Until}
+		return s, []Effect{AnswerBegin{Reply: m.Reply, Answer: BeginAnswer{Permit: permit}}}
+	}
+	refusal := blvalue.NotRun(blvalue.ReasonNotOwner, "this node doesn't own the key")
+	return s, []Effect{AnswerBegin{Reply: m.Reply, Answer: BeginAnswer{Refusal: refusal}}}
+}
+
+func (s State) end(m End) (State, []Effect) {
+	r, ok := s.running.Get(m.Permit)
+	if !ok {
+		return s, nil
+	}
+	s.running = s.running.Without(m.Permit)
+	grant, ok := s.grants.Get(r.upstream)
+	if !ok || grant.dropping.Len() == 0 {
+		return s, nil
+	}
+	return s.settleDropping(grant)
+}
+
+// settleDropping releases partitions taken away once no request runs on them.
+func (s State) settleDropping(grant Grant) (State, []Effect) {
+	if grant.dropping.Len() == 0 {
+		return s, nil
+	}
+	for _, r := range s.running.All() {
+		if r.upstream == grant.Upstream && grant.dropping.Has(r.partition) {
+			return s, nil
+		}
+	}
+	s.grants = s.grants.With(grant.Upstream, grant.withoutDropping())
+	return s, []Effect{Released{}}
+}
+
+// cancelLapsed cuts off requests whose grant has lapsed.
+func (s State) cancelLapsed(now bltimer.Instant) (State, []Effect) {
+	var effects []Effect
+	for _, r := range s.running.All() {
+		if !now.Before(r.until) {
+			effects = append(effects, CancelRequest{Cancel: r.cancel})
+		}
+	}
+	return s, effects
+}
+
+func (s State) report(now bltimer.Instant) []Held {
+	held := make([]Held, 0, s.grants.Len())
+	for _, grant := range s.grants.All() {
+		report := Held{
+			Upstream: grant.Upstream, Incarnation: grant.Incarnation, Service: grant.Service, Fence: grant.reportedFence(),
+		}
+		if now.Before(grant.Until) {
+			report.Set = grant.Set
+		}
+		held = append(held, report)
+	}
+	return held
+}
--- /dev/null
+++ b/core/bllead/messages.go
@@ -0,0 +1,200 @@
+package bllead
+
+import (
+	"bergamotlead/core/blplatform"
+	"bergamotlead/core/blring"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+// Message is what the lead duty reads from its ring.
+type Message interface{ leadMessage() }
+
+// Tick tells that time has passed.
+type Tick struct{}
+
+// RecordRead answers ReadRecord.
+type RecordRead struct {
+	// SentAt is when the call was sent.
+	SentAt bltimer.Instant
+	Stored Stored
+	// LeaseHolder is the incarnation that holds the lead lease, or empty.
+	LeaseHolder blvalue.Incarnation
+	// Lost lists the incarnations that an operator declared lost.
+	Lost []blvalue.Incarnation
+	// Failed tells that the store didn't answer; the rest is then unset.
+	Failed bool
+}
+
+// LeaseAcquired answers AcquireLease.
+type LeaseAcquired struct {
+	SentAt bltimer.Instant
+	Lease  blplatform.LeaseID
+	// Stored is the record as it was read after the lease was held.
+	Stored Stored
+	// Failed tells that the lease isn't held.
+	Failed bool
+}
+
+// LeaseRenewed answers RenewLease.
+type LeaseRenewed struct {
+	SentAt bltimer.Instant
+	Lease  blplatform.LeaseID
+	// Lost tells that the store ended the lease.
+	Lost bool
+	// Failed tells that the store didn't answer.
+	Failed bool
+}
+
+// RecordWritten answers WriteRecord.
+type RecordWritten struct {
+	WriteID string
+	Outcome blplatform.Outcome
+	// Current is what the store held when the outcome was learned.
+	Current Stored
+}
+
+// StandbyAsked is the lead's call to its standby. It arrives at the standby.
+type StandbyAsked struct {
+	Term uint64
+	Lead blvalue.Host
+	// Standby is the incarnation that the lead takes for its standby.
+	Standby blvalue.Incarnation
+	// WantPromise asks the standby not to take over for a while.
+	WantPromise bool
+	Reply       blring.Reply[StandbyAnswer]
+}
+
+// StandbyAnswer is the standby's answer to StandbyAsked.
+type StandbyAnswer struct {
+	Incarnation blvalue.Incarnation
+	// Promised tells that the standby doesn't take over for the length of a
+	// lead lease from now.
+	Promised bool
+	// Refusal says why it gave no promise.
+	Refusal string
+}
+
+// StandbyAnswered carries the standby's answer back to the lead.
+type StandbyAnswered struct {
+	SentAt bltimer.Instant
+	// Asked is the incarnation that the lead took for its standby.
+	Asked  blvalue.Incarnation
+	Answer StandbyAnswer
+	// Failed tells that no answer came.
+	Failed bool
+}
+
+// Identified tells which process answers at an address.
+type Identified struct {
+	Address     string
+	Incarnation blvalue.Incarnation
+}
+
+// LeadHeard tells that a lead answered this node's heartbeat.
+type LeadHeard struct {
+	Term uint64
+}
+
+// PeersSeen tells which other nodes are up, for the choice of a standby.
+type PeersSeen struct {
+	Peers []blvalue.Host
+}
+
+// TimingChanged carries the intervals of an accepted configuration.
+type TimingChanged struct {
+	Timing Timing
+}
+
+// Resign asks a leaving process to give up the lead.
+type Resign struct{}
+
+func (Tick) leadMessage()            {}
+func (RecordRead) leadMessage()      {}
+func (LeaseAcquired) leadMessage()   {}
+func (LeaseRenewed) leadMessage()    {}
+func (RecordWritten) leadMessage()   {}
+func (StandbyAsked) leadMessage()    {}
+func (StandbyAnswered) leadMessage() {}
+func (Identified) leadMessage()      {}
+func (LeadHeard) leadMessage()       {}
+func (PeersSeen) leadMessage()       {}
+func (TimingChanged) leadMessage()   {}
+func (Resign) leadMessage()          {}
+
+// Effect is what the lead duty wants done.
+type Effect interface{ leadEffect() }
+
+// ReadRecord reads the lead record, the lead lease and the lost hosts.
+type ReadRecord struct{}
+
+// AcquireLease takes the lead lease if nobody holds it, then reads the record.
+type AcquireLease struct{}
+
+// RenewLease extends the lead lease.
+type RenewLease struct{ Lease blplatform.LeaseID }
+
+// EndLease gives the lead lease back.
+type EndLease struct{ Lease blplatform.LeaseID }
+
+// WriteRecord sets the lead record by compare-and-swap.
+type WriteRecord struct {
+	Base   uint64
+	Record Record
+}
+
+// AskStandby calls the standby.
+type AskStandby struct {
+	Term        uint64
+	Standby     blvalue.Host
+	WantPromise bool
+}
+
+// AnswerStandby answers StandbyAsked.
+type AnswerStandby struct {
+	Reply  blring.Reply[StandbyAnswer]
+	Answer StandbyAnswer
+}
+
+// Identify asks which process answers at an address.
+type Identify struct{ Address string }
+
+// AuthorityChanged tells the ownership duty what this process may do as lead.
+type AuthorityChanged struct{ Authority Authority }
+
+// RecordSeen tells other duties that the known record has changed.
+type RecordSeen struct{ Record Record }
+
+func (ReadRecord) leadEffect()       {}
+func (AcquireLease) leadEffect()     {}
+func (RenewLease) leadEffect()       {}
+func (EndLease) leadEffect()         {}
+func (WriteRecord) leadEffect()      {}
+func (AskStandby) leadEffect()       {}
+func (AnswerStandby) leadEffect()    {}
+func (Identify) leadEffect()         {}
+func (AuthorityChanged) leadEffect() {}
+func (RecordSeen) leadEffect()       {}
+
+// Authority is what a process may do as lead.
+type Authority struct {
+	// Term is zero for a process that isn't lead.
+	Term uint64
+	// Until is when the authority ends unless it is extended.
+	Until bltimer.Instant
+	// MayChange tells whether the lead may change what is stored.
+	MayChange bool
+	// SettledAt is when every grant of an older term has lapsed.
+	SettledAt bltimer.Instant
+	Standby   blvalue.Host
+}
+
+// Holds reports whether the authority lasts at now.
+func (a Authority) Holds(now bltimer.Instant) bool {
+	return a.Term != 0 && now.Before(a.Until)
+}
+
+// Settled reports whether every grant of an older term has lapsed at now.
+func (a Authority) Settled(now bltimer.Instant) bool {
+	return !now.Before(a.SettledAt)
+}
