Make the linter's findings good

Change: named bounds in core/blconfig, a table writer in bergamotctl that remembers its first error, Refusal is no longer an error type, xxhash in place of a home-made mixer.

--- a/cmd/bergamotctl/show.go
+++ b/cmd/bergamotctl/show.go
@@ -13,13 +13,28 @@
 
 const columnGap = 2
 
-func newTable() *tabwriter.Writer {
-	return tabwriter.NewWriter(os.Stdout, 0, 0, columnGap, ' ', 0)
+// table aligns columns. It remembers the first error until flush.
+type table struct {
+	writer *tabwriter.Writer
+	err    error
 }
 
-func flush(table *tabwriter.Writer) error {
-	if err := table.Flush(); err != nil {
-		return fmt.Errorf("write output: %w", err)
+func newTable() *table {
+	return &table{writer: tabwriter.NewWriter(os.Stdout, 0, 0, columnGap, ' ', 0)}
+}
+
+func (t *table) printf(format string, values ...any) {
+	if t.err == nil {
+		_, t.err = fmt.Fprintf(t.writer, format, values...)
+	}
+}
+
+func (t *table) flush() error {
+	if t.err == nil {
+		t.err = t.writer.Flush()
+	}
+	if t.err != nil {
+		return fmt.Errorf("write output: %w", t.err)
 	}
 	return nil
 }
@@ -35,24 +50,24 @@
 	if c.json {
 		return printJSON(status)
 	}
-	table := newTable()
-	fmt.Fprintf(table, "host\t%s\nfailure domain\t%s\nregion\t%s\nrole\t%s\nterm\t%d\nlead\t%s\n",
+	t := newTable()
+	t.printf("host\t%s\nfailure domain\t%s\nregion\t%s\nrole\t%s\nterm\t%d\nlead\t%s\n",
 		status.Host, status.Domain, status.Region, status.Role, status.Term, status.Lead)
-	fmt.Fprintf(table, "configuration\trevision %d\nlead heard\t%d ms ago\n\n", status.ConfigRevision, status.HeardAgoMS)
-	fmt.Fprintln(table, "upstream\tservice\tpartitions\tfence\trunning\twaiting\tlimit\tleaving")
+	t.printf("configuration\trevision %d\nlead heard\t%d ms ago\n\n", status.ConfigRevision, status.HeardAgoMS)
+	t.printf("upstream\tservice\tpartitions\tfence\trunning\twaiting\tlimit\tleaving\n")
 	for _, u := range status.Upstreams {
-		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%d\t%d\t%d\t%t\n",
+		t.printf("%s\t%s\t%d\t%s\t%d\t%d\t%d\t%t\n",
 			u.Name, u.Service, u.Partitions, u.Fence, u.Running, u.Waiting, u.Limit, u.Leaving)
 	}
 	if len(status.Members) > 0 {
-		fmt.Fprintf(table, "\nstandby\t%s\nmay change\t%t\n\n", status.Standby, status.MayChange)
-		fmt.Fprintln(table, "node\tfailure domain\taddress\tconfiguration\theard\tleaving")
+		t.printf("\nstandby\t%s\nmay change\t%t\n\n", status.Standby, status.MayChange)
+		t.printf("node\tfailure domain\taddress\tconfiguration\theard\tleaving\n")
 	}
 	for _, m := range status.Members {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d ms ago\t%t\n",
+		t.printf("%s\t%s\t%s\t%d\t%d ms ago\t%t\n",
 			m.Host, m.Domain, m.Address, m.ConfigRevision, m.HeardAgoMS, m.Leaving)
 	}
-	return flush(table)
+	return t.flush()
 }
 
 type assignmentCommand struct {
@@ -77,12 +92,12 @@
 		names = append(names, name)
 	}
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	table := newTable()
-	fmt.Fprintf(table, "upstream\tpartitions of %d\n", assignment.Partitions)
+	t := newTable()
+	t.printf("upstream\tpartitions of %d\n", assignment.Partitions)
 	for _, name := range names {
-		fmt.Fprintf(table, "%s\t%d\n", name, assignment.Counts[name])
+		t.printf("%s\t%d\n", name, assignment.Counts[name])
 	}
-	return flush(table)
+	return t.flush()
 }
 
 func (a assignmentCommand) showOwner(c *client) error {
--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -19,9 +19,9 @@
 	case ConfigSeen:
 		return s.configSeen(m)
 	case ChunkLoaded:
-		return s.chunkLoaded(m)
+		return s.chunkLoaded(m), nil
 	case ChunkWritten:
-		return s.chunkWritten(m)
+		return s.chunkWritten(m), nil
 	case Heartbeat:
 		return s.heartbeat(m, now)
 	}
@@ -65,16 +65,16 @@
 	return s, effects
 }
 
-func (s State[P]) chunkLoaded(m ChunkLoaded) (State[P], []Effect) {
+func (s State[P]) chunkLoaded(m ChunkLoaded) State[P] {
 	ownership, ok := s.services.Get(m.ID.Service)
 	if m.Term != s.authority.Term || !ok || m.Failed {
-		return s, nil
+		return s
 	}
 	current, had := ownership.chunks.Get(m.ID.Index)
 	if had && m.Chunk.Revision <= current.Revision {
-		return s, nil
+		return s
 	}
-	return s.withOwners(m.ID, ownership, m.Chunk), nil
+	return s.withOwners(m.ID, ownership, m.Chunk)
 }
 
 // withOwners takes a chunk as the store holds it.
@@ -88,27 +88,27 @@
 
 // chunkWritten learns what became of a write. While that is in doubt, the
 // partitions that it moves are renewed for nobody.
-func (s State[P]) chunkWritten(m ChunkWritten) (State[P], []Effect) {
+func (s State[P]) chunkWritten(m ChunkWritten) State[P] {
 	ownership, ok := s.services.Get(m.ID.Service)
 	if m.Term != s.authority.Term || !ok {
-		return s, nil
+		return s
 	}
 	chunk, ok := ownership.chunks.Get(m.ID.Index)
 	if !ok || chunk.pending == nil || chunk.pending.WriteID != m.WriteID {
-		return s, nil
+		return s
 	}
 	switch m.Outcome {
 	case blplatform.Written, blplatform.Conflicted:
-		return s.withOwners(m.ID, ownership, m.Current), nil
+		return s.withOwners(m.ID, ownership, m.Current)
 	case blplatform.NotSent:
 		if chunk.doubtful {
-			return s, nil
+			return s
 		}
 		chunk.pending = nil
 	case blplatform.Unresolved:
 		chunk.doubtful = true
 	}
-	return s.withService(m.ID.Service, ownership.withChunk(m.ID.Index, chunk)), nil
+	return s.withService(m.ID.Service, ownership.withChunk(m.ID.Index, chunk))
 }
 
 func (s State[P]) withPending(id ChunkID, owners []blvalue.UpstreamName) (State[P], Effect) {
--- a/core/blassign/holder.go
+++ b/core/blassign/holder.go
@@ -43,7 +43,8 @@
 		}
 		expires = max(expires, s.expires)
 	}
-	o.sent = append(sent, sentSet{fence: fence, set: set, expires: expires})
+	sent = append(sent, sentSet{fence: fence, set: set, expires: expires})
+	o.sent = sent
 	return o
 }
 
--- a/core/blassign/ownership.go
+++ b/core/blassign/ownership.go
@@ -74,7 +74,7 @@
 func (o Ownership) Owners() []blvalue.UpstreamName {
 	owners := make([]blvalue.UpstreamName, o.partitions)
 	for i := range owners {
-		owners[i] = o.Owner(blvalue.Partition(i)) //nolint:gosec // partitions fit 16 bits
+		owners[i] = o.Owner(blvalue.Partition(i))
 	}
 	return owners
 }
@@ -94,7 +94,7 @@
 	}
 	o.chunks = o.chunks.With(index, chunk)
 	for i := range max(len(old.Owners), len(chunk.Owners)) {
-		p := blvalue.Partition(index*ChunkSize + i) //nolint:gosec // partitions fit 16 bits
+		p := blvalue.Partition(index*ChunkSize + i)
 		o = o.withOwner(p, steady(old, i), steady(chunk, i))
 	}
 	return o
--- a/core/blconfig/options.go
+++ b/core/blconfig/options.go
@@ -20,6 +20,22 @@
 	LongestBurst = 10 * time.Second
 
 	shortestHeartbeat    = 100 * time.Millisecond
+	shortestLease        = 200 * time.Millisecond
+	shortestServiceTime  = 100 * time.Microsecond
+	longestServiceTime   = 10 * time.Second
+	shortestMargin       = 5 * time.Millisecond
+	longestMargin        = 200 * time.Millisecond
+	shortestTimeout      = 50 * time.Millisecond
+	longestTimeout       = 5 * time.Minute
+	longestShutdown      = 10 * time.Minute
+	mostSlots            = 4096
+	mostUpstreams        = 4096
+	longestQueue         = 4096
+	smallestBody         = 1 << 10
+	largestBody          = 1 << 30
+	mostRetryPercent     = 50
+	mostHedgePercent     = 20
+	longestPath          = 256
 	mostPartitions       = 65536
 	partitionsAnUpstream = 4
 	digestBytes          = 32
@@ -51,7 +67,7 @@
 		{
 			SectionServices, "slots", KindInteger, true,
 			"The number of requests that one upstream works on at once when it is warm.",
-			integers(1, 4096, "what one upstream can bear"),
+			integers(1, mostSlots, "what one upstream can bear"),
 		},
 		{
 			SectionServices, "cold_start_limit", KindInteger, true,
@@ -61,12 +77,12 @@
 		{
 			SectionServices, "service_time", KindDuration, true,
 			"How long an upstream works on an ordinary request. Sets the capacity against which rates are held.",
-			durations(100*time.Microsecond, 10*time.Second, "the deadline of a caller"),
+			durations(shortestServiceTime, longestServiceTime, "the deadline of a caller"),
 		},
 		{
 			SectionServices, "upstreams", KindInteger, true,
 			"The number of upstreams that the operators run. Sets the capacity against which rates are held.",
-			integers(1, 4096, "the size of a region"),
+			integers(1, mostUpstreams, "the size of a region"),
 		},
 		{
 			SectionDomains, "state", KindText, true,
@@ -153,7 +169,7 @@
 		{
 			SectionTiming, "clock_margin", KindDuration, true,
 			"What the lead waits beyond a grant for the drift of two clocks.",
-			durations(5*time.Millisecond, 200*time.Millisecond, "1% drift over a grant, and the recovery target"),
+			durations(shortestMargin, longestMargin, "1% drift over a grant, and the recovery target"),
 		},
 		{
 			SectionTiming, "settle", KindDuration, true,
@@ -167,17 +183,17 @@
 	return []Option{
 		{
 			SectionLimits, "body_bytes", KindInteger, true, "The largest body of a request, in bytes.",
-			integers(1024, 1<<30, "the memory of a node"),
+			integers(smallestBody, largestBody, "the memory of a node"),
 		},
 		{
 			SectionLimits, "queue_length", KindInteger, true,
 			"The requests that may wait for one upstream.",
-			integers(1, 4096, "the memory of a node and the deadline of a caller"),
+			integers(1, longestQueue, "the memory of a node and the deadline of a caller"),
 		},
 		{
 			SectionLimits, "request_timeout", KindDuration, true,
 			"How long a caller waits when it names no time of its own.",
-			durations(50*time.Millisecond, 5*time.Minute, "what callers bear"),
+			durations(shortestTimeout, longestTimeout, "what callers bear"),
 		},
 		{
 			SectionLimits, "shutdown_grace", KindDuration, true,
@@ -187,12 +203,12 @@
 		{
 			SectionLimits, "retry_percent", KindInteger, true,
 			"The requests that may be sent again, in percent of all.",
-			integers(0, 50, "the load that a retry adds to upstreams in trouble"),
+			integers(0, mostRetryPercent, "the load that a retry adds to upstreams in trouble"),
 		},
 		{
 			SectionLimits, "hedge_percent", KindInteger, true,
 			"The idempotent requests that may be sent to a second upstream, in percent of all.",
-			integers(0, 20, "the load that a hedge adds"),
+			integers(0, mostHedgePercent, "the load that a hedge adds"),
 		},
 	}
 }
@@ -263,7 +279,7 @@
 	return Range{
 		Allowed: "a path without a leading slash, or *",
 		SetBy:   "the form of a caller's URL, /service/key/path",
-		Holds:   len(v.Text) <= 256 && (v.Text == "" || v.Text[0] != '/'),
+		Holds:   len(v.Text) <= longestPath && (v.Text == "" || v.Text[0] != '/'),
 	}
 }
 
@@ -281,7 +297,7 @@
 }
 
 func leadLeaseRange(d Document, _ string, v Value) Range {
-	return durationRange(v, 200*time.Millisecond, d.value(SectionTiming, "", "grant_ttl").Duration,
+	return durationRange(v, shortestLease, d.value(SectionTiming, "", "grant_ttl").Duration,
 		"four renewals by the store, and a takeover within grant_ttl")
 }
 
@@ -291,7 +307,7 @@
 }
 
 func shutdownRange(d Document, _ string, v Value) Range {
-	return durationRange(v, d.value(SectionLimits, "", "request_timeout").Duration, 10*time.Minute,
+	return durationRange(v, d.value(SectionLimits, "", "request_timeout").Duration, longestShutdown,
 		"request_timeout, so that no request is cut short")
 }
 
--- a/core/blgrant/state_test.go
+++ b/core/blgrant/state_test.go
@@ -47,10 +47,10 @@
 	n.state, n.effects = blgrant.Decide(n.state, message, at(now))
 }
 
-func (n *node) begin(p blvalue.Partition, now time.Duration) blgrant.BeginAnswer {
+func (n *node) begin(now time.Duration) blgrant.BeginAnswer {
 	n.t.Helper()
 	reply := blring.NewReply[blgrant.BeginAnswer]()
-	n.send(blgrant.Begin{Service: "pot", Partition: p, Cancel: func() {}, Reply: reply}, now)
+	n.send(blgrant.Begin{Service: "pot", Partition: 5, Cancel: func() {}, Reply: reply}, now)
 	for _, effect := range n.effects {
 		if answer, ok := effect.(blgrant.AnswerBegin); ok {
 			return answer.Answer
@@ -106,7 +106,7 @@
 			for _, offered := range c.offers {
 				n.send(offered, 0)
 			}
-			if got := n.begin(5, c.now).Refusal == nil; got != c.want {
+			if got := n.begin(c.now).Refusal == nil; got != c.want {
 				t.Errorf("request allowed: got %t, want %t", got, c.want)
 			}
 		})
@@ -116,7 +116,7 @@
 func TestReleaseWaitsForRunningRequests(t *testing.T) {
 	n := newNode(t)
 	n.send(blgrant.Offered{Term: 1, Offers: []blgrant.Offer{offer(1, 1, 5, 6)}}, 0)
-	permit := n.begin(5, 1).Permit
+	permit := n.begin(1).Permit
 	n.send(blgrant.Offered{Term: 1, Offers: []blgrant.Offer{offer(1, 2, 6)}}, 2)
 	if got, want := n.reportedFence(3), (blvalue.Fence{Term: 1, Sequence: 1}); got != want {
 		t.Errorf("fence while a request runs: got %v, want %v", got, want)
@@ -130,7 +130,7 @@
 func TestLapseCutsOffRunningRequests(t *testing.T) {
 	n := newNode(t)
 	n.send(blgrant.Offered{Term: 1, Offers: []blgrant.Offer{offer(1, 1, 5)}}, 0)
-	n.begin(5, 1)
+	n.begin(1)
 	n.send(blgrant.Tick{}, ttl-1)
 	if got := len(n.effects); got != 0 {
 		t.Errorf("effects before the lapse: got %d, want 0", got)
@@ -145,7 +145,7 @@
 	n := newNode(t)
 	n.send(blgrant.Offered{Term: 1, Offers: []blgrant.Offer{offer(1, 1, 5)}}, 0)
 	n.send(blgrant.UpstreamsSeen{Upstreams: []blvalue.Upstream{{Name: "pot_1", Incarnation: "run_2", Service: "pot"}}}, 1)
-	if n.begin(5, 2).Refusal == nil {
+	if n.begin(2).Refusal == nil {
 		t.Error("request at a restarted upstream: got a permit, want a refusal")
 	}
 }
--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -420,22 +420,22 @@
 		answer.Promised = true
 		s.promisedUntil = max(s.promisedUntil, now.Add(s.timing.Lease+s.timing.Margin))
 	}
-	var effects []Effect
+	effects := []Effect{AnswerStandby{Reply: m.Reply, Answer: answer}}
 	if m.Standby == s.self.Incarnation && s.Role() == RoleFollower && m.Term >= s.stored.Record.Term {
 		s.leadHeard = now
-		s, effects = probeStore(s, m.WantPromise, now)
+		s, effects = probeStore(s, effects, m.WantPromise, now)
 	}
-	return s, append(effects, AnswerStandby{Reply: m.Reply, Answer: answer})
+	return s, effects
 }
 
 // probeStore reads the store while the lead can't: a standby that reaches it
 // takes over rather than let the lead hold.
-func probeStore(s State, wantPromise bool, now bltimer.Instant) (State, []Effect) {
+func probeStore(s State, effects []Effect, wantPromise bool, now bltimer.Instant) (State, []Effect) {
 	if !wantPromise || now.Sub(s.storeSent) < standbyReadEvery {
-		return s, nil
+		return s, effects
 	}
 	s.storeSent = now
-	return s, []Effect{ReadRecord{}}
+	return s, append(effects, ReadRecord{})
 }
 
 // refusesPromise returns why the standby promises nothing, or empty text.
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -126,14 +126,14 @@
 	name := m.Announcement.Upstream.Name
 	before, known := s.upstreams.Get(name)
 	s.upstreams = s.upstreams.With(name, announced{Announcement: m.Announcement, heardAt: now})
-	effects := []Effect{UpstreamsSeen{Announcements: s.Announcements(now)}}
+	seen := UpstreamsSeen{Announcements: s.Announcements(now)}
 	changed := !known || before.Upstream != m.Announcement.Upstream
 	if !changed {
-		return s, effects
+		return s, []Effect{seen}
 	}
 	s.nextAt = min(s.nextAt, now)
 	s, sent := s.report(now)
-	return s, append(effects, sent...)
+	return s, append([]Effect{seen}, sent...)
 }
 
 // report sends a heartbeat when it is time and none is under way.
--- a/core/blroute/choose.go
+++ b/core/blroute/choose.go
@@ -1,8 +1,11 @@
 package blroute
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/bltable"
 	"bergamotlead/core/bltimer"
@@ -45,22 +48,18 @@
 func (TwoChoices) Choose(candidates []blassign.Entry, healths Healths, draw uint64) blassign.Entry {
 	count := uint64(len(candidates))
 	first := candidates[mix(draw)%count]
-	second := candidates[mix(draw+mixStep)%count]
+	second := candidates[mix(^draw)%count]
 	if cost(healths, second) < cost(healths, first) {
 		return second
 	}
 	return first
 }
 
-const mixStep = 0x9E3779B97F4A7C15
-
 // mix spreads consecutive draws over all bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xBF58476D1CE4E5B9
-	x ^= x >> 27
-	x *= 0x94D049BB133111EB
-	return x ^ x>>31
+func mix(draw uint64) uint64 {
+	var bytes [8]byte
+	binary.LittleEndian.PutUint64(bytes[:], draw)
+	return xxhash.Sum64(bytes[:])
 }
 
 // unknownLatency is assumed of an upstream that has not answered yet.
--- a/core/blvalue/key.go
+++ b/core/blvalue/key.go
@@ -14,5 +14,5 @@
 	if count <= 0 {
 		return 0
 	}
-	return Partition(xxhash.Sum64String(string(key)) % uint64(count)) //nolint:gosec // below count, which fits
+	return Partition(xxhash.Sum64String(string(key)) % uint64(count))
 }
--- a/core/blvalue/partition_set.go
+++ b/core/blvalue/partition_set.go
@@ -104,7 +104,7 @@
 		for i, word := range s.words {
 			for word != 0 {
 				bit := bits.TrailingZeros64(word)
-				if !yield(Partition(i*wordBits + bit)) { //nolint:gosec // the index stays below 65536
+				if !yield(Partition(i*wordBits + bit)) {
 					return
 				}
 				word &= word - 1
--- a/core/blvalue/request.go
+++ b/core/blvalue/request.go
@@ -67,7 +67,7 @@
 	return &Refusal{Outcome: OutcomeUnknown, Reason: reason, Detail: detail}
 }
 
-// Error returns the refusal as text.
-func (r *Refusal) Error() string {
+// String returns the refusal as text.
+func (r *Refusal) String() string {
 	return string(r.Outcome) + ": " + string(r.Reason) + ": " + r.Detail
 }
--- a/core/blvalue/value_test.go
+++ b/core/blvalue/value_test.go
@@ -23,8 +23,8 @@
 }
 
 func ExamplePartitionOf() {
-	fmt.Println(blvalue.PartitionOf("awa", 64) == blvalue.PartitionOf("awa", 64))
-	// Output: true
+	fmt.Println(blvalue.PartitionOf("awa", 64))
+	// Output: 47
 }
 
 func TestPartitionSetAgreesWithMap(t *testing.T) {
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -29,7 +29,7 @@
 func upstreamToProto(u blvalue.Upstream) *blproto.Upstream {
 	return &blproto.Upstream{
 		Name: string(u.Name), Incarnation: string(u.Incarnation), Service: string(u.Service),
-		Slots: uint32(u.Slots), ChecksFence: u.ChecksFence, Leaving: u.Leaving, //nolint:gosec // slots are small
+		Slots: uint32(u.Slots), ChecksFence: u.ChecksFence, Leaving: u.Leaving,
 	}
 }
 
@@ -140,12 +140,12 @@
 }
 
 func ownersToProto(run blassign.Owners) *blproto.Owners {
-	owners := &blproto.Owners{Service: string(run.Service), First: uint32(run.First)} //nolint:gosec // below 65536
+	owners := &blproto.Owners{Service: string(run.Service), First: uint32(run.First)}
 	positions := map[blvalue.UpstreamName]uint32{"": 0}
 	for _, name := range run.Owners {
 		if _, ok := positions[name]; !ok {
 			owners.Names = append(owners.Names, string(name))
-			positions[name] = uint32(len(owners.GetNames())) //nolint:gosec // at most a chunk's owners
+			positions[name] = uint32(len(owners.GetNames()))
 		}
 		owners.Owners = append(owners.Owners, positions[name])
 	}
@@ -235,7 +235,7 @@
 }
 
 func milliseconds(d time.Duration) uint32 {
-	return uint32(max(d.Milliseconds(), 0)) //nolint:gosec // durations here are far below 49 days
+	return uint32(max(d.Milliseconds(), 0))
 }
 
 func duration(ms uint32) time.Duration {
--- a/io/blgrpc/order.go
+++ b/io/blgrpc/order.go
@@ -33,7 +33,7 @@
 		Account: blvalue.AccountName(h.GetAccount()),
 		Target: blroute.Target{
 			Upstream: blvalue.UpstreamName(h.GetUpstream()), Service: blvalue.ServiceName(h.GetService()),
-			Partition: blvalue.Partition(h.GetPartition()), Exclusive: h.GetExclusive(), //nolint:gosec // 16 bits by design
+			Partition: blvalue.Partition(h.GetPartition()), Exclusive: h.GetExclusive(),
 		},
 		Idempotent: h.GetIdempotent(), Open: h.GetOpen(), Priority: blconfig.Priority(h.GetPriority()),
 		RequestID: h.GetRequestId(), URI: h.GetUri(), TraceParent: h.GetTraceParent(),
@@ -91,7 +91,7 @@
 func (f *frameSink) Head(status int, header map[string][]string) error {
 	f.started = true
 	return f.send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Head{
-		Head: &blproto.AnswerHead{Status: int32(status), Header: fieldsToProto(header)}, //nolint:gosec // three digits
+		Head: &blproto.AnswerHead{Status: int32(status), Header: fieldsToProto(header)},
 	}})
 }
 
--- a/io/blhttp/request.go
+++ b/io/blhttp/request.go
@@ -159,7 +159,7 @@
 		return callBody{}, nil
 	}
 	limited := http.MaxBytesReader(nil, r.Body, limit)
-	kept := make([]byte, 0, min(max(r.ContentLength, 512), replayBytes))
+	kept := make([]byte, 0, min(max(r.ContentLength, bytes.MinRead), replayBytes))
 	buffer := bytes.NewBuffer(kept)
 	_, err := io.CopyN(buffer, limited, replayBytes)
 	var large *http.MaxBytesError
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -49,10 +49,16 @@
 	deliver *blduty.Duty[bldeliver.State, bldeliver.Message, bldeliver.Effect]
 }
 
+const (
+	initialLease    = 500 * time.Millisecond
+	initialGrantTTL = 900 * time.Millisecond
+	initialMargin   = 30 * time.Millisecond
+)
+
 // initialTiming holds until a configuration is known.
 func initialTiming() bllead.Timing {
 	return bllead.Timing{
-		Lease: 500 * time.Millisecond, GrantTTL: 900 * time.Millisecond, Margin: 30 * time.Millisecond,
+		Lease: initialLease, GrantTTL: initialGrantTTL, Margin: initialMargin,
 	}
 }
 
--- a/io/blnode/status.go
+++ b/io/blnode/status.go
@@ -50,8 +50,9 @@
 
 func (n *Node) upstreamStatus() []bloperator.Upstream {
 	gates := n.duties.deliver.View().Gates()
-	var list []bloperator.Upstream
-	for _, a := range n.duties.member.View().Announcements(n.clock.Now()) {
+	announcements := n.duties.member.View().Announcements(n.clock.Now())
+	list := make([]bloperator.Upstream, 0, len(announcements))
+	for _, a := range announcements {
 		entry := bloperator.Upstream{
 			Name: a.Upstream.Name, Service: a.Upstream.Service, Address: a.Address,
 			Leaving: a.Upstream.Leaving, Cold: a.Cold,
@@ -84,7 +85,7 @@
 		Service: name, Partitions: service.Partitions, Counts: map[blvalue.UpstreamName]int{},
 	}
 	for i := range service.Partitions {
-		entry, _ := directory.Owner(name, blvalue.Partition(i)) //nolint:gosec // partitions fit 16 bits
+		entry, _ := directory.Owner(name, blvalue.Partition(i))
 		assignment.Owners = append(assignment.Owners, entry.Upstream.Name)
 		assignment.Counts[entry.Upstream.Name]++
 	}
--- a/io/blsettings/process.go
+++ b/io/blsettings/process.go
@@ -54,7 +54,7 @@
 // ReadProcess reads the process settings in the file at path. Unknown names
 // are refused.
 func ReadProcess(path string) (Process, error) {
-	text, err := os.ReadFile(path)
+	text, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 	if err != nil {
 		return Process{}, fmt.Errorf("read process settings: %w", err)
 	}
--- a/io/blstore/client.go
+++ b/io/blstore/client.go
@@ -21,6 +21,9 @@
 // in base 64, and its frame.
 const largestAnswer = 2 << 20
 
+// idleConnections is the number of connections to the store that are kept.
+const idleConnections = 8
+
 // watchWait is how long the store holds a watch open.
 const watchWait = 10 * time.Second
 
@@ -34,7 +37,7 @@
 func New(address string) *Client {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 8,
+		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 	}
 	return &Client{base: "http://" + address, client: &http.Client{Transport: transport}}
--- a/io/bltrace/trace.go
+++ b/io/bltrace/trace.go
@@ -18,7 +18,11 @@
 	"bergamotlead/core/blvalue"
 )
 
-const traceParent = "traceparent"
+const (
+	traceParent = "traceparent"
+	// fileMode lets the process's own user alone read the spans.
+	fileMode = 0o600
+)
 
 // Tracer starts spans. Without a file it starts none.
 type Tracer struct {
@@ -32,7 +36,7 @@
 	if path == "" {
 		return &Tracer{tracer: noop.NewTracerProvider().Tracer("bergamotlead"), stop: nothing}, nil
 	}
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode) //nolint:gosec // the operator names the file
 	if err != nil {
 		return nil, fmt.Errorf("open trace file: %w", err)
 	}
@@ -101,7 +105,7 @@
 // End ends the span, as failed when there is a refusal.
 func (s Span) End(refusal *blvalue.Refusal) {
 	if refusal != nil && s.span.IsRecording() {
-		s.span.SetStatus(codes.Error, refusal.Error())
+		s.span.SetStatus(codes.Error, refusal.String())
 	}
 	s.span.End()
 }
--- a/tools/blfleet/build.go
+++ b/tools/blfleet/build.go
@@ -30,7 +30,7 @@
 // with a pot and a wishlist server.
 func Dakar(checksFence bool) []HostSpec {
 	domains := []string{"sn_west_a", "sn_west_b", "sn_west_c"}
-	var hosts []HostSpec
+	hosts := make([]HostSpec, 0, len(domains))
 	for i, domain := range domains {
 		hosts = append(hosts, HostSpec{
 			Name: fmt.Sprintf("host_%d", i+1), Domain: domain,
--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -119,26 +119,14 @@
 	return false
 }
 
+// owners looks whether each pot was served by one upstream alone, and no
+// upstream saw a client key.
 func (d *demo) owners() error {
 	owners := map[string]string{}
 	for _, host := range d.fleet.Hosts {
 		for _, upstream := range host.Upstreams {
-			log, err := d.fleet.Log(upstream)
-			if err != nil {
-				return fmt.Errorf("read log: %w", err)
-			}
-			for _, work := range log {
-				if owner, ok := owners[work.Key]; ok && owner != work.Upstream {
-					return mismatch("owners of pot "+work.Key, work.Upstream, owner, "")
-				}
-				owners[work.Key] = work.Upstream
-			}
-			counts, err := d.fleet.Counts(upstream)
-			if err != nil {
-				return fmt.Errorf("read counts: %w", err)
-			}
-			if counts.KeysSeen != 0 {
-				return mismatch("client keys seen by "+upstream.Spec.Name, counts.KeysSeen, 0, "")
+			if err := d.addOwners(owners, upstream); err != nil {
+				return err
 			}
 		}
 	}
@@ -148,6 +136,27 @@
 	return nil
 }
 
+func (d *demo) addOwners(owners map[string]string, upstream *blfleet.RunningUpstream) error {
+	log, err := d.fleet.Log(upstream)
+	if err != nil {
+		return fmt.Errorf("read log: %w", err)
+	}
+	for _, work := range log {
+		if owner, ok := owners[work.Key]; ok && owner != work.Upstream {
+			return mismatch("owners of pot "+work.Key, work.Upstream, owner, "")
+		}
+		owners[work.Key] = work.Upstream
+	}
+	counts, err := d.fleet.Counts(upstream)
+	if err != nil {
+		return fmt.Errorf("read counts: %w", err)
+	}
+	if counts.KeysSeen != 0 {
+		return mismatch("client keys seen by "+upstream.Spec.Name, counts.KeysSeen, 0, "")
+	}
+	return nil
+}
+
 func (d *demo) wrongKey() error {
 	answer, err := d.fleet.Call(d.fleet.Hosts[0], http.MethodPost, "/pot/awa/contributions", "wrong", "1")
 	if err != nil {
