--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -21,7 +21,7 @@
 	case ChunkLoaded:
 		return s.chunkLoaded(m), nil
 	case ChunkWritten:
-		return s.chunkWritten(m), nil
+		return s.chunkWritten(m, now)
 	case Heartbeat:
 		return s.heartbeat(m, now)
 	}
@@ -88,27 +88,27 @@
 
 // chunkWritten learns what became of a write. While that is in doubt, the
 // partitions that it moves are renewed for nobody.
-func (s State[P]) chunkWritten(m ChunkWritten) State[P] {
+func (s State[P]) chunkWritten(m ChunkWritten, now bltimer.Instant) (State[P], []Effect) {
 	ownership, ok := s.services.Get(m.ID.Service)
 	if m.Term != s.authority.Term || !ok {
-		return s
+		return s, nil
 	}
 	chunk, ok := ownership.chunks.Get(m.ID.Index)
 	if !ok || chunk.pending == nil || chunk.pending.WriteID != m.WriteID {
-		return s
+		return s, nil
 	}
 	switch m.Outcome {
 	case blplatform.Written, blplatform.Conflicted:
-		return s.withOwners(m.ID, ownership, m.Current)
+		return s.withOwners(m.ID, ownership, m.Current), []Effect{Nudge{Nodes: s.peers(now)}}
 	case blplatform.NotSent:
 		if chunk.doubtful {
-			return s
+			return s, nil
 		}
 		chunk.pending = nil
 	case blplatform.Unresolved:
 		chunk.doubtful = true
 	}
-	return s.withService(m.ID.Service, ownership.withChunk(m.ID.Index, chunk))
+	return s.withService(m.ID.Service, ownership.withChunk(m.ID.Index, chunk)), nil
 }
 
 func (s State[P]) withPending(id ChunkID, owners []blvalue.UpstreamName) (State[P], Effect) {
--- a/core/blassign/heartbeat.go
+++ b/core/blassign/heartbeat.go
@@ -14,10 +14,9 @@
 
 // heartbeat takes a node's report and answers with its grants.
 func (s State[P]) heartbeat(m Heartbeat, now bltimer.Instant) (State[P], []Effect) {
-	if !s.authority.Holds(now) || !s.ready() {
+	if !s.authority.Holds(now) || !s.ready() || s.overtaken(m) {
 		return s, []Effect{Answer{Reply: m.Reply}}
 	}
-	known := s.members.Len()
 	s = s.withReleases(m, now)
 	s = s.withMember(m, now)
 	reply := HeartbeatReply{Term: s.authority.Term, Standby: s.authority.Standby}
@@ -37,23 +36,24 @@
 		}
 	}
 	reply.Directory = s.directorySince(m.Directory)
-	effects := []Effect{Answer{Reply: m.Reply, HeartbeatReply: reply}}
-	if s.members.Len() != known {
-		effects = append(effects, PeersSeen{Peers: s.peers(now)})
-	}
-	return s, effects
+	return s, []Effect{Answer{Reply: m.Reply, HeartbeatReply: reply}}
+}
+
+// overtaken reports whether a later heartbeat of the same run has been seen.
+func (s State[P]) overtaken(m Heartbeat) bool {
+	member, ok := s.members.Get(m.Node.Name)
+	return ok && member.Host.Incarnation == m.Node.Incarnation && m.Sequence <= member.Sequence
 }
 
 // withReleases takes what the node no longer uses: sets older than the fence
-// that it reports, and everything of upstreams or of an earlier run of the
-// node that are gone.
+// that it reports, and everything of upstreams that it no longer lists.
 func (s State[P]) withReleases(m Heartbeat, now bltimer.Instant) State[P] {
 	old, known := s.members.Get(m.Node.Name)
 	if known {
 		s = s.withoutEnded(old, m)
 	}
 	for _, held := range m.Held {
-		holder := Holder{Node: m.Node.Incarnation, Upstream: held.Incarnation}
+		holder := NewHolder(m.Node.Incarnation, held.Incarnation)
 		outstanding, ok := s.outstanding.Get(holder)
 		if !ok || held.Fence.Term != s.authority.Term {
 			continue
@@ -64,18 +64,21 @@
 }
 
 // withoutEnded drops the holders behind a node that its new report no longer
-// lists. A node stops listing an upstream only when nothing runs there. An
-// earlier run of the node has ended when another one answers at its address.
+// lists. A node stops listing an upstream only when nothing runs there. What
+// another run of the node held is left to lapse: the report may be a late one
+// of the earlier run.
 func (s State[P]) withoutEnded(old Member, m Heartbeat) State[P] {
-	restarted := old.Host.Incarnation != m.Node.Incarnation
-	if restarted && old.Host.Address != m.Node.Address {
+	if old.Host.Incarnation != m.Node.Incarnation {
 		return s
 	}
 	for _, upstream := range old.Upstreams {
-		if !restarted && lists(m.Upstreams, upstream.Incarnation) {
+		if lists(m.Upstreams, upstream.Incarnation) {
 			continue
 		}
-		s.outstanding = s.outstanding.Without(Holder{Node: old.Host.Incarnation, Upstream: upstream.Incarnation})
+		holder := NewHolder(old.Host.Incarnation, upstream.Incarnation)
+		if outstanding, ok := s.outstanding.Get(holder); ok && outstanding.heartbeat < m.Sequence {
+			s.outstanding = s.outstanding.Without(holder)
+		}
 	}
 	return s
 }
@@ -91,7 +94,7 @@
 
 func (s State[P]) withMember(m Heartbeat, now bltimer.Instant) State[P] {
 	s.members = s.members.With(m.Node.Name, Member{
-		Host: m.Node, HeardAt: now, ConfigRevision: m.ConfigRevision, Leaving: m.Leaving, Upstreams: m.Upstreams,
+		Host: m.Node, HeardAt: now, Sequence: m.Sequence, ConfigRevision: m.ConfigRevision, Leaving: m.Leaving, Upstreams: m.Upstreams,
 	})
 	for _, upstream := range m.Upstreams {
 		if s.mayAnswerTo(m.Node, upstream) {
@@ -124,7 +127,7 @@
 	if !ok || !s.mayAnswerTo(m.Node, upstream) {
 		return s, blgrant.Offer{}, false
 	}
-	holder := Holder{Node: m.Node.Incarnation, Upstream: upstream.Incarnation}
+	holder := NewHolder(m.Node.Incarnation, upstream.Incarnation)
 	held := heldBy(m, upstream)
 	owned := ownership.OwnedBy(upstream.Name)
 	allowed := s.allowed(ownership, holder, owned, held, now)
@@ -137,6 +140,7 @@
 	}
 	timing := s.config.Plan.Timing
 	outstanding.service = upstream.Service
+	outstanding.heartbeat = max(outstanding.heartbeat, m.Sequence)
 	outstanding = outstanding.withSent(fence, allowed, now.Add(s.lapseAfter(timing, upstream)))
 	s.outstanding = s.outstanding.With(holder, outstanding)
 	s = s.withService(upstream.Service, ownership.withClaims(allowed, holder))
--- a/core/blassign/holder.go
+++ b/core/blassign/holder.go
@@ -5,10 +5,12 @@
 	"bergamotlead/core/blvalue"
 )
 
-// Holder is one run of an upstream behind one run of a node.
-type Holder struct {
-	Node     blvalue.Incarnation
-	Upstream blvalue.Incarnation
+// Holder names one run of an upstream behind one run of a node.
+type Holder string
+
+// NewHolder returns the holder of the given runs.
+func NewHolder(node, upstream blvalue.Incarnation) Holder {
+	return Holder(node + "/" + upstream)
 }
 
 // sentSet is a set of partitions that was granted and may still be in use.
@@ -22,7 +24,9 @@
 // last element is the current grant.
 type Outstanding struct {
 	service blvalue.ServiceName
-	sent    []sentSet
+	// heartbeat is the sequence of the heartbeat that was last answered.
+	heartbeat uint64
+	sent      []sentSet
 }
 
 // current returns the latest set that was sent.
--- a/core/blassign/messages.go
+++ b/core/blassign/messages.go
@@ -44,7 +44,9 @@
 
 // Heartbeat is a node's report to the lead.
 type Heartbeat struct {
-	Node      blvalue.Host
+	Node blvalue.Host
+	// Sequence rises with each heartbeat of one run of a node.
+	Sequence  uint64
 	Upstreams []blvalue.Upstream
 	Held      []blgrant.Held
 	// ConfigRevision is the revision that is in force at the node.
@@ -106,6 +108,11 @@
 // PeersSeen tells the lead duty which nodes are up.
 type PeersSeen struct{ Peers []blvalue.Host }
 
+// Nudge asks nodes to report at once, since partitions have come to them or
+// left an owner that is lost.
+type Nudge struct{ Nodes []blvalue.Host }
+
+func (Nudge) assignEffect()      {}
 func (LoadConfig) assignEffect() {}
 func (LoadChunk) assignEffect()  {}
 func (WriteChunk) assignEffect() {}
--- a/core/blassign/place.go
+++ b/core/blassign/place.go
@@ -1,7 +1,6 @@
 package blassign
 
 import (
-	"sort"
 	"time"
 
 	"bergamotlead/core/blconfig"
@@ -23,12 +22,8 @@
 	if !s.ready() {
 		return s.loadMissing(now)
 	}
-	known := s.members.Len()
 	s = s.withoutGone(now)
-	var effects []Effect
-	if s.members.Len() != known {
-		effects = append(effects, PeersSeen{Peers: s.peers(now)})
-	}
+	s, effects := s.tellPeers(now)
 	if !s.authority.MayChange || !s.authority.Settled(now) || now.Sub(s.placedAt) < placeEvery {
 		return s, effects
 	}
@@ -58,7 +53,18 @@
 	return s, effects
 }
 
-// withoutGone drops nodes whose grants have lapsed.
+// tellPeers tells the lead duty which nodes are up when their number changed.
+func (s State[P]) tellPeers(now bltimer.Instant) (State[P], []Effect) {
+	peers := s.peers(now)
+	if len(peers) == s.peerCount {
+		return s, nil
+	}
+	s.peerCount = len(peers)
+	return s, []Effect{PeersSeen{Peers: peers}}
+}
+
+// withoutGone takes the partitions of nodes whose grants have lapsed for free.
+// A node is remembered for as long as it may go on admitting requests.
 func (s State[P]) withoutGone(now bltimer.Instant) State[P] {
 	timing := s.config.Plan.Timing
 	for _, member := range s.members.All() {
@@ -68,15 +74,17 @@
 		if !s.holdersLapsed(member, now) {
 			continue
 		}
-		s.members = s.members.Without(member.Host.Name)
 		s = s.withoutHolders(member)
+		if now.Sub(member.HeardAt) > timing.Freshness+timing.Margin {
+			s.members = s.members.Without(member.Host.Name)
+		}
 	}
 	return s
 }
 
 func (s State[P]) holdersLapsed(member Member, now bltimer.Instant) bool {
 	for _, upstream := range member.Upstreams {
-		holder := Holder{Node: member.Host.Incarnation, Upstream: upstream.Incarnation}
+		holder := NewHolder(member.Host.Incarnation, upstream.Incarnation)
 		if outstanding, ok := s.outstanding.Get(holder); ok && !outstanding.lapsed(now) {
 			return false
 		}
@@ -86,7 +94,7 @@
 
 func (s State[P]) withoutHolders(member Member) State[P] {
 	for _, upstream := range member.Upstreams {
-		s.outstanding = s.outstanding.Without(Holder{Node: member.Host.Incarnation, Upstream: upstream.Incarnation})
+		s.outstanding = s.outstanding.Without(NewHolder(member.Host.Incarnation, upstream.Incarnation))
 		entry, ok := s.entries.Get(upstream.Name)
 		if ok && entry.Node.Incarnation == member.Host.Incarnation {
 			gone := entry.Entry
@@ -170,6 +178,5 @@
 		}
 		candidates = append(candidates, Candidate{Name: name, Weight: entry.Upstream.Slots})
 	}
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].Name < candidates[j].Name })
 	return candidates
 }
--- a/core/blassign/state.go
+++ b/core/blassign/state.go
@@ -4,8 +4,6 @@
 package blassign
 
 import (
-	"sort"
-
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/bltable"
@@ -17,6 +15,7 @@
 type Member struct {
 	Host           blvalue.Host
 	HeardAt        bltimer.Instant
+	Sequence       uint64
 	ConfigRevision uint64
 	Leaving        bool
 	Upstreams      []blvalue.Upstream
@@ -47,6 +46,8 @@
 	writes   uint64
 	placedAt bltimer.Instant
 	moves    uint64
+	// peerCount is the number of nodes that were last told to the lead duty.
+	peerCount int
 }
 
 // New returns the state of a process that isn't lead.
@@ -80,15 +81,18 @@
 	for _, member := range s.members.All() {
 		members = append(members, member)
 	}
-	sort.Slice(members, func(i, j int) bool { return members[i].Host.Name < members[j].Host.Name })
 	return members
 }
 
 // InForce reports whether the revision is in force on every node that may
 // still admit requests.
 func (s State[P]) InForce(revision uint64, now bltimer.Instant) bool {
-	freshness := s.config.Plan.Timing.Freshness
-	if !s.authority.Settled(now) || s.members.Len() == 0 {
+	timing := s.config.Plan.Timing
+	freshness := timing.Freshness + timing.Margin
+	// A node that only the earlier lead knows may admit requests for as long as
+	// it takes itself for fresh.
+	knowsAll := s.authority.SettledAt.Add(max(timing.Freshness-timing.GrantTTL, 0))
+	if now.Before(knowsAll) || s.members.Len() == 0 {
 		return false
 	}
 	for _, member := range s.members.All() {
--- a/core/blconfig/document.go
+++ b/core/blconfig/document.go
@@ -12,42 +12,50 @@
 
 // Document is an immutable set of settings.
 type Document struct {
-	settings bltable.Table[Path, Setting]
+	// settings are by path as text.
+	settings bltable.Table[string, placedSetting]
+}
+
+// placedSetting is a setting and its path.
+type placedSetting struct {
+	Setting
+
+	path Path
 }
 
 // Get returns the setting at path and whether the document has one.
 func (d Document) Get(path Path) (Setting, bool) {
-	return d.settings.Get(path)
+	placed, ok := d.settings.Get(path.String())
+	return placed.Setting, ok
 }
 
 // With returns the document in which path has the given setting.
 func (d Document) With(path Path, setting Setting) Document {
-	d.settings = d.settings.With(path, setting)
+	d.settings = d.settings.With(path.String(), placedSetting{Setting: setting, path: path})
 	return d
 }
 
 // Without returns the document without the setting at path.
 func (d Document) Without(path Path) Document {
-	d.settings = d.settings.Without(path)
+	d.settings = d.settings.Without(path.String())
 	return d
 }
 
 // Paths returns the paths of all settings in order.
 func (d Document) Paths() []Path {
 	paths := make([]Path, 0, d.settings.Len())
-	for path := range d.settings.All() {
-		paths = append(paths, path)
+	for _, placed := range d.settings.All() {
+		paths = append(paths, placed.path)
 	}
-	sort.Slice(paths, func(i, j int) bool { return paths[i].Less(paths[j]) })
 	return paths
 }
 
 // Entries returns the names of the entries of a section in order.
 func (d Document) Entries(section string) []string {
 	var entries []string
-	for path := range d.settings.All() {
-		if path.Section == section && path.Entry != "" {
-			entries = append(entries, path.Entry)
+	for _, placed := range d.settings.All() {
+		if placed.path.Section == section && placed.path.Entry != "" {
+			entries = append(entries, placed.path.Entry)
 		}
 	}
 	sort.Strings(entries)
@@ -55,7 +63,7 @@
 }
 
 func (d Document) value(section, entry, option string) Value {
-	setting, _ := d.settings.Get(Path{Section: section, Entry: entry, Option: option})
+	setting, _ := d.Get(Path{Section: section, Entry: entry, Option: option})
 	return setting.Value
 }
 
--- a/core/blgrant/state.go
+++ b/core/blgrant/state.go
@@ -42,6 +42,22 @@
 	return s.running.Len()
 }
 
+// Uses reports whether this node may work on p of the service at now, or has a
+// request running there that was allowed.
+func (s State) Uses(service blvalue.ServiceName, p blvalue.Partition, now bltimer.Instant) bool {
+	for _, grant := range s.grants.All() {
+		if grant.Service == service && grant.Covers(p, now) {
+			return true
+		}
+	}
+	for _, r := range s.running.All() {
+		if r.partition == p && now.Before(r.until) {
+			return true
+		}
+	}
+	return false
+}
+
 // Decide computes the next state and the effects of one message.
 func Decide(s State, message Message, now bltimer.Instant) (State, []Effect) {
 	switch m := message.(type) {
--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -286,6 +286,7 @@
 	}
 	s = s.withEvent(eventAcquire)
 	s.acquiringAt = now
+	s.lapsedAt = now
 	return s, []Effect{AcquireLease{}}
 }
 
@@ -400,7 +401,7 @@
 		return stepDown(s)
 	}
 	s = s.withEvent(eventGain)
-	s.settledAt = now.Add(s.timing.GrantTTL + s.timing.Margin)
+	s.settledAt = s.lapsedAt.Add(s.timing.GrantTTL + s.timing.Margin)
 	s.renewedAt = now
 	return s, nil
 }
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -56,7 +56,9 @@
 	storeHeard    bltimer.Instant
 	storeSent     bltimer.Instant
 	acquiringAt   bltimer.Instant
-	leaving       bool
+	// lapsedAt is when the earlier lead is known to have had no authority.
+	lapsedAt bltimer.Instant
+	leaving  bool
 }
 
 // New returns the state of a process that has just started.
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -1,7 +1,6 @@
 package blmember
 
 import (
-	"sort"
 	"time"
 
 	"bergamotlead/core/blassign"
@@ -50,9 +49,12 @@
 	revision  uint64
 	directory blassign.DirectoryVersion
 
+	sequence uint64
 	inFlight bool
-	sentAt   bltimer.Instant
-	nextAt   bltimer.Instant
+	// again asks for another heartbeat once the one under way is answered.
+	again  bool
+	sentAt bltimer.Instant
+	nextAt bltimer.Instant
 }
 
 // New returns the state of a node that has just started.
@@ -83,7 +85,6 @@
 		}
 		list = append(list, entry)
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Upstream.Name < list[j].Upstream.Name })
 	return list
 }
 
@@ -101,6 +102,7 @@
 		return s.answered(m, now)
 	case ReportSoon:
 		s.nextAt = min(s.nextAt, now)
+		s.again = s.inFlight
 		return s.report(now)
 	case Leave:
 		s.leaving = true
@@ -147,9 +149,10 @@
 	}
 	s.inFlight = true
 	s.sentAt = now
+	s.sequence++
 	s.nextAt = now.Add(s.heartbeat)
 	heartbeat := blassign.Heartbeat{
-		Node: s.self, ConfigRevision: s.revision, Directory: s.directory, Leaving: s.leaving,
+		Node: s.self, Sequence: s.sequence, ConfigRevision: s.revision, Directory: s.directory, Leaving: s.leaving,
 	}
 	for _, a := range s.Announcements(now) {
 		heartbeat.Upstreams = append(heartbeat.Upstreams, a.Upstream)
@@ -188,6 +191,10 @@
 	if m.Reply.Soon > 0 {
 		s.nextAt = min(s.nextAt, now.Add(m.Reply.Soon))
 	}
+	if s.again {
+		s.again = false
+		s.nextAt = now
+	}
 	return s.handOn(m)
 }
 
--- a/core/bltable/table.go
+++ b/core/bltable/table.go
@@ -1,44 +1,53 @@
-// Package bltable provides an immutable map with structural sharing.
+// Package bltable provides an immutable map with structural sharing. Its
+// entries are in the order of their keys, so that decisions which iterate give
+// the same result every time.
 package bltable
 
 import (
-	"hash/maphash"
+	"cmp"
 	"iter"
+	"slices"
+	"sort"
 )
 
-// bucketCount is the number of buckets over which a table spreads its entries.
-// A change copies the bucket list and one bucket.
-const bucketCount = 64
+// chunkSize is the greatest number of entries in a chunk. A change copies the
+// list of chunks and one chunk.
+const chunkSize = 32
 
-var seed = maphash.MakeSeed()
-
-type entry[K comparable, V any] struct {
+type entry[K cmp.Ordered, V any] struct {
 	key   K
 	value V
 }
 
 // Table is an immutable map. The zero value is empty and ready for use.
-type Table[K comparable, V any] struct {
-	buckets *[bucketCount][]entry[K, V]
-	length  int
+type Table[K cmp.Ordered, V any] struct {
+	// chunks are not empty; their keys rise within and from one to the next.
+	chunks [][]entry[K, V]
+	length int
+}
+
+// chunkOf returns the index of the chunk in which key is, or would be.
+func (t Table[K, V]) chunkOf(key K) int {
+	after := sort.Search(len(t.chunks), func(i int) bool { return t.chunks[i][0].key > key })
+	return max(after-1, 0)
 }
 
-func bucketOf[K comparable](key K) int {
-	return int(maphash.Comparable(seed, key) % bucketCount)
+func position[K cmp.Ordered, V any](chunk []entry[K, V], key K) (int, bool) {
+	return slices.BinarySearchFunc(chunk, key, func(e entry[K, V], k K) int { return cmp.Compare(e.key, k) })
 }
 
 // Get returns the value of key and whether the table has one.
 func (t Table[K, V]) Get(key K) (V, bool) {
 	var zero V
-	if t.buckets == nil {
+	if t.length == 0 {
 		return zero, false
 	}
-	for _, e := range t.buckets[bucketOf(key)] {
-		if e.key == key {
-			return e.value, true
-		}
+	chunk := t.chunks[t.chunkOf(key)]
+	at, found := position(chunk, key)
+	if !found {
+		return zero, false
 	}
-	return zero, false
+	return chunk[at].value, true
 }
 
 // Len returns the number of entries.
@@ -46,14 +55,11 @@
 	return t.length
 }
 
-// All iterates over the entries in no particular order.
+// All iterates over the entries in the order of their keys.
 func (t Table[K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
-		if t.buckets == nil {
-			return
-		}
-		for _, bucket := range t.buckets {
-			for _, e := range bucket {
+		for _, chunk := range t.chunks {
+			for _, e := range chunk {
 				if !yield(e.key, e.value) {
 					return
 				}
@@ -64,33 +70,49 @@
 
 // With returns a table in which key has the given value.
 func (t Table[K, V]) With(key K, value V) Table[K, V] {
-	next := t.Without(key)
-	index := bucketOf(key)
-	old := next.buckets[index]
-	bucket := make([]entry[K, V], len(old), len(old)+1)
-	copy(bucket, old)
-	next.buckets[index] = append(bucket, entry[K, V]{key: key, value: value})
-	next.length++
-	return next
+	added := entry[K, V]{key: key, value: value}
+	if t.length == 0 {
+		return Table[K, V]{chunks: [][]entry[K, V]{{added}}, length: 1}
+	}
+	index := t.chunkOf(key)
+	at, found := position(t.chunks[index], key)
+	if found {
+		chunk := slices.Clone(t.chunks[index])
+		chunk[at] = added
+		return t.withChunks(index, t.length, chunk)
+	}
+	chunk := make([]entry[K, V], 0, len(t.chunks[index])+1)
+	chunk = append(chunk, t.chunks[index][:at]...)
+	chunk = append(chunk, added)
+	chunk = append(chunk, t.chunks[index][at:]...)
+	if len(chunk) <= chunkSize {
+		return t.withChunks(index, t.length+1, chunk)
+	}
+	half := len(chunk) / 2
+	return t.withChunks(index, t.length+1, chunk[:half:half], chunk[half:])
 }
 
 // Without returns a table that has no entry for key.
 func (t Table[K, V]) Without(key K) Table[K, V] {
-	next := Table[K, V]{buckets: new([bucketCount][]entry[K, V]), length: t.length}
-	if t.buckets == nil {
-		return next
+	if t.length == 0 {
+		return t
 	}
-	*next.buckets = *t.buckets
-	index := bucketOf(key)
-	for i, e := range t.buckets[index] {
-		if e.key != key {
-			continue
-		}
-		rest := make([]entry[K, V], 0, len(t.buckets[index]))
-		rest = append(rest, t.buckets[index][:i]...)
-		next.buckets[index] = append(rest, t.buckets[index][i+1:]...)
-		next.length--
-		break
+	index := t.chunkOf(key)
+	at, found := position(t.chunks[index], key)
+	if !found {
+		return t
 	}
-	return next
+	if len(t.chunks[index]) == 1 {
+		return t.withChunks(index, t.length-1)
+	}
+	return t.withChunks(index, t.length-1, slices.Delete(slices.Clone(t.chunks[index]), at, at+1))
+}
+
+// withChunks returns the table with the chunk at index replaced.
+func (t Table[K, V]) withChunks(index, length int, replacement ...[]entry[K, V]) Table[K, V] {
+	chunks := make([][]entry[K, V], 0, len(t.chunks)+1)
+	chunks = append(chunks, t.chunks[:index]...)
+	chunks = append(chunks, replacement...)
+	chunks = append(chunks, t.chunks[index+1:]...)
+	return Table[K, V]{chunks: chunks, length: length}
 }
--- a/io/blgrpc/client.go
+++ b/io/blgrpc/client.go
@@ -160,6 +160,18 @@
 	return hostFromProto(answer.GetHost()), nil
 }
 
+// Nudge asks the node at address to send a heartbeat at once.
+func (c *Client) Nudge(ctx context.Context, address string) error {
+	node, err := c.node(address)
+	if err != nil {
+		return err
+	}
+	if _, err := node.Nudge(ctx, &blproto.NudgeRequest{}); err != nil {
+		return fmt.Errorf("nudge %s: %w", address, err)
+	}
+	return nil
+}
+
 // Apply hands a change to the lead at address.
 func (c *Client) Apply(ctx context.Context, address string, change Change) (ChangeResult, error) {
 	node, err := c.node(address)
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -51,7 +51,7 @@
 
 func heartbeatToProto(h blassign.Heartbeat) *blproto.HeartbeatRequest {
 	request := &blproto.HeartbeatRequest{
-		Node: hostToProto(h.Node), ConfigRevision: h.ConfigRevision, Leaving: h.Leaving,
+		Node: hostToProto(h.Node), Sequence: h.Sequence, ConfigRevision: h.ConfigRevision, Leaving: h.Leaving,
 		Directory: &blproto.DirectoryVersion{Term: h.Directory.Term, Version: h.Directory.Version},
 	}
 	for _, upstream := range h.Upstreams {
@@ -68,7 +68,7 @@
 
 func heartbeatFromProto(r *blproto.HeartbeatRequest) blassign.Heartbeat {
 	heartbeat := blassign.Heartbeat{
-		Node: hostFromProto(r.GetNode()), ConfigRevision: r.GetConfigRevision(), Leaving: r.GetLeaving(),
+		Node: hostFromProto(r.GetNode()), Sequence: r.GetSequence(), ConfigRevision: r.GetConfigRevision(), Leaving: r.GetLeaving(),
 		Directory: blassign.DirectoryVersion{Term: r.GetDirectory().GetTerm(), Version: r.GetDirectory().GetVersion()},
 	}
 	for _, upstream := range r.GetUpstreams() {
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -41,6 +41,7 @@
 	Heartbeat(ctx context.Context, heartbeat blassign.Heartbeat) (blassign.HeartbeatReply, error)
 	Borrow(ctx context.Context, node blvalue.Incarnation, needs []blpurse.Need) (blpurse.BorrowAnswer, error)
 	AskStandby(ctx context.Context, asked bllead.StandbyAsked) (bllead.StandbyAnswer, error)
+	Nudge()
 	Apply(ctx context.Context, change Change) ChangeResult
 	Deliver(ctx context.Context, order bldeliver.Order, sink bldeliver.Sink) bldeliver.Delivery
 }
@@ -123,6 +124,12 @@
 	return &blproto.IdentifyReply{Host: hostToProto(s.node.Self())}, nil
 }
 
+// Nudge implements the Node service.
+func (s *Server) Nudge(context.Context, *blproto.NudgeRequest) (*blproto.NudgeReply, error) {
+	s.node.Nudge()
+	return &blproto.NudgeReply{}, nil
+}
+
 // Apply implements the Node service.
 func (s *Server) Apply(ctx context.Context, r *blproto.ApplyRequest) (*blproto.ApplyReply, error) {
 	result := s.node.Apply(ctx, Change{
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -56,6 +56,11 @@
 	return await(ctx, asked.Reply)
 }
 
+// Nudge sends a heartbeat without waiting for its period.
+func (n *Node) Nudge() {
+	n.drop("member", n.duties.member.Put(blmember.ReportSoon{}))
+}
+
 // Deliver hands an order of another node to an upstream beside this one.
 func (n *Node) Deliver(ctx context.Context, order bldeliver.Order, sink bldeliver.Sink) bldeliver.Delivery {
 	return n.deliverer.Deliver(ctx, order, sink)
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -177,6 +177,8 @@
 	case blassign.LoadConfig:
 		n.drop("assign", n.workers.assign.Put(e))
 		n.drop("watch", n.workers.watch.Put(watchJob{}))
+	case blassign.Nudge:
+		n.drop("nudge", n.workers.nudge.Put(e))
 	case blassign.LoadChunk, blassign.WriteChunk:
 		n.drop("assign", n.workers.assign.Put(e))
 	}
--- a/io/blnode/node_work.go
+++ b/io/blnode/node_work.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotlead/core/bladmit"
+	"bergamotlead/core/blassign"
 	"bergamotlead/core/blgrant"
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/blmember"
@@ -106,6 +107,22 @@
 	_ = w.put(lent)
 }
 
+// nudgeWork asks nodes to report at once.
+type nudgeWork struct {
+	client *blgrpc.Client
+}
+
+// nudgeTimeout is short, since a node that misses a nudge reports soon anyway.
+const nudgeTimeout = 50 * time.Millisecond
+
+func (w nudgeWork) perform(effect blassign.Nudge) {
+	for _, node := range effect.Nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), nudgeTimeout)
+		_ = w.client.Nudge(ctx, node.Address)
+		cancel()
+	}
+}
+
 // grantJob is either a grant to pass on or announcements to remember.
 type grantJob struct {
 	grant         *blgrant.Grant
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -30,6 +30,7 @@
 	watch     *blduty.Worker[watchJob]
 	heartbeat *blduty.Worker[blmember.SendHeartbeat]
 	borrow    *blduty.Worker[bladmit.Borrow]
+	nudge     *blduty.Worker[blassign.Nudge]
 	upstream  *blduty.Worker[grantJob]
 }
 
@@ -69,6 +70,7 @@
 		watch:     blduty.NewWorker("watch", 1, watch.perform),
 		heartbeat: blduty.NewWorker("heartbeat", 1, heartbeat.perform),
 		borrow:    blduty.NewWorker("borrow", 1, borrow.perform),
+		nudge:     blduty.NewWorker("nudge", shortQueue, nudgeWork{client: n.client}.perform),
 		upstream:  blduty.NewWorker("upstream", longQueue, newGrantWork(n.clock).perform),
 	}
 }
@@ -81,6 +83,7 @@
 	w.watch.Start()
 	w.heartbeat.Start()
 	w.borrow.Start()
+	w.nudge.Start()
 	w.upstream.Start()
 }
 
@@ -93,6 +96,7 @@
 	w.assign.Stop()
 	w.heartbeat.Stop()
 	w.borrow.Stop()
+	w.nudge.Stop()
 	w.upstream.Stop()
 }
 
