Measure path, idle cost and recovery between separate processes

A node that has heard no lead reads the lead record before it refuses a change: the first run of the measurement failed on that.

--- a/io/blnode/status.go
+++ b/io/blnode/status.go
@@ -123,10 +123,13 @@
 	}
 }
 
+// leadPatience is how long a lead that was heard is taken for the lead.
+const leadPatience = time.Second
+
 // applyAtLead hands a change on. When the call breaks off, nothing is said of
 // what became of it.
 func (n *Node) applyAtLead(ctx context.Context, change blgrpc.Change) blgrpc.ChangeResult {
-	lead := n.knownLead()
+	lead := n.knownLead(ctx)
 	if lead.IsZero() || lead.Incarnation == n.self.Incarnation {
 		return blgrpc.ChangeResult{Result: blproto.ApplyReply_RESULT_NOT_LEAD, Detail: "no lead is known"}
 	}
@@ -137,11 +140,23 @@
 	return result
 }
 
-func (n *Node) knownLead() blvalue.Host {
-	if lead := n.duties.member.View().Lead(); !lead.IsZero() {
+// knownLead returns the lead that this node heard last, or the one that the
+// store names when it has heard none yet.
+func (n *Node) knownLead(ctx context.Context) blvalue.Host {
+	member := n.duties.member.View()
+	if lead := member.Lead(); !lead.IsZero() && n.clock.Now().Sub(member.HeardAt()) < leadPatience {
 		return lead
 	}
-	return n.duties.lead.View().Record().Lead
+	n.metrics.StoreCall("get")
+	entry, err := n.store.Get(ctx, n.keys.LeadRecord())
+	if err != nil {
+		return n.duties.lead.View().Record().Lead
+	}
+	stored, err := blstore.DecodeRecord(entry)
+	if err != nil {
+		return n.duties.lead.View().Record().Lead
+	}
+	return stored.Record.Lead
 }
 
 func resultName(result blproto.ApplyReply_Result) string {
--- /dev/null
+++ b/tools/blload/load.go
@@ -0,0 +1,155 @@
+// Package blload sends bounded loads to HTTP servers on loopback and records
+// how long the answers took.
+package blload
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	shortest  = int64(time.Microsecond)
+	longest   = int64(time.Minute)
+	precision = 3
+)
+
+// Request is one request of a load.
+type Request struct {
+	Method string
+	URL    string
+	Key    string
+	Body   string
+}
+
+// Plan describes a load.
+type Plan struct {
+	// Callers is the number of callers that send one request after the other.
+	Callers int
+	// Length is how long each goes on.
+	Length time.Duration
+	// Rate is the requests a second of all callers together, or zero for as
+	// many as are answered. Latency then counts from the planned moment.
+	Rate float64
+	// Next returns the request that a caller sends.
+	Next func(caller, number int) Request
+}
+
+// Result is what a load brought.
+type Result struct {
+	Latency  *hdrhistogram.Histogram
+	Answered int
+	// Statuses counts the answers by status; zero is for broken connections.
+	Statuses map[int]int
+	Elapsed  time.Duration
+}
+
+// Merge adds other to the result.
+func (r *Result) Merge(other Result) {
+	r.Latency.Merge(other.Latency)
+	r.Answered += other.Answered
+	for status, count := range other.Statuses {
+		r.Statuses[status] += count
+	}
+	r.Elapsed = max(r.Elapsed, other.Elapsed)
+}
+
+// NewResult returns an empty result.
+func NewResult() Result {
+	return Result{Latency: hdrhistogram.New(shortest, longest, precision), Statuses: map[int]int{}}
+}
+
+// Quantile returns the latency below which the given percentage of answers
+// stayed.
+func (r Result) Quantile(percentage float64) time.Duration {
+	return time.Duration(r.Latency.ValueAtQuantile(percentage))
+}
+
+// Rate returns the answers a second of status 200.
+func (r Result) Rate() float64 {
+	return float64(r.Statuses[http.StatusOK]) / r.Elapsed.Seconds()
+}
+
+// Run sends the load and waits for its end.
+func Run(plan Plan) Result {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: plan.Callers, IdleConnTimeout: time.Minute,
+	}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: 30 * time.Second}
+	total := NewResult()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	started := time.Now()
+	for i := range plan.Callers {
+		c := &caller{number: i, plan: plan, client: client, started: started, result: NewResult()}
+		wg.Go(func() {
+			c.run()
+			mu.Lock()
+			total.Merge(c.result)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	total.Elapsed = time.Since(started)
+	return total
+}
+
+// caller sends one request after the other.
+type caller struct {
+	number  int
+	plan    Plan
+	client  *http.Client
+	started time.Time
+	result  Result
+}
+
+func (c *caller) run() {
+	for i := 0; time.Since(c.started) < c.plan.Length; i++ {
+		planned := c.planned(i)
+		if planned.Sub(c.started) >= c.plan.Length {
+			return
+		}
+		time.Sleep(time.Until(planned))
+		status := c.send(c.plan.Next(c.number, i))
+		_ = c.result.Latency.RecordValue(max(int64(time.Since(planned)), shortest))
+		c.result.Answered++
+		c.result.Statuses[status]++
+	}
+}
+
+// planned returns when the request of the given number is due.
+func (c *caller) planned(number int) time.Time {
+	if c.plan.Rate == 0 {
+		return time.Now()
+	}
+	position := float64(number*c.plan.Callers + c.number)
+	return c.started.Add(time.Duration(position / c.plan.Rate * float64(time.Second)))
+}
+
+func (c *caller) send(r Request) int {
+	request, err := http.NewRequestWithContext(context.Background(), r.Method, r.URL, strings.NewReader(r.Body))
+	if err != nil {
+		panic(fmt.Sprintf("build request: %v", err))
+	}
+	if r.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+r.Key)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
--- /dev/null
+++ b/tools/measure/document.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"bergamotlead/core/blconfig"
+	"bergamotlead/io/blsettings"
+)
+
+func mustParse(text string) blconfig.Document {
+	document, err := blsettings.ParseDocument([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+	return document
+}
+
+// set changes one value of a document and keeps its reason.
+func set(d blconfig.Document, section, entry, option string, value blconfig.Value) blconfig.Document {
+	path := blconfig.Path{Section: section, Entry: entry, Option: option}
+	setting, _ := d.Get(path)
+	setting.Value = value
+	return d.With(path, setting)
+}
+
+func integer(value int64) blconfig.Value {
+	return blconfig.Value{Kind: blconfig.KindInteger, Integer: value}
+}
+
+// fast makes the pot service as quick and wide as the checks allow, so that
+// the upstream is not what limits, and gives one account all of its rate.
+func fast(d blconfig.Document) blconfig.Document {
+	for _, service := range []string{"pot", "wishlist"} {
+		d = set(d, "services", service, "slots", integer(1024))
+		d = set(d, "services", service, "cold_start_limit", integer(512))
+	}
+	d = set(d, "accounts", "family_app", "rate", integer(400000))
+	d = set(d, "accounts", "family_app", "burst", integer(400000))
+	return set(d, "limits", "", "queue_length", integer(4096))
+}
--- /dev/null
+++ b/tools/measure/recovery.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"bergamotlead/tools/blfleet"
+)
+
+type recoveryCommand struct {
+	Rounds int `default:"3" help:"Rounds of each loss."`
+}
+
+type recoveryMeasurement struct {
+	Measurement string    `json:"measurement"`
+	Loss        string    `json:"loss"`
+	TargetMS    float64   `json:"target_ms"`
+	WorstMS     []float64 `json:"longest_unavailable_ms_by_round"`
+	Broken      int       `json:"unanswered_calls"`
+}
+
+const (
+	recoveryTarget = 2 * time.Second
+	recoveryNodes  = 6
+	recoveryKeys   = 48
+	probeEvery     = 40 * time.Millisecond
+	probeTimeout   = "150ms"
+	watchLength    = 6 * time.Second
+)
+
+// loss is something that goes wrong, by the roles of hosts.
+type loss struct {
+	name string
+	hit  func(d *deployment, lead, standby, owner *blfleet.Host)
+}
+
+func killHost(host *blfleet.Host) {
+	for _, upstream := range host.Upstreams {
+		upstream.Process.Kill()
+	}
+	host.Node.Kill()
+}
+
+func losses() []loss {
+	return []loss{
+		{"owner killed", func(_ *deployment, _, _, owner *blfleet.Host) { killHost(owner) }},
+		{"lead killed", func(_ *deployment, lead, _, _ *blfleet.Host) { killHost(lead) }},
+		{"lead and an owner killed", func(_ *deployment, lead, _, owner *blfleet.Host) { killHost(lead); killHost(owner) }},
+		{"failure domain without lead killed", func(d *deployment, lead, _, _ *blfleet.Host) {
+			for _, host := range d.Hosts {
+				if host.Spec.Domain == otherDomain(lead.Spec.Domain) {
+					killHost(host)
+				}
+			}
+		}},
+		{"store down", func(d *deployment, _, _, _ *blfleet.Host) {
+			_ = d.PlatformFaults(map[string]any{"down": true})
+		}},
+	}
+}
+
+func otherDomain(domain string) string {
+	if domain == "sn_west_c" {
+		return "sn_west_a"
+	}
+	return "sn_west_c"
+}
+
+// Run measures each loss on a fleet of its own.
+func (c recoveryCommand) Run() error {
+	for _, l := range losses() {
+		m := recoveryMeasurement{Measurement: "recovery", Loss: l.name, TargetMS: milliseconds(recoveryTarget)}
+		for range c.Rounds {
+			worst, broken, err := measureLoss(l)
+			if err != nil {
+				return err
+			}
+			m.WorstMS = append(m.WorstMS, milliseconds(worst))
+			m.Broken += broken
+		}
+		report(m)
+	}
+	return nil
+}
+
+func measureLoss(l loss) (time.Duration, int, error) {
+	d, err := deploy(many(recoveryNodes), nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer d.stop()
+	lead, standby, owner, err := d.roles()
+	if err != nil {
+		return 0, 0, err
+	}
+	time.Sleep(time.Second)
+	prober := &prober{d: d, keys: map[int]time.Time{}, entry: func(i int) *blfleet.Host {
+		hosts := d.survivors(lead, owner)
+		return hosts[i%len(hosts)]
+	}, until: time.Now().Add(watchLength)}
+	var wg sync.WaitGroup
+	for key := range recoveryKeys {
+		wg.Go(func() { prober.run(key) })
+	}
+	time.Sleep(time.Second)
+	l.hit(d, lead, standby, owner)
+	wg.Wait()
+	return prober.worst, prober.broken, nil
+}
+
+// roles returns the hosts of lead and standby and one that is neither.
+func (d *deployment) roles() (lead, standby, owner *blfleet.Host, err error) {
+	deadline := time.Now().Add(startWait)
+	for time.Now().Before(deadline) {
+		if lead = d.Lead(); lead != nil {
+			status, err := d.Status(lead)
+			if err == nil && status.Standby != "" {
+				standby = d.HostNamed(string(status.Standby))
+				break
+			}
+		}
+		time.Sleep(probeEvery)
+	}
+	if standby == nil {
+		return nil, nil, nil, blfleet.TimeoutError{What: "a standby"}
+	}
+	for _, host := range d.Hosts {
+		if host != lead && host != standby {
+			return lead, standby, host, nil
+		}
+	}
+	return nil, nil, nil, fmt.Errorf("find an owner: %w", blfleet.TimeoutError{What: "a third host"})
+}
+
+// survivors returns hosts that no loss hits.
+func (d *deployment) survivors(lead, owner *blfleet.Host) []*blfleet.Host {
+	var hosts []*blfleet.Host
+	for _, host := range d.Hosts {
+		if host != lead && host != owner && host.Spec.Domain != otherDomain(lead.Spec.Domain) {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// prober asks for keys all the time and notes how long one goes unanswered.
+type prober struct {
+	d     *deployment
+	entry func(i int) *blfleet.Host
+	until time.Time
+
+	mu     sync.Mutex
+	keys   map[int]time.Time
+	worst  time.Duration
+	broken int
+}
+
+func (p *prober) run(key int) {
+	client := &http.Client{Timeout: time.Second}
+	last := time.Now()
+	for time.Now().Before(p.until) {
+		ok := p.ask(client, key)
+		now := time.Now()
+		p.mu.Lock()
+		if ok {
+			p.worst = max(p.worst, now.Sub(last))
+		} else {
+			p.broken++
+		}
+		p.mu.Unlock()
+		if ok {
+			last = now
+		}
+		time.Sleep(probeEvery)
+	}
+	p.mu.Lock()
+	p.worst = max(p.worst, time.Since(last))
+	p.mu.Unlock()
+}
+
+func (p *prober) ask(client *http.Client, key int) bool {
+	url := fmt.Sprintf("http://%s/pot/key_%d/total", p.entry(key).Callers, key)
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+p.d.Keys["family_app"])
+	request.Header.Set("Bergamotlead-Timeout", probeTimeout)
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
