Prove single ownership between separate processes

Change: tests/ runs fleets under load, kills, freezes and restarts nodes and upstreams and takes the store down; each key's work must go from owner to owner under rising fences, no request may run twice, and the runs of each key must match what callers were told.

--- /dev/null
+++ b/tests/main_test.go
@@ -0,0 +1,241 @@
+// Package bltests_test runs whole fleets as separate processes on loopback and
+// holds them against what must always hold.
+package bltests_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blsettings"
+	"bergamotlead/tools/blfleet"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "bergamotlead-tests-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "make folder:", err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	if err := blfleet.Build("..", folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	binaries = folder
+	return m.Run()
+}
+
+const (
+	startWait  = 30 * time.Second
+	partitions = 128
+	account    = "family_app"
+)
+
+// fleet is a running deployment with its configuration.
+type fleet struct {
+	*blfleet.Fleet
+
+	t        *testing.T
+	revision uint64
+	document string
+}
+
+// deploy starts hosts, applies the Dakar document with changes and waits until
+// every key has an owner.
+func deploy(t *testing.T, hosts []blfleet.HostSpec, edit func(blconfig.Document) blconfig.Document) *fleet {
+	t.Helper()
+	started, err := blfleet.Start(blfleet.Options{
+		Binaries: binaries, Folder: t.TempDir(), Region: "sn_west", Hosts: hosts, Logs: true,
+	})
+	if err != nil {
+		t.Fatalf("start fleet: %v", err)
+	}
+	t.Cleanup(started.Stop)
+	f := &fleet{Fleet: started, t: t}
+	if _, err := f.WaitLead(startWait); err != nil {
+		t.Fatalf("wait for lead: %v", err)
+	}
+	document, err := f.Document(filepath.Join("..", "configs", "dakar.toml"), edit)
+	if err != nil {
+		t.Fatalf("make document: %v", err)
+	}
+	f.apply(document)
+	if err := f.WaitOwners("pot", partitions, startWait); err != nil {
+		t.Fatalf("wait for owners: %v", err)
+	}
+	return f
+}
+
+// apply stores a document and waits until it is in force.
+func (f *fleet) apply(document string) {
+	f.t.Helper()
+	result, err := f.Apply(f.Hosts[0], f.revision, document)
+	if err != nil || result.Result != "accepted" || !result.InForce {
+		f.t.Fatalf("apply: got %+v, %v, want accepted and in force", result, err)
+	}
+	f.revision, f.document = result.Revision, document
+}
+
+// edited returns the document in force with changes.
+func (f *fleet) edited(edit func(blconfig.Document) blconfig.Document) string {
+	f.t.Helper()
+	document, err := blsettings.ParseDocument([]byte(f.document))
+	if err != nil {
+		f.t.Fatalf("read document: %v", err)
+	}
+	text, err := blsettings.FormatDocument(edit(document))
+	if err != nil {
+		f.t.Fatalf("write document: %v", err)
+	}
+	return string(text)
+}
+
+// set changes one value of a document and keeps its reason, or gives a new
+// setting one.
+func set(d blconfig.Document, section, entry, option string, value blconfig.Value) blconfig.Document {
+	path := blconfig.Path{Section: section, Entry: entry, Option: option}
+	setting, ok := d.Get(path)
+	if !ok {
+		setting.Reason = "A test needs " + path.String() + " to be " + value.String()
+	}
+	setting.Value = value
+	return d.With(path, setting)
+}
+
+func integer(value int64) blconfig.Value {
+	return blconfig.Value{Kind: blconfig.KindInteger, Integer: value}
+}
+
+func text(value string) blconfig.Value {
+	return blconfig.Value{Kind: blconfig.KindText, Text: value}
+}
+
+func list(values ...string) blconfig.Value {
+	return blconfig.Value{Kind: blconfig.KindList, List: values}
+}
+
+// potHosts returns hosts in three failure domains with a pot server each.
+func potHosts(count int, checksFence bool) []blfleet.HostSpec {
+	domains := []string{"sn_west_a", "sn_west_b", "sn_west_c"}
+	hosts := make([]blfleet.HostSpec, 0, count)
+	for i := range count {
+		hosts = append(hosts, blfleet.HostSpec{
+			Name: fmt.Sprintf("host_%d", i+1), Domain: domains[i%len(domains)],
+			Upstreams: []blfleet.Upstream{blfleet.PotServer(i+1, checksFence)},
+		})
+	}
+	return hosts
+}
+
+// roles returns the hosts of lead and standby, and one that is neither.
+func (f *fleet) roles() (lead, standby, other *blfleet.Host) {
+	f.t.Helper()
+	for deadline := time.Now().Add(startWait); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		lead = f.Lead()
+		if lead == nil {
+			continue
+		}
+		status, err := f.Status(lead)
+		if err != nil || status.Standby == "" {
+			continue
+		}
+		standby = f.HostNamed(string(status.Standby))
+		break
+	}
+	if lead == nil || standby == nil {
+		f.t.Fatal("roles: got none, want lead and standby")
+	}
+	for _, host := range f.Hosts {
+		if host != lead && host != standby {
+			return lead, standby, host
+		}
+	}
+	f.t.Fatal("roles: got no third host")
+	return nil, nil, nil
+}
+
+// traffic sends contributions to many pots through some hosts until it is
+// stopped.
+type traffic struct {
+	f       *fleet
+	hosts   []*blfleet.Host
+	stop    chan struct{}
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	answers map[string]answerCount
+	outcome map[string]int
+}
+
+// answerCount is what a caller was told of one key.
+type answerCount struct {
+	answered int
+	unknown  int
+}
+
+const (
+	trafficCallers = 16
+	trafficPause   = 15 * time.Millisecond
+)
+
+func (f *fleet) startTraffic(hosts ...*blfleet.Host) *traffic {
+	tr := &traffic{
+		f: f, hosts: hosts, stop: make(chan struct{}), answers: map[string]answerCount{}, outcome: map[string]int{},
+	}
+	for i := range trafficCallers {
+		tr.wg.Go(func() { tr.run(i) })
+	}
+	return tr
+}
+
+func (tr *traffic) run(number int) {
+	for i := 0; ; i++ {
+		select {
+		case <-tr.stop:
+			return
+		case <-time.After(trafficPause):
+		}
+		key := fmt.Sprintf("pot_%d_%d", number, i%6)
+		host := tr.hosts[(number+i)%len(tr.hosts)]
+		answer, err := tr.f.Call(host, http.MethodPost, "/pot/"+key+"/contributions", tr.f.Keys[account], "1")
+		tr.note(key, answer, err)
+	}
+}
+
+func (tr *traffic) note(key string, answer blfleet.Answer, err error) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	count := tr.answers[key]
+	switch {
+	case err != nil:
+		count.unknown++
+		tr.outcome["broken"]++
+	case answer.Status == http.StatusOK:
+		count.answered++
+		tr.outcome["answered"]++
+	case answer.Outcome == string(blvalue.OutcomeNotRun):
+		tr.outcome["not_run"]++
+	default:
+		count.unknown++
+		tr.outcome[answer.Outcome]++
+	}
+	tr.answers[key] = count
+}
+
+// end stops the traffic and waits for its last answers.
+func (tr *traffic) end() {
+	close(tr.stop)
+	tr.wg.Wait()
+}
