--- /dev/null
+++ b/tests/shares_test.go
@@ -0,0 +1,105 @@
+package bltests_test
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/tools/blfleet"
+)
+
+// TestRateAndBurstHoldOverAllHosts offers several times an account's rate
+// through all hosts, loses nodes, and counts at the upstreams.
+func TestRateAndBurstHoldOverAllHosts(t *testing.T) {
+	const (
+		rate  = 200
+		burst = 60
+	)
+	cases := []struct {
+		name string
+		hit  func(f *fleet, lead, other *blfleet.Host)
+	}{
+		{"steady", func(*fleet, *blfleet.Host, *blfleet.Host) {}},
+		{"a node killed with its purse", func(_ *fleet, _, other *blfleet.Host) { other.Node.Kill() }},
+		{"the lead killed", func(_ *fleet, lead, _ *blfleet.Host) { lead.Node.Kill() }},
+		{"a node frozen and thawed", func(_ *fleet, _, other *blfleet.Host) { freeze(other.Node, time.Second) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := deploy(t, potHosts(4, true), func(d blconfig.Document) blconfig.Document {
+				d = set(d, "accounts", "bookkeeping", "rate", integer(rate))
+				return set(d, "accounts", "bookkeeping", "burst", integer(burst))
+			})
+			lead, _, other := f.roles()
+			stop := make(chan struct{})
+			var wg sync.WaitGroup
+			for i := range 16 {
+				wg.Go(func() { f.press(i, "bookkeeping", stop) })
+			}
+			time.Sleep(1500 * time.Millisecond)
+			c.hit(f, lead, other)
+			time.Sleep(2500 * time.Millisecond)
+			close(stop)
+			wg.Wait()
+			f.checkRate("bookkeeping", rate, burst)
+		})
+	}
+}
+
+// press sends requests of one account without a pause.
+func (f *fleet) press(number int, name string, stop chan struct{}) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		host := f.Hosts[(number+i)%len(f.Hosts)]
+		_, _ = f.Call(host, http.MethodPost, fmt.Sprintf("/pot/press_%d/contributions", (number+i)%64), f.Keys[name], "1")
+	}
+}
+
+// transit is how much the moment at which an upstream notes its work may trail
+// that at which the request was admitted: a slot and the service time.
+const transit = 150 * time.Millisecond
+
+// checkRate looks at every window of the upstreams' logs for more work of the
+// account than its rate and burst allow.
+func (f *fleet) checkRate(name string, rate, burst float64) {
+	f.t.Helper()
+	var times []int64
+	for _, host := range f.Hosts {
+		for _, upstream := range host.Upstreams {
+			log, err := f.Log(upstream)
+			if err != nil {
+				f.t.Fatalf("read log: %v", err)
+			}
+			for _, work := range log {
+				if work.Account == name {
+					times = append(times, work.AtNS)
+				}
+			}
+		}
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	worst := 0.0
+	for i := range times {
+		for j := i; j < len(times); j++ {
+			window := time.Duration(times[j]-times[i]) + transit
+			allowed := burst + rate*window.Seconds()
+			worst = max(worst, float64(j-i+1)/allowed)
+		}
+	}
+	if worst > 1 {
+		f.t.Errorf("work of %s: got %.2f of what its rate and burst allow, want at most 1", name, worst)
+	}
+	if len(times) < int(rate) {
+		f.t.Errorf("work of %s: got %d requests, want at least %v", name, len(times), rate)
+	}
+	f.t.Logf("%d requests ran, the fullest window had %.2f of what is allowed", len(times), worst)
+}
