--- /dev/null
+++ b/cmd/bergamotctl/config.go
@@ -0,0 +1,248 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/io/bloperator"
+	"bergamotlead/io/blsettings"
+)
+
+type configCommands struct {
+	Check   checkCommand   `cmd:"" help:"Check a document; nothing is sent."`
+	Explain explainCommand `cmd:"" help:"Explain each setting of a document, or of the one in force."`
+	Show    showCommand    `cmd:"" help:"Show the document in force at a node."`
+	Apply   applyCommand   `cmd:"" help:"Store a document and wait until it is in force on every node."`
+	History historyCommand `cmd:"" help:"Show the latest changes."`
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"Document in TOML." type:"existingfile"`
+}
+
+// Run checks a document.
+func (cmd checkCommand) Run(*client) error {
+	text, err := os.ReadFile(cmd.File)
+	if err != nil {
+		return fmt.Errorf("read document: %w", err)
+	}
+	if _, err := blsettings.ParseDocument(text); err != nil {
+		return fmt.Errorf("%s: %w", cmd.File, err)
+	}
+	fmt.Printf("%s: no faults\n", cmd.File)
+	return nil
+}
+
+type explainCommand struct {
+	File   string `arg:"" optional:"" help:"Document in TOML; without it the one in force." type:"existingfile"`
+	Prefix string `help:"Show only settings whose path begins so, such as services.pot."`
+}
+
+// Run explains a document.
+func (cmd explainCommand) Run(c *client) error {
+	document, err := cmd.document(c)
+	if err != nil {
+		return err
+	}
+	var explanations []blconfig.Explanation
+	for _, e := range blconfig.Explain(document) {
+		if strings.HasPrefix(e.Path.String(), cmd.Prefix) {
+			explanations = append(explanations, e)
+		}
+	}
+	if c.json {
+		return printJSON(explanations)
+	}
+	for _, e := range explanations {
+		fmt.Printf("%s = %s\n  reason:  %s\n  allowed: %s\n  set by:  %s\n  acts on: %s\n\n",
+			e.Path, e.Value, e.Reason, e.Allowed, e.SetBy, e.ActsOn)
+	}
+	return nil
+}
+
+func (cmd explainCommand) document(c *client) (blconfig.Document, error) {
+	if cmd.File == "" {
+		_, document, err := current(c)
+		return document, err
+	}
+	text, err := os.ReadFile(cmd.File)
+	if err != nil {
+		return blconfig.Document{}, fmt.Errorf("read document: %w", err)
+	}
+	document, err := blsettings.ParseDocument(text)
+	var faults blconfig.FaultsError
+	if err != nil && !errors.As(err, &faults) {
+		return document, fmt.Errorf("%s: %w", cmd.File, err)
+	}
+	return document, nil
+}
+
+type showCommand struct{}
+
+// Run shows the document in force at a node.
+func (showCommand) Run(c *client) error {
+	var config bloperator.Config
+	if err := c.call(http.MethodGet, "/config", nil, &config); err != nil {
+		return err
+	}
+	if c.json {
+		return printJSON(config)
+	}
+	fmt.Printf("# revision %d\n%s", config.Revision, config.Document)
+	return nil
+}
+
+type applyCommand struct {
+	File string        `arg:"" help:"Document in TOML." type:"existingfile"`
+	Base uint64        `help:"Revision on which the document is based; without it the one in force."`
+	Wait time.Duration `default:"10s" help:"How long to wait until it is in force."`
+}
+
+// Run stores a document.
+func (cmd applyCommand) Run(c *client) error {
+	text, err := os.ReadFile(cmd.File)
+	if err != nil {
+		return fmt.Errorf("read document: %w", err)
+	}
+	if _, err := blsettings.ParseDocument(text); err != nil {
+		return fmt.Errorf("%s: %w", cmd.File, err)
+	}
+	base := cmd.Base
+	if base == 0 {
+		var config bloperator.Config
+		if err := c.call(http.MethodGet, "/config", nil, &config); err != nil {
+			return err
+		}
+		base = config.Revision
+	}
+	return apply(c, base, string(text), cmd.Wait)
+}
+
+// changeError reports a change that was not accepted.
+type changeError struct {
+	result bloperator.ChangeResult
+}
+
+// Error returns what became of the change.
+func (e changeError) Error() string {
+	switch e.result.Result {
+	case bloperator.ResultConflict:
+		return "conflict: " + e.result.Detail + "; show it, add your change and apply again"
+	case bloperator.ResultUnknown:
+		return "unknown: " + e.result.Detail + "; look with config show before you try again"
+	}
+	return e.result.Result + ": " + e.result.Detail
+}
+
+// apply sends a change and tells what became of it. A conflict shows what the
+// other operator changed.
+func apply(c *client, base uint64, document string, wait time.Duration) error {
+	var result bloperator.ChangeResult
+	err := c.call(http.MethodPost, "/config", bloperator.Change{
+		BaseRevision: base, Document: document, WaitMS: wait.Milliseconds(),
+	}, &result)
+	if result.Result == "" {
+		return err
+	}
+	if c.json {
+		if err := printJSON(result); err != nil {
+			return err
+		}
+	}
+	if result.Result != bloperator.ResultAccepted {
+		showConflict(c, document, result)
+		return changeError{result: result}
+	}
+	if !c.json {
+		fmt.Printf("accepted as revision %d; %s\n", result.Revision, force(result))
+	}
+	return nil
+}
+
+func force(result bloperator.ChangeResult) string {
+	if result.InForce {
+		return "in force on every node"
+	}
+	return "not yet reported by every node"
+}
+
+func showConflict(c *client, document string, result bloperator.ChangeResult) {
+	if result.Result != bloperator.ResultConflict || c.json {
+		return
+	}
+	mine, mineErr := blsettings.ParseDocument([]byte(document))
+	theirs, theirsErr := blsettings.ParseDocument([]byte(result.Document))
+	if mineErr != nil || theirsErr != nil {
+		return
+	}
+	fmt.Fprintf(os.Stderr, "revision %d differs from yours in:\n", result.Revision)
+	for _, change := range blconfig.Difference(theirs, mine) {
+		fmt.Fprintf(os.Stderr, "  %s: theirs %s, yours %s\n", change.Path, shown(change.Before), shown(change.After))
+	}
+}
+
+func shown(setting *blconfig.Setting) string {
+	if setting == nil {
+		return "none"
+	}
+	return setting.Value.String()
+}
+
+type historyCommand struct{}
+
+// Run shows the latest changes.
+func (historyCommand) Run(c *client) error {
+	var history []bloperator.PastChange
+	if err := c.call(http.MethodGet, "/config/history", nil, &history); err != nil {
+		return err
+	}
+	if c.json {
+		return printJSON(history)
+	}
+	t := newTable()
+	t.printf("at\treplaced revision\tsettings\n")
+	for _, past := range history {
+		t.printf("%s\t%d\t%s\n", past.At.Format(time.RFC3339), past.BaseRevision, strings.Join(past.Settings, ", "))
+	}
+	return t.flush()
+}
+
+// current returns the revision and document in force at a node.
+func current(c *client) (uint64, blconfig.Document, error) {
+	var config bloperator.Config
+	if err := c.call(http.MethodGet, "/config", nil, &config); err != nil {
+		return 0, blconfig.Document{}, err
+	}
+	document, err := blsettings.ParseDocument([]byte(config.Document))
+	if err != nil {
+		return 0, document, fmt.Errorf("read document in force: %w", err)
+	}
+	return config.Revision, document, nil
+}
+
+// edit changes the document in force and applies it.
+func edit(c *client, change func(blconfig.Document) (blconfig.Document, error)) error {
+	revision, document, err := current(c)
+	if err != nil {
+		return err
+	}
+	document, err = change(document)
+	if err != nil {
+		return err
+	}
+	if faults := blconfig.Check(document); len(faults) > 0 {
+		return blconfig.FaultsError{Faults: faults}
+	}
+	text, err := blsettings.FormatDocument(document)
+	if err != nil {
+		return fmt.Errorf("write document: %w", err)
+	}
+	return apply(c, revision, string(text), defaultWait)
+}
+
+const defaultWait = 10 * time.Second
--- a/cmd/bergamotctl/main.go
+++ b/cmd/bergamotctl/main.go
@@ -15,6 +15,11 @@
 
 	Status     statusCommand     `cmd:"" help:"Show the state of a node."`
 	Assignment assignmentCommand `cmd:"" help:"Show the owners of a service's partitions."`
+	Config     configCommands    `cmd:"" help:"Check, explain, show and change the configuration."`
+	Key        keyCommands       `cmd:"" help:"Issue and withdraw client keys."`
+	Domain     domainCommands    `cmd:"" help:"Take a failure domain out and back."`
+	Upstream   upstreamCommands  `cmd:"" help:"Drain an upstream and take it back."`
+	Host       hostCommands      `cmd:"" help:"Tell that a host will not come back."`
 }
 
 func main() {
--- /dev/null
+++ b/core/bldeliver/deliver_test.go
@@ -0,0 +1,193 @@
+package bldeliver_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/bldeliver"
+	"bergamotlead/core/blmember"
+	"bergamotlead/core/blring"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+const service = 5 * time.Millisecond
+
+func ExampleLimiter() {
+	limiter := bldeliver.NewLimiter(2, 6, 5*time.Millisecond)
+	start := limiter.Limit()
+	for range 50 {
+		limiter = limiter.WithAnswer(5 * time.Millisecond)
+	}
+	fmt.Println(start, limiter.Limit(), limiter.WithColdStart().Limit())
+	// Output: 2 6 2
+}
+
+func TestLimiterFaults(t *testing.T) {
+	warm := bldeliver.NewLimiter(2, 6, service)
+	for range 50 {
+		warm = warm.WithAnswer(service)
+	}
+	cases := []struct {
+		name  string
+		after func(l bldeliver.Limiter) bldeliver.Limiter
+		want  int
+	}{
+		{"warm", func(l bldeliver.Limiter) bldeliver.Limiter { return l }, 6},
+		{"one slow answer", func(l bldeliver.Limiter) bldeliver.Limiter { return l.WithAnswer(3 * service) }, 6},
+		{"shed once", func(l bldeliver.Limiter) bldeliver.Limiter { return l.WithShed() }, 4},
+		{"shed without end", func(l bldeliver.Limiter) bldeliver.Limiter {
+			for range 20 {
+				l = l.WithShed()
+			}
+			return l
+		}, 1},
+		{"turned cold unasked", func(l bldeliver.Limiter) bldeliver.Limiter {
+			for range 20 {
+				l = l.WithAnswer(8 * service)
+			}
+			return l
+		}, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := c.after(warm).Limit(); got != c.want {
+				t.Errorf("limit: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// node drives the decision of a delivery duty.
+type node struct {
+	state   bldeliver.State
+	now     bltimer.Instant
+	effects []bldeliver.Effect
+	ticket  bldeliver.Ticket
+	replies map[bldeliver.Ticket]blring.Reply[bldeliver.AcquireAnswer]
+}
+
+func newNode(queue int) *node {
+	n := &node{state: bldeliver.New(), replies: map[bldeliver.Ticket]blring.Reply[bldeliver.AcquireAnswer]{}}
+	n.send(bldeliver.ConfigChanged{Accepted: blconfig.Accepted{Revision: 1, Plan: blconfig.Plan{
+		Services: map[blvalue.ServiceName]blconfig.Service{
+			"pot": {Name: "pot", Slots: 6, ColdStartLimit: 2, ServiceTime: service},
+		},
+		Limits: blconfig.Limits{QueueLength: queue},
+	}}})
+	n.announce("run_1", false)
+	return n
+}
+
+func (n *node) send(message bldeliver.Message) {
+	n.state, n.effects = bldeliver.Decide(n.state, message, n.now)
+	for _, effect := range n.effects {
+		effect.Reply.Put(effect.Answer)
+	}
+}
+
+func (n *node) announce(run string, cold bool) {
+	n.send(bldeliver.UpstreamsSeen{Announcements: []blmember.Announcement{{
+		Upstream: blvalue.Upstream{Name: "pot_1", Service: "pot", Incarnation: blvalue.Incarnation(run), Slots: 6},
+		Address:  "here", Cold: cold,
+	}}})
+}
+
+// acquire asks for a slot and returns its ticket and the answers that came.
+func (n *node) acquire(account string, priority blconfig.Priority, wait time.Duration) bldeliver.Ticket {
+	n.ticket++
+	n.replies[n.ticket] = blring.NewReply[bldeliver.AcquireAnswer]()
+	n.send(bldeliver.Acquire{
+		Ticket: n.ticket, Upstream: "pot_1", Account: blvalue.AccountName(account), Priority: priority,
+		Deadline: n.now.Add(wait), Reply: n.replies[n.ticket],
+	})
+	return n.ticket
+}
+
+// answered reports whether the request of the ticket has got an answer.
+func (n *node) answered(ticket bldeliver.Ticket) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	_, err := n.replies[ticket].Await(ctx)
+	return err == nil
+}
+
+func (n *node) running() int {
+	gate, _ := n.state.Gates().Get("pot_1")
+	return gate.Running()
+}
+
+func TestColdUpstreamGetsNoMoreThanItBears(t *testing.T) {
+	n := newNode(64)
+	for range 10 {
+		n.acquire("a", blconfig.PriorityNormal, time.Second)
+	}
+	if got, want := n.running(), 2; got != want {
+		t.Errorf("running in cold start: got %d, want %d", got, want)
+	}
+	for ticket := bldeliver.Ticket(1); ticket <= 60; ticket++ {
+		n.send(bldeliver.Release{Ticket: ticket, Result: bldeliver.ResultAnswered, Latency: service})
+		n.acquire("a", blconfig.PriorityNormal, time.Second)
+	}
+	if got, want := n.running(), 6; got != want {
+		t.Errorf("running when warm: got %d, want %d", got, want)
+	}
+	n.announce("run_2", false)
+	gate, _ := n.state.Gates().Get("pot_1")
+	if got, want := gate.Limit(), 2; got != want {
+		t.Errorf("limit after a restart: got %d, want %d", got, want)
+	}
+}
+
+func TestQueueIsBoundedAndKeepsDeadlines(t *testing.T) {
+	n := newNode(3)
+	for range 5 {
+		n.acquire("a", blconfig.PriorityNormal, time.Second)
+	}
+	n.acquire("a", blconfig.PriorityNormal, time.Second)
+	if len(n.effects) != 1 || n.effects[0].Answer.Refusal == nil || n.effects[0].Answer.Refusal.Reason != blvalue.ReasonOverload {
+		t.Errorf("answer with a full queue: got %v, want overload", n.effects)
+	}
+	n.now = n.now.Add(time.Second)
+	n.send(bldeliver.Tick{})
+	if got, want := len(n.effects), 3; got != want {
+		t.Fatalf("refusals after the deadline: got %d, want %d", got, want)
+	}
+	if got, want := n.effects[0].Answer.Refusal.Reason, blvalue.ReasonTimeout; got != want {
+		t.Errorf("reason: got %s, want %s", got, want)
+	}
+}
+
+func TestOrderOfTheQueue(t *testing.T) {
+	n := newNode(64)
+	first := n.acquire("busy", blconfig.PriorityNormal, time.Second)
+	second := n.acquire("busy", blconfig.PriorityNormal, time.Second)
+	late := n.acquire("busy", blconfig.PriorityNormal, time.Second)
+	soon := n.acquire("busy", blconfig.PriorityNormal, 100*time.Millisecond)
+	quiet := n.acquire("quiet", blconfig.PriorityNormal, time.Second)
+	urgent := n.acquire("busy", blconfig.PriorityUrgent, time.Second)
+	order := []bldeliver.Ticket{urgent, quiet, soon, late}
+	running := []bldeliver.Ticket{first, second}
+	for _, want := range order {
+		n.send(bldeliver.Release{Ticket: running[0], Result: bldeliver.ResultUnused})
+		if !n.answered(want) {
+			t.Fatalf("slot after ticket %d ended: got another, want ticket %d", running[0], want)
+		}
+		running = append(running[1:], want)
+	}
+}
+
+func TestCallerThatLeavesTheQueueTakesNoSlot(t *testing.T) {
+	n := newNode(64)
+	n.acquire("a", blconfig.PriorityNormal, time.Second)
+	n.acquire("a", blconfig.PriorityNormal, time.Second)
+	gone := n.acquire("a", blconfig.PriorityNormal, time.Second)
+	n.send(bldeliver.Release{Ticket: gone, Result: bldeliver.ResultUnused})
+	n.send(bldeliver.Release{Ticket: 1, Result: bldeliver.ResultUnused})
+	if got, want := n.running(), 1; got != want {
+		t.Errorf("running: got %d, want %d", got, want)
+	}
+}
--- a/core/bllead/decide_test.go
+++ b/core/bllead/decide_test.go
@@ -32,11 +32,11 @@
 	effects []bllead.Effect
 }
 
-func newProcess(t *testing.T, name string) *process {
+func newProcess(t *testing.T) *process {
 	t.Helper()
 	return &process{
 		t: t, now: 10 * time.Second,
-		state: bllead.New(host(name), bllead.Timing{Lease: lease, GrantTTL: ttl, Margin: margin}),
+		state: bllead.New(host("a"), bllead.Timing{Lease: lease, GrantTTL: ttl, Margin: margin}),
 	}
 }
 
@@ -108,7 +108,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			p := newProcess(t, "a")
+			p := newProcess(t)
 			p.send(c.read)
 			if _, got := effect[bllead.AcquireLease](p); got != c.want {
 				t.Errorf("takes over: got %t, want %t", got, c.want)
@@ -118,7 +118,7 @@
 }
 
 func TestBothEndedByIncarnation(t *testing.T) {
-	p := newProcess(t, "a")
+	p := newProcess(t)
 	p.send(bllead.RecordRead{Stored: record(3, "x", "y"), LeaseHolder: "x_run"})
 	p.send(bllead.Identified{Address: "x", Incarnation: "x_again"})
 	p.send(bllead.RecordRead{Stored: record(3, "x", "y")})
@@ -224,7 +224,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			p := newProcess(t, "a")
+			p := newProcess(t)
 			p.lead()
 			c.after(p)
 			if got := p.holds(); got != c.holds {
@@ -238,7 +238,7 @@
 }
 
 func TestDoubtfulWriteIsSentAgainAndNotForgotten(t *testing.T) {
-	p := newProcess(t, "a")
+	p := newProcess(t)
 	p.send(bllead.RecordRead{})
 	p.send(bllead.LeaseAcquired{SentAt: p.instant(), Lease: "lease_1"})
 	write, _ := effect[bllead.WriteRecord](p)
@@ -287,7 +287,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			p := newProcess(t, "a")
+			p := newProcess(t)
 			c.before(p)
 			c.asked.Reply = blring.NewReply[bllead.StandbyAnswer]()
 			p.send(c.asked)
@@ -300,7 +300,7 @@
 }
 
 func TestPromiseBindsTheStandby(t *testing.T) {
-	p := newProcess(t, "a")
+	p := newProcess(t)
 	p.send(bllead.StandbyAsked{Term: 3, Standby: "a_run", WantPromise: true, Reply: blring.NewReply[bllead.StandbyAnswer]()})
 	p.now += lease
 	p.send(bllead.RecordRead{Stored: record(3, "x", "a")})
@@ -315,7 +315,7 @@
 }
 
 func TestNewLeadWaitsForOlderGrants(t *testing.T) {
-	p := newProcess(t, "a")
+	p := newProcess(t)
 	p.lead()
 	authority := p.state.Authority(p.instant())
 	if authority.Settled(p.instant().Add(ttl)) {
--- /dev/null
+++ b/core/blmember/state_test.go
@@ -0,0 +1,153 @@
+package blmember_test
+
+import (
+	"testing"
+	"time"
+
+	"bergamotlead/core/blassign"
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/bllead"
+	"bergamotlead/core/blmember"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+func host(name string) blvalue.Host {
+	return blvalue.Host{Name: blvalue.HostName(name), Incarnation: blvalue.Incarnation(name + "_run"), Address: name}
+}
+
+// node drives the decision of a membership duty.
+type node struct {
+	state   blmember.State
+	now     bltimer.Instant
+	effects []blmember.Effect
+}
+
+func newNode() *node {
+	n := &node{state: blmember.New(host("self")), now: bltimer.Instant(time.Minute)}
+	n.send(blmember.RecordSeen{Record: bllead.Record{Term: 2, Lead: host("lead"), Standby: host("standby")}})
+	return n
+}
+
+func (n *node) send(message blmember.Message) {
+	n.state, n.effects = blmember.Decide(n.state, message, n.now)
+}
+
+func (n *node) sent() (blmember.SendHeartbeat, bool) {
+	for _, effect := range n.effects {
+		if sent, ok := effect.(blmember.SendHeartbeat); ok {
+			return sent, true
+		}
+	}
+	return blmember.SendHeartbeat{}, false
+}
+
+func (n *node) tick(after time.Duration) (blmember.SendHeartbeat, bool) {
+	n.now = n.now.Add(after)
+	n.send(blmember.Tick{})
+	return n.sent()
+}
+
+func TestHeartbeatGoesToTheStandbyByTurnsWhenTheLeadIsSilent(t *testing.T) {
+	n := newNode()
+	want := []blvalue.HostName{"lead", "standby", "lead", "standby"}
+	order := make([]blvalue.HostName, 0, len(want))
+	for range want {
+		sent, ok := n.tick(100 * time.Millisecond)
+		if !ok {
+			t.Fatal("heartbeat: got none, want one")
+		}
+		order = append(order, sent.To.Name)
+		n.send(blmember.Answered{SentAt: sent.SentAt, From: sent.To, Failed: true})
+	}
+	for i := range want {
+		if order[i] != want[i] {
+			t.Errorf("heartbeat %d: got %s, want %s", i, order[i], want[i])
+		}
+	}
+}
+
+func TestAnswersThatAreIgnored(t *testing.T) {
+	cases := []struct {
+		name   string
+		before func(n *node)
+		reply  blassign.HeartbeatReply
+		late   bool
+	}{
+		{"of a lower term", func(n *node) {
+			sent, _ := n.tick(time.Second)
+			n.send(blmember.Answered{SentAt: sent.SentAt, From: host("lead"), Reply: blassign.HeartbeatReply{Term: 5}})
+		}, blassign.HeartbeatReply{Term: 4}, false},
+		{"of no lead", func(*node) {}, blassign.HeartbeatReply{}, false},
+		{"to an earlier heartbeat", func(*node) {}, blassign.HeartbeatReply{Term: 9}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNode()
+			c.before(n)
+			term := n.state.Term()
+			sent, _ := n.tick(time.Second)
+			at := sent.SentAt
+			if c.late {
+				at = at.Add(-time.Millisecond)
+			}
+			n.send(blmember.Answered{SentAt: at, From: sent.To, Reply: c.reply})
+			if got := n.state.Term(); got != term {
+				t.Errorf("term: got %d, want %d", got, term)
+			}
+			if got := len(n.effects); got != 0 {
+				t.Errorf("effects: got %v, want none", n.effects)
+			}
+		})
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	n := newNode()
+	for _, revision := range []uint64{7, 6, 7} {
+		sent, _ := n.tick(time.Second)
+		n.send(blmember.Answered{SentAt: sent.SentAt, From: sent.To, Reply: blassign.HeartbeatReply{
+			Term: 3, Config: &blconfig.Accepted{Revision: revision, Plan: blconfig.Plan{Timing: blconfig.Timing{Heartbeat: 300 * time.Millisecond}}},
+		}})
+		if got, want := n.state.Revision(), uint64(7); got != want {
+			t.Errorf("revision after %d: got %d, want %d", revision, got, want)
+		}
+	}
+}
+
+func TestSilentUpstreamLeavesAndThenGoes(t *testing.T) {
+	n := newNode()
+	n.send(blmember.Announced{Announcement: blmember.Announcement{Upstream: blvalue.Upstream{Name: "pot_1", Incarnation: "run"}}})
+	cases := []struct {
+		after   time.Duration
+		listed  int
+		leaving bool
+	}{
+		{500 * time.Millisecond, 1, false},
+		{200 * time.Millisecond, 1, true},
+		{2 * time.Second, 0, false},
+	}
+	for _, c := range cases {
+		n.tick(c.after)
+		list := n.state.Announcements(n.now)
+		if got := len(list); got != c.listed {
+			t.Fatalf("upstreams after %v: got %d, want %d", c.after, got, c.listed)
+		}
+		if c.listed == 1 && list[0].Upstream.Leaving != c.leaving {
+			t.Errorf("leaving after %v: got %t, want %t", c.after, list[0].Upstream.Leaving, c.leaving)
+		}
+	}
+}
+
+func TestNudgeDuringAHeartbeatSendsAnother(t *testing.T) {
+	n := newNode()
+	sent, _ := n.tick(time.Second)
+	n.send(blmember.ReportSoon{})
+	if _, ok := n.sent(); ok {
+		t.Error("heartbeat beside one that is under way: got one, want none")
+	}
+	n.send(blmember.Answered{SentAt: sent.SentAt, From: sent.To, Reply: blassign.HeartbeatReply{Term: 3}})
+	if _, ok := n.tick(time.Millisecond); !ok {
+		t.Error("heartbeat after the answer: got none, want one")
+	}
+}
--- /dev/null
+++ b/core/blroute/route_test.go
@@ -0,0 +1,188 @@
+package blroute_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotlead/core/blassign"
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/blring"
+	"bergamotlead/core/blroute"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+func entry(name, service string) blassign.Entry {
+	return blassign.Entry{
+		Upstream: blvalue.Upstream{Name: blvalue.UpstreamName(name), Service: blvalue.ServiceName(service)},
+		Node:     blvalue.Host{Name: "host", Incarnation: "run", Address: name},
+	}
+}
+
+func ExamplePause() {
+	fmt.Println(blroute.Pause(1), blroute.Pause(3), blroute.Pause(20))
+	// Output: 10ms 40ms 100ms
+}
+
+func ExampleAfterFailure() {
+	step := blroute.AfterFailure(blroute.Failure{
+		Refusal: blvalue.Unknown(blvalue.ReasonUpstreamBroke, ""), Replayable: true, Idempotent: false,
+	})
+	fmt.Println(step)
+	// Output: give_up
+}
+
+func TestStepAfterFailure(t *testing.T) {
+	notRun, unknown := blvalue.OutcomeNotRun, blvalue.OutcomeUnknown
+	cases := []struct {
+		name    string
+		failure blroute.Failure
+		outcome blvalue.Outcome
+		reason  blvalue.RefusalReason
+		want    blroute.Step
+	}{
+		{"owner moved", blroute.Failure{Replayable: true}, notRun, blvalue.ReasonNotOwner, blroute.StepWait},
+		{"no owner yet", blroute.Failure{Replayable: true}, notRun, blvalue.ReasonNoOwner, blroute.StepWait},
+		{"never connected", blroute.Failure{Replayable: true, Repeatable: true}, notRun, blvalue.ReasonUnreachable, blroute.StepWait},
+		{"shed", blroute.Failure{Replayable: true}, notRun, blvalue.ReasonOverload, blroute.StepSpend},
+		{"shed, body gone", blroute.Failure{}, notRun, blvalue.ReasonOverload, blroute.StepGiveUp},
+		{"may have run", blroute.Failure{Replayable: true}, unknown, blvalue.ReasonUpstreamBroke, blroute.StepGiveUp},
+		{"may have run, idempotent", blroute.Failure{Replayable: true, Idempotent: true}, unknown, blvalue.ReasonUpstreamBroke, blroute.StepSpend},
+		{"owner's node broke, idempotent", blroute.Failure{Replayable: true, Idempotent: true}, unknown, blvalue.ReasonUnreachable, blroute.StepSpend},
+		{"answer begun", blroute.Failure{Replayable: true, Idempotent: true, Started: true}, blvalue.OutcomePartial, blvalue.ReasonUpstreamBroke, blroute.StepGiveUp},
+		{"out of time", blroute.Failure{Replayable: true, Idempotent: true}, unknown, blvalue.ReasonTimeout, blroute.StepGiveUp},
+		{"caller gone", blroute.Failure{Replayable: true, Idempotent: true}, unknown, blvalue.ReasonCancelled, blroute.StepGiveUp},
+		{"wrong key", blroute.Failure{Replayable: true, Idempotent: true}, notRun, blvalue.ReasonUnknownKey, blroute.StepGiveUp},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.failure.Refusal = &blvalue.Refusal{Outcome: c.outcome, Reason: c.reason}
+			if got := blroute.AfterFailure(c.failure); got != c.want {
+				t.Errorf("step: got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+func TestBudgetBoundsExtraWork(t *testing.T) {
+	const requests, share = 10000, 5
+	budget := blroute.NewBudget()
+	extra := 0
+	for range requests {
+		budget = budget.WithRequest(share)
+		var allowed bool
+		for {
+			if budget, allowed = budget.WithExtra(); !allowed {
+				break
+			}
+			extra++
+		}
+	}
+	if got, want := extra, requests*share/100+20; got > want {
+		t.Errorf("extra work: got %d, want at most %d", got, want)
+	}
+}
+
+func newState() blroute.State[blroute.TwoChoices] {
+	s := blroute.New(blroute.TwoChoices{})
+	s, _ = blroute.Decide(s, blroute.ConfigChanged{Accepted: blconfig.Accepted{Revision: 1, Plan: blconfig.Plan{
+		Services: map[blvalue.ServiceName]blconfig.Service{
+			"pot":      {Name: "pot", Kind: blconfig.ServiceExclusive, Partitions: 4},
+			"wishlist": {Name: "wishlist", Kind: blconfig.ServiceShared},
+		},
+		Limits: blconfig.Limits{RetryPercent: 10, HedgePercent: 5},
+	}}}, 0)
+	s, _ = blroute.Decide(s, blroute.DirectoryChanged{Directory: blassign.Directory{
+		Full: true,
+		Entries: []blassign.Entry{
+			entry("pot_1", "pot"), entry("wish_1", "wishlist"), entry("wish_2", "wishlist"), entry("wish_3", "wishlist"),
+		},
+		Owners: []blassign.Owners{{Service: "pot", Owners: []blvalue.UpstreamName{"pot_1", "pot_1", "pot_1", ""}}},
+	}}, 0)
+	return s
+}
+
+func find(s blroute.State[blroute.TwoChoices], service, key string, now time.Duration) (blroute.State[blroute.TwoChoices], blroute.Answer) {
+	s, effects := blroute.Decide(s, blroute.Find{
+		Request: blvalue.Request{Service: blvalue.ServiceName(service), Key: blvalue.Key(key)},
+		First:   true, Reply: blring.NewReply[blroute.Answer](),
+	}, bltimer.Instant(now))
+	return s, effects[0].Answer
+}
+
+func TestOwnerLookUp(t *testing.T) {
+	s := newState()
+	owned, homeless := 0, 0
+	for i := range 64 {
+		var answer blroute.Answer
+		s, answer = find(s, "pot", fmt.Sprint(i), 0)
+		switch {
+		case answer.Refusal == nil && answer.Target.Upstream == "pot_1" && answer.Target.Exclusive:
+			owned++
+		case answer.Refusal != nil && answer.Refusal.Reason == blvalue.ReasonNoOwner:
+			homeless++
+		}
+	}
+	if owned == 0 || homeless == 0 || owned+homeless != 64 {
+		t.Errorf("owned and homeless: got %d and %d, want both, 64 together", owned, homeless)
+	}
+}
+
+func TestUpstreamThatFailsIsSetAsideAndTriedAgain(t *testing.T) {
+	s := newState()
+	for range 5 {
+		s, _ = blroute.Decide(s, blroute.Observed{Upstream: "wish_1", Failed: true}, 0)
+	}
+	counts := func(now time.Duration) int {
+		count := 0
+		for range 60 {
+			var answer blroute.Answer
+			s, answer = find(s, "wishlist", "x", now)
+			if answer.Target.Upstream == "wish_1" {
+				count++
+			}
+			s, _ = blroute.Decide(s, blroute.Observed{Upstream: answer.Target.Upstream, Latency: time.Millisecond}, bltimer.Instant(now))
+		}
+		return count
+	}
+	if got := counts(time.Second); got != 0 {
+		t.Errorf("requests to an upstream set aside: got %d, want 0", got)
+	}
+	if got := counts(3 * time.Second); got == 0 {
+		t.Error("requests to it afterwards: got 0, want some")
+	}
+}
+
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	s := newState()
+	leaving := entry("wish_2", "wishlist")
+	leaving.Upstream.Leaving = true
+	s, _ = blroute.Decide(s, blroute.DirectoryChanged{Directory: blassign.Directory{Entries: []blassign.Entry{leaving}}}, 0)
+	for range 60 {
+		var answer blroute.Answer
+		s, answer = find(s, "wishlist", "x", 0)
+		if answer.Target.Upstream == "wish_2" {
+			t.Fatal("upstream: got the one that leaves, want another")
+		}
+	}
+}
+
+func TestSlowUpstreamGetsLess(t *testing.T) {
+	s := newState()
+	counts := map[blvalue.UpstreamName]int{}
+	for range 300 {
+		var answer blroute.Answer
+		s, answer = find(s, "wishlist", "x", 0)
+		name := answer.Target.Upstream
+		counts[name]++
+		latency := 5 * time.Millisecond
+		if name == "wish_3" {
+			latency = 50 * time.Millisecond
+		}
+		s, _ = blroute.Decide(s, blroute.Observed{Upstream: name, Latency: latency}, 0)
+	}
+	if got, want := counts["wish_3"], 60; got > want {
+		t.Errorf("requests to the slow upstream of three: got %d of 300, want at most %d", got, want)
+	}
+}
--- a/io/blnode/apply.go
+++ b/io/blnode/apply.go
@@ -11,6 +11,7 @@
 	"bergamotlead/core/blplatform"
 	"bergamotlead/io/blgrpc"
 	"bergamotlead/io/blgrpc/blproto"
+	"bergamotlead/io/bloperator"
 	"bergamotlead/io/blsettings"
 	"bergamotlead/io/blstore"
 )
@@ -41,7 +42,7 @@
 	if faults := blconfig.CheckChange(current.Document, document); len(faults) > 0 {
 		return refusedChange(blconfig.FaultsError{Faults: faults}.Error())
 	}
-	result := n.writeConfig(ctx, change)
+	result := n.writeConfig(ctx, change, blconfig.Difference(current.Document, document))
 	if result.Result == blproto.ApplyReply_RESULT_ACCEPTED {
 		n.configRead(blconfig.NewAccepted(result.Revision, document, string(change.Document)))
 		result.InForce = n.waitInForce(ctx, result.Revision, change.Wait)
@@ -54,15 +55,24 @@
 }
 
 // writeConfig writes the document and says only what is certain.
-func (n *Node) writeConfig(ctx context.Context, change blgrpc.Change) blgrpc.ChangeResult {
-	value, err := blstore.EncodeConfig(blstore.StoredConfig{
-		WriteID: uuid.NewString(), Document: string(change.Document),
-	})
+func (n *Node) writeConfig(
+	ctx context.Context, change blgrpc.Change, differences []blconfig.Change,
+) blgrpc.ChangeResult {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
+	defer cancel()
+	stored, err := n.storedConfig(ctx)
+	if err != nil {
+		return refusedChange(err.Error())
+	}
+	settings := make([]string, 0, len(differences))
+	for _, difference := range differences {
+		settings = append(settings, difference.Path.String())
+	}
+	next := stored.WithChange(uuid.NewString(), string(change.Document), change.Base, time.Now().UTC(), settings)
+	value, err := blstore.EncodeConfig(next)
 	if err != nil {
 		return refusedChange(err.Error())
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
-	defer cancel()
 	n.metrics.StoreCall("swap")
 	written, err := blplatform.Write(ctx, n.store, blstore.Config, change.Base, value)
 	switch written.Outcome {
@@ -81,6 +91,33 @@
 	}
 }
 
+// storedConfig reads the configuration with its history.
+func (n *Node) storedConfig(ctx context.Context) (blstore.StoredConfig, error) {
+	n.metrics.StoreCall("get")
+	entry, err := n.store.Get(ctx, blstore.Config)
+	if err != nil {
+		return blstore.StoredConfig{}, fmt.Errorf("read configuration: %w", err)
+	}
+	stored, err := blstore.DecodeConfig(entry)
+	if err != nil {
+		return blstore.StoredConfig{}, fmt.Errorf("read configuration: %w", err)
+	}
+	return stored, nil
+}
+
+// History returns the latest changes of the configuration, the newest first.
+func (n *Node) History(ctx context.Context) ([]bloperator.PastChange, error) {
+	stored, err := n.storedConfig(ctx)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]bloperator.PastChange, 0, len(stored.History))
+	for _, past := range stored.History {
+		list = append(list, bloperator.PastChange(past))
+	}
+	return list, nil
+}
+
 func conflict(current blplatform.Entry) blgrpc.ChangeResult {
 	result := blgrpc.ChangeResult{
 		Result: blproto.ApplyReply_RESULT_CONFLICT, Revision: current.Revision,
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -110,10 +110,14 @@
 	n.subscribe()
 	n.timer.Start()
 	go n.runNodes(listener)
+	operators, err := bloperator.New(n, n.metrics, n.settings.OperatorTokenFile, n.chain()).Handler()
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
 	handlers := map[string]http.Handler{
 		n.settings.CallerListen:   n.callerHandler(),
 		n.settings.UpstreamListen: blupstream.AnnounceHandler(n.announce, n.chain()),
-		n.settings.OperatorListen: bloperator.New(n, n.metrics, n.settings.OperatorTokenFile, n.chain()).Handler(),
+		n.settings.OperatorListen: operators,
 	}
 	for address, handler := range handlers {
 		if err := n.serve(ctx, address, handler); err != nil {
--- a/io/bloperator/handler.go
+++ b/io/bloperator/handler.go
@@ -33,19 +33,25 @@
 	return &Operator{node: node, metrics: metrics, tokenFile: tokenFile, chain: chain}
 }
 
-// Handler returns the pages.
-func (o *Operator) Handler() http.Handler {
+// Handler returns the pages. It fails when the console's pages can't be read.
+func (o *Operator) Handler() (http.Handler, error) {
 	mux := http.NewServeMux()
+	forms, err := newConsole(o)
+	if err != nil {
+		return nil, err
+	}
+	forms.register(mux)
 	mux.HandleFunc("GET /status", o.status)
 	mux.HandleFunc("GET /assignment/{service}", o.assignment)
 	mux.HandleFunc("GET /owner/{service}/{key}", o.owner)
 	mux.HandleFunc("GET /config", o.config)
+	mux.HandleFunc("GET /config/history", o.history)
 	mux.Handle("POST /config", o.withToken(o.change))
 	mux.Handle("POST /hosts/{host}/lost", o.withToken(o.lost))
 	mux.HandleFunc("GET /metrics", o.metricsPage)
 	mux.Handle("GET /debug/pprof/profile", o.withToken(pprof.Profile))
 	mux.Handle("GET /debug/pprof/", o.withToken(pprof.Index))
-	return o.chain.Then(mux)
+	return o.chain.Then(mux), nil
 }
 
 func respond(w http.ResponseWriter, status int, body any) {
@@ -121,6 +127,15 @@
 	respond(w, http.StatusOK, o.node.Config())
 }
 
+func (o *Operator) history(w http.ResponseWriter, r *http.Request) {
+	history, err := o.node.History(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	respond(w, http.StatusOK, history)
+}
+
 func (o *Operator) change(w http.ResponseWriter, r *http.Request) {
 	var change Change
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, largestChange)).Decode(&change); err != nil {
--- a/io/bloperator/status.go
+++ b/io/bloperator/status.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"bergamotlead/core/blvalue"
 )
@@ -98,6 +99,14 @@
 	Document string `json:"document,omitempty"`
 }
 
+// PastChange is one change of the configuration.
+type PastChange struct {
+	// BaseRevision is the revision that the change replaced.
+	BaseRevision uint64    `json:"base_revision"`
+	At           time.Time `json:"at"`
+	Settings     []string  `json:"settings"`
+}
+
 // Node is what the operators' interface needs of a node.
 type Node interface {
 	Status() Status
@@ -105,5 +114,6 @@
 	OwnerOf(service blvalue.ServiceName, key blvalue.Key) (blvalue.UpstreamName, bool)
 	Config() Config
 	Change(ctx context.Context, change Change) ChangeResult
+	History(ctx context.Context) ([]PastChange, error)
 	MarkLost(ctx context.Context, host blvalue.HostName) error
 }
--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"time"
 
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/bllead"
@@ -113,6 +114,31 @@
 type StoredConfig struct {
 	WriteID  string `json:"write_id"`
 	Document string `json:"document"`
+	// History lists the latest changes, the newest first.
+	History []PastChange `json:"history"`
+}
+
+// PastChange is one change of the configuration.
+type PastChange struct {
+	// BaseRevision is the revision that the change replaced.
+	BaseRevision uint64 `json:"base_revision"`
+	// At is when the lead stored it, by the lead's wall clock.
+	At time.Time `json:"at"`
+	// Settings names the settings that changed.
+	Settings []string `json:"settings"`
+}
+
+const (
+	longestHistory = 100
+	// mostSettings bounds the settings that one past change names.
+	mostSettings = 20
+)
+
+// WithChange returns the configuration that replaces c at the given revision.
+func (c StoredConfig) WithChange(writeID, document string, base uint64, at time.Time, settings []string) StoredConfig {
+	past := PastChange{BaseRevision: base, At: at, Settings: settings[:min(len(settings), mostSettings)]}
+	history := append([]PastChange{past}, c.History...)
+	return StoredConfig{WriteID: writeID, Document: document, History: history[:min(len(history), longestHistory)]}
 }
 
 // EncodeConfig writes a configuration as JSON.
--- a/tests/main_test.go
+++ b/tests/main_test.go
@@ -119,10 +119,6 @@
 	return blconfig.Value{Kind: blconfig.KindInteger, Integer: value}
 }
 
-func text(value string) blconfig.Value {
-	return blconfig.Value{Kind: blconfig.KindText, Text: value}
-}
-
 func list(values ...string) blconfig.Value {
 	return blconfig.Value{Kind: blconfig.KindList, List: values}
 }
--- /dev/null
+++ b/tests/operators_test.go
@@ -0,0 +1,365 @@
+package bltests_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/cookiejar"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/tools/blfleet"
+)
+
+// ctl runs bergamotctl against a host's node.
+func (f *fleet) ctl(host *blfleet.Host, args ...string) (string, int) {
+	f.t.Helper()
+	token := filepath.Join(f.t.TempDir(), "token")
+	if err := os.WriteFile(token, []byte(f.Token), 0o600); err != nil {
+		f.t.Fatalf("write token: %v", err)
+	}
+	all := append([]string{"--node", host.Operators, "--token-file", token}, args...)
+	command := exec.CommandContext(context.Background(), filepath.Join(binaries, "bergamotctl"), all...)
+	output, _ := command.CombinedOutput()
+	return string(output), command.ProcessState.ExitCode()
+}
+
+// must runs bergamotctl and wants it to succeed.
+func (f *fleet) must(host *blfleet.Host, args ...string) string {
+	f.t.Helper()
+	output, code := f.ctl(host, args...)
+	if code != 0 {
+		f.t.Fatalf("bergamotctl %v: got exit code %d, want 0: %s", args, code, output)
+	}
+	return output
+}
+
+func TestCommandLine(t *testing.T) {
+	f := deploy(t, potHosts(3, true), nil)
+	f.roles()
+	host := f.Hosts[1]
+	cases := []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{"status", []string{"status"}, 0, "failure domain"},
+		{"status as JSON", []string{"--output", "json", "status"}, 0, `"failure_domain"`},
+		{"assignment", []string{"assignment", "pot"}, 0, "partitions of 128"},
+		{"owner of a key", []string{"assignment", "pot", "--key", "awa"}, 0, "pot_"},
+		{"assignment of a shared service", []string{"assignment", "wishlist"}, 1, "isn't divided by key"},
+		{"check a good document", []string{"config", "check", "../configs/dakar.toml"}, 0, "no faults"},
+		{"check a bad document", []string{"config", "check", "testdata/bad.toml"}, 1, "timing.heartbeat: the reason is missing"},
+		{"explain", []string{"config", "explain", "--prefix", "timing.heartbeat"}, 0, "acts on: How often each node reports"},
+		{"show", []string{"config", "show"}, 0, "# revision"},
+		{"history", []string{"config", "history"}, 0, "replaced revision"},
+		{"take an unknown failure domain out", []string{"domain", "out", "nowhere", "--reason", "There is no such hall"}, 1, "there is no failure domain nowhere"},
+		{"a reason that stands already", []string{"domain", "out", "sn_west_c", "--reason", "The hall in Pikine takes work"}, 1, "the reason is copied"},
+		{"no reason", []string{"domain", "out", "sn_west_c"}, 80, "missing flags"},
+		{"a host that is neither lead nor standby", []string{"host", "lost", "nobody", "--sure"}, 3, "neither lead nor standby"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			output, code := f.ctl(host, c.args...)
+			if code != c.code || !strings.Contains(output, c.want) {
+				t.Errorf("bergamotctl %v: got exit code %d and %q, want %d and %q", c.args, code, output, c.code, c.want)
+			}
+		})
+	}
+}
+
+func TestKeyIsIssuedAndWithdrawn(t *testing.T) {
+	f := deploy(t, potHosts(3, true), nil)
+	f.roles()
+	output := f.must(f.Hosts[0], "key", "issue", "school_groups", "--reason", "The school groups got a second tablet")
+	key := output[strings.LastIndex(output, " ")+1:]
+	key = strings.TrimSpace(key)
+	call := func() int {
+		answer, err := f.Call(f.Hosts[2], http.MethodGet, "/pot/awa/total", key, "")
+		if err != nil {
+			t.Fatalf("call: %v", err)
+		}
+		return answer.Status
+	}
+	if got := call(); got != http.StatusOK {
+		t.Errorf("status with the new key: got %d, want 200", got)
+	}
+	f.must(f.Hosts[1], "key", "withdraw", "school_groups", "--key", key, "--reason", "The second tablet was lost")
+	if got := call(); got != http.StatusUnauthorized {
+		t.Errorf("status with the withdrawn key: got %d, want 401", got)
+	}
+	for _, host := range f.Hosts {
+		log, err := os.ReadFile(host.LogFile)
+		if err != nil || strings.Contains(string(log), key) {
+			t.Errorf("log of %s: got the client key or %v, want neither", host.Spec.Name, err)
+		}
+	}
+}
+
+func TestOperatorsRacing(t *testing.T) {
+	f := deploy(t, potHosts(3, true), nil)
+	f.roles()
+	path := filepath.Join(t.TempDir(), "mine.toml")
+	if err := os.WriteFile(path, []byte(f.edited(func(d blconfig.Document) blconfig.Document {
+		return set(d, "limits", "", "queue_length", integer(32))
+	})), 0o600); err != nil {
+		t.Fatalf("write document: %v", err)
+	}
+	base := f.revision
+	f.must(f.Hosts[0], "domain", "out", "sn_west_c", "--reason", "The hall in Thies is flooded")
+	output, code := f.ctl(f.Hosts[1], "config", "apply", path, "--base", fmt.Sprint(base))
+	if code != 1 || !strings.Contains(output, "conflict") ||
+		!strings.Contains(output, "domains.sn_west_c.state") || !strings.Contains(output, "limits.queue_length") {
+		t.Errorf("second apply: got exit code %d and %q, want a conflict that names both changes", code, output)
+	}
+}
+
+// TestLostAnswerIsResolved drops the store's answer to the write of a change.
+func TestLostAnswerIsResolved(t *testing.T) {
+	f := deploy(t, potHosts(3, true), nil)
+	f.roles()
+	f.faults(map[string]any{"lose_answers": 1})
+	f.must(f.Hosts[0], "domain", "out", "sn_west_c", "--reason", "The hall in Thies is flooded")
+	f.faults(map[string]any{"lose_answers": 0})
+	if shown := f.must(f.Hosts[1], "config", "show"); !strings.Contains(shown, "The hall in Thies is flooded") {
+		t.Errorf("document after the lost answer: got %q, want the change", shown)
+	}
+}
+
+// TestAcceptedConfigurationSurvivesTheLead kills the lead directly after it
+// acknowledged a change.
+func TestAcceptedConfigurationSurvivesTheLead(t *testing.T) {
+	f := deploy(t, potHosts(4, true), nil)
+	lead, _, other := f.roles()
+	f.must(lead, "domain", "out", "sn_west_c", "--reason", "The hall in Thies is flooded")
+	revision := f.revisionAt(other)
+	lead.Node.Kill()
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) {
+		if got := f.revisionAt(other); got < revision {
+			t.Fatalf("revision at %s: got %d after %d, want no fall", other.Spec.Name, got, revision)
+		}
+		if next := f.Lead(); next != nil && next != lead {
+			if got := f.revisionAt(next); got < revision {
+				t.Errorf("revision at the new lead: got %d, want at least %d", got, revision)
+			}
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Error("new lead: got none, want one")
+}
+
+func (f *fleet) revisionAt(host *blfleet.Host) uint64 {
+	f.t.Helper()
+	status, err := f.Status(host)
+	if err != nil {
+		f.t.Fatalf("status of %s: %v", host.Spec.Name, err)
+	}
+	return status.ConfigRevision
+}
+
+// TestFailureDomainOutAndBack takes a failure domain out under load. Its
+// upstreams get no new work after a few seconds, and work again afterwards.
+func TestFailureDomainOutAndBack(t *testing.T) {
+	const few = 3 * time.Second
+	hosts := potHosts(6, true)
+	for i := range hosts {
+		hosts[i].Upstreams = append(hosts[i].Upstreams, blfleet.WishlistServer(i+1))
+	}
+	f := deploy(t, hosts, nil)
+	f.roles()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() { f.pressWishlist(i, stop) })
+	}
+	tr := f.startTraffic(f.Hosts...)
+	time.Sleep(time.Second)
+	f.must(f.Hosts[0], "domain", "out", "sn_west_c", "--reason", "The hall in Thies is flooded")
+	time.Sleep(few)
+	before := f.domainRuns("sn_west_c")
+	time.Sleep(1500 * time.Millisecond)
+	if got := f.domainRuns("sn_west_c") - before; got != 0 {
+		t.Errorf("new work in the failure domain %v after it was taken out: got %d, want 0", few, got)
+	}
+	f.must(f.Hosts[0], "domain", "back", "sn_west_c", "--reason", "The hall in Thies is dry again")
+	time.Sleep(few)
+	if got := f.domainRuns("sn_west_c") - before; got == 0 {
+		t.Error("work in the failure domain after its return: got 0, want some")
+	}
+	close(stop)
+	wg.Wait()
+	tr.end()
+	f.checkOwners(tr)
+	if lost := tr.outcome["unknown"] + tr.outcome["broken"]; lost != 0 {
+		t.Errorf("requests without a truthful answer: got %d of %v, want 0", lost, tr.outcome)
+	}
+}
+
+func (f *fleet) pressWishlist(number int, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(30 * time.Millisecond):
+		}
+		_, _ = f.Call(f.Hosts[number%len(f.Hosts)], http.MethodGet, "/wishlist/x/page", f.Keys[account], "")
+	}
+}
+
+func (f *fleet) domainRuns(domain string) int {
+	f.t.Helper()
+	total := 0
+	for _, host := range f.Hosts {
+		for _, upstream := range host.Upstreams {
+			if host.Spec.Domain == domain {
+				total += f.runs(upstream)
+			}
+		}
+	}
+	return total
+}
+
+// TestGracefulShutdownCutsNothing ends each node by turns under load of slow
+// requests.
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	f := deploy(t, potHosts(4, true), nil)
+	f.roles()
+	for _, host := range f.Hosts {
+		f.upstreamFaults(host.Upstreams[0], map[string]any{"slow_factor": 30})
+	}
+	lead, _, other := f.roles()
+	for _, leaving := range []*blfleet.Host{other, lead} {
+		var rest []*blfleet.Host
+		for _, host := range f.Hosts {
+			if host != other && host != lead {
+				rest = append(rest, host)
+			}
+		}
+		tr := f.startTraffic(rest...)
+		time.Sleep(800 * time.Millisecond)
+		if !leaving.Node.Terminate(30 * time.Second) {
+			t.Fatalf("%s did not end", leaving.Spec.Name)
+		}
+		if got := leaving.Node.ExitCode(); got != 0 {
+			t.Errorf("exit code of %s: got %d, want 0", leaving.Spec.Name, got)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		tr.end()
+		if lost := tr.outcome["unknown"] + tr.outcome["broken"] + tr.outcome["ran_partially_answered"]; lost != 0 {
+			t.Errorf("requests cut while %s ended: got %d of %v, want 0", leaving.Spec.Name, lost, tr.outcome)
+		}
+		t.Logf("%s ended: %v", leaving.Spec.Name, tr.outcome)
+	}
+}
+
+// TestConsole logs in, previews a fault and a change, and brings it into force.
+func TestConsole(t *testing.T) {
+	f := deploy(t, potHosts(3, true), nil)
+	f.roles()
+	jar, err := cookiejar.New(nil)
+	if err != nil {
+		t.Fatalf("make cookie jar: %v", err)
+	}
+	b := &browser{t: t, client: &http.Client{Jar: jar, Timeout: 20 * time.Second}, base: "http://" + f.Hosts[0].Operators}
+	if page := b.get("/settings"); !strings.Contains(page, "Operators&#39; token") && !strings.Contains(page, "Operators' token") {
+		t.Errorf("page without a session: got %q, want the login", page)
+	}
+	if _, status := b.post("/login", url.Values{"token": {"wrong"}}); status != http.StatusUnauthorized {
+		t.Errorf("login with a wrong token: got %d, want 401", status)
+	}
+	if page, _ := b.post("/login", url.Values{"token": {f.Token}}); !strings.Contains(page, "host_1") {
+		t.Errorf("page after login: got %q, want the state", page)
+	}
+	if _, status := b.post("/settings/preview", url.Values{"value:timing.heartbeat": {"1s"}}); status != http.StatusForbidden {
+		t.Errorf("form without a seal: got %d, want 403", status)
+	}
+	form := b.form(b.get("/settings"))
+	form.Set("value:timing.heartbeat", "2s")
+	page, status := b.post("/settings/preview", form)
+	if status != http.StatusUnprocessableEntity || !strings.Contains(page, "outside its range") {
+		t.Errorf("preview of a fault: got %d, want 422 and the range beside the field", status)
+	}
+	form.Set("value:timing.heartbeat", "250ms")
+	form.Set("reason:timing.heartbeat", "A test wants quicker heartbeats <b>now</b>")
+	page, status = b.post("/settings/preview", form)
+	if status != http.StatusOK || !strings.Contains(page, "timing.heartbeat") || strings.Contains(page, "<b>now") {
+		t.Fatalf("preview of a change: got %d, want 200, the change, and no raw markup", status)
+	}
+	page, status = b.post("/settings/apply", b.form(page))
+	if status != http.StatusOK || !strings.Contains(page, "in force on every node") {
+		t.Errorf("apply: got %d, want 200 and in force", status)
+	}
+	stale, _ := b.post("/settings/preview", form)
+	page, status = b.post("/settings/apply", b.form(stale))
+	if status != http.StatusConflict || !strings.Contains(page, "Another operator came first") {
+		t.Errorf("apply on an old revision: got %d, want 409 and the other change", status)
+	}
+}
+
+// browser is a client with cookies.
+type browser struct {
+	t      *testing.T
+	client *http.Client
+	base   string
+}
+
+func (b *browser) get(path string) string {
+	b.t.Helper()
+	request, err := http.NewRequestWithContext(b.t.Context(), http.MethodGet, b.base+path, nil)
+	if err != nil {
+		b.t.Fatalf("build request: %v", err)
+	}
+	page, _ := b.do(request)
+	return page
+}
+
+func (b *browser) post(path string, form url.Values) (string, int) {
+	b.t.Helper()
+	request, err := http.NewRequestWithContext(b.t.Context(), http.MethodPost, b.base+path, strings.NewReader(form.Encode()))
+	if err != nil {
+		b.t.Fatalf("build request: %v", err)
+	}
+	request.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	return b.do(request)
+}
+
+func (b *browser) do(request *http.Request) (string, int) {
+	b.t.Helper()
+	response, err := b.client.Do(request)
+	if err != nil {
+		b.t.Fatalf("call console: %v", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	page, err := io.ReadAll(response.Body)
+	if err != nil {
+		b.t.Fatalf("read page: %v", err)
+	}
+	return string(page), response.StatusCode
+}
+
+var inputs = regexp.MustCompile(`(?s)<input type="(?:text|hidden)"[^>]*?name="([^"]*)" value="([^"]*)"`)
+
+// form returns the fields of a page's form.
+func (b *browser) form(page string) url.Values {
+	form := url.Values{}
+	for _, match := range inputs.FindAllStringSubmatch(page, -1) {
+		form.Set(unescape(match[1]), unescape(match[2]))
+	}
+	return form
+}
+
+func unescape(text string) string {
+	return strings.NewReplacer("&#34;", `"`, "&#39;", "'", "&lt;", "<", "&gt;", ">", "&#43;", "+", "&amp;", "&").Replace(text)
+}
--- a/tests/ownership_test.go
+++ b/tests/ownership_test.go
@@ -9,14 +9,17 @@
 	"bergamotlead/tools/blfleet"
 )
 
-// checkOwners holds the upstreams' logs of accepted work against single
-// ownership and against what callers were told. Every upstream's log must be
-// readable.
+// checkOwners holds the logs of accepted work of the exclusive service's
+// upstreams against single ownership and against what callers were told. Every
+// upstream's log must be readable.
 func (f *fleet) checkOwners(tr *traffic) {
 	f.t.Helper()
 	var log []blfleet.Work
 	for _, host := range f.Hosts {
 		for _, upstream := range host.Upstreams {
+			if !upstream.Spec.Exclusive {
+				continue
+			}
 			part, err := f.Log(upstream)
 			if err != nil {
 				f.t.Fatalf("read log of %s: %v", upstream.Spec.Name, err)
@@ -79,6 +82,7 @@
 // TestSingleOwnership loses, freezes and cuts processes under load and looks
 // at the upstreams' logs of accepted work.
 func TestSingleOwnership(t *testing.T) {
+	t.Parallel()
 	const frozen = 2500 * time.Millisecond
 	cases := []struct {
 		name        string
--- a/tests/shares_test.go
+++ b/tests/shares_test.go
@@ -15,6 +15,7 @@
 // TestRateAndBurstHoldOverAllHosts offers several times an account's rate
 // through all hosts, loses nodes, and counts at the upstreams.
 func TestRateAndBurstHoldOverAllHosts(t *testing.T) {
+	t.Parallel()
 	const (
 		rate  = 200
 		burst = 60
--- a/tools/blfleet/fleet.go
+++ b/tools/blfleet/fleet.go
@@ -11,7 +11,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -294,15 +293,6 @@
 	return p.command.ProcessState.ExitCode()
 }
 
-func freeAddress() (string, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 // TimeoutError reports something that did not come about in time.
 type TimeoutError struct {
 	What string
--- a/tools/measure/recovery.go
+++ b/tools/measure/recovery.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -182,7 +183,7 @@
 
 func (p *prober) ask(client *http.Client, key int) bool {
 	url := fmt.Sprintf("http://%s/pot/key_%d/total", p.entry(key).Callers, key)
-	request, err := http.NewRequest(http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
 	if err != nil {
 		return false
 	}
