Set slow upstreams aside, hedge idempotent reads, measure the load

Cause: a draw of two could be the same upstream twice, so that stragglers set the tail; an upstream that turned cold by a factor of three was never taken for cold, since the limit was four. Change: two choices are distinct; an upstream above three times the median is passed by and tried again by one of 400 requests; a shared, idempotent request that takes three times the median goes to a second upstream within the hedge budget, and the first answer wins; 2.5 times the expected service time counts as cold. tools/measure: sizes, stragglers, shares, overload, hot-key.

--- a/core/bldeliver/limiter.go
+++ b/core/bldeliver/limiter.go
@@ -23,9 +23,9 @@
 	// inTimeFactor is how many times the expected service time an answer may
 	// take and still count as in time.
 	inTimeFactor = 2
-	// coldFactor is how many times the expected service time the average may
-	// reach before the upstream is taken for cold.
-	coldFactor = 4
+	// coldHalves is how many halves of the expected service time the average
+	// may reach before the upstream is taken for cold.
+	coldHalves = 5
 	// paceWeight is the share of a new answer in the average: one in eight.
 	paceWeight = 8
 	// shedKeep is what is left of the limit after shedding, in percent.
@@ -74,7 +74,7 @@
 		l.pace = min(latency, l.expected)
 	}
 	l.pace += (latency - l.pace) / paceWeight
-	if l.pace > coldFactor*l.expected {
+	if 2*l.pace > coldHalves*l.expected {
 		return l.WithColdStart()
 	}
 	if latency > inTimeFactor*l.expected {
--- a/core/blroute/choose.go
+++ b/core/blroute/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,8 @@
 	Failures int
 	// AsideUntil is when an upstream that was set aside is tried again.
 	AsideUntil bltimer.Instant
+	// Skipped counts the requests that passed it by while it was an outlier.
+	Skipped int
 }
 
 // Healths maps upstreams to their health.
@@ -47,8 +50,12 @@
 // Choose implements Chooser.
 func (TwoChoices) Choose(candidates []blassign.Entry, healths Healths, draw uint64) blassign.Entry {
 	count := uint64(len(candidates))
-	first := candidates[mix(draw)%count]
-	second := candidates[mix(^draw)%count]
+	position := mix(draw) % count
+	first := candidates[position]
+	if count == 1 {
+		return first
+	}
+	second := candidates[(position+1+mix(^draw)%(count-1))%count]
 	if cost(healths, second) < cost(healths, first) {
 		return second
 	}
@@ -100,20 +107,67 @@
 	return h
 }
 
-// usable returns the candidates that are not set aside and not to be avoided,
-// or all of them when none is left.
-func usable(
-	candidates []blassign.Entry, healths Healths, avoid blvalue.UpstreamName, now bltimer.Instant,
-) []blassign.Entry {
-	var list []blassign.Entry
+const (
+	// outlierFactor is how many times the median latency an upstream may take
+	// before it is an outlier.
+	outlierFactor = 3
+	// outlierFloor keeps quick upstreams from being outliers by chance.
+	outlierFloor = 2 * time.Millisecond
+	// probeEvery is how many requests pass an outlier by before one tries it
+	// again: a share too small to be seen at the 99th percentile.
+	probeEvery = 400
+)
+
+// medianLatency returns the median latency of the candidates that have
+// answered, or zero.
+func medianLatency(candidates []blassign.Entry, healths Healths) time.Duration {
+	latencies := make([]time.Duration, 0, len(candidates))
 	for _, entry := range candidates {
+		if health, ok := healths.Get(entry.Upstream.Name); ok && health.Latency > 0 {
+			latencies = append(latencies, health.Latency)
+		}
+	}
+	if len(latencies) == 0 {
+		return 0
+	}
+	slices.Sort(latencies)
+	return latencies[(len(latencies)-1)/2]
+}
+
+func (h Health) outlier(median time.Duration) bool {
+	return median > 0 && h.Latency > outlierFactor*median+outlierFloor
+}
+
+// selection is the candidates for one request.
+type selection struct {
+	usable []blassign.Entry
+	// probe is an outlier that is due to be tried again.
+	probe *blassign.Entry
+	// passed are the outliers that the request passes by.
+	passed []blvalue.UpstreamName
+}
+
+// selectUsable leaves out upstreams that are set aside, are outliers or are to
+// be avoided. When none is left, all are usable.
+func selectUsable(
+	candidates []blassign.Entry, healths Healths, avoid blvalue.UpstreamName, now bltimer.Instant,
+) selection {
+	var s selection
+	median := medianLatency(candidates, healths)
+	for i, entry := range candidates {
 		health, _ := healths.Get(entry.Upstream.Name)
-		if entry.Upstream.Name != avoid && !now.Before(health.AsideUntil) {
-			list = append(list, entry)
+		switch {
+		case entry.Upstream.Name == avoid || now.Before(health.AsideUntil):
+		case !health.outlier(median):
+			s.usable = append(s.usable, entry)
+		case health.Skipped >= probeEvery:
+			s.probe = &candidates[i]
+		default:
+			s.passed = append(s.passed, entry.Upstream.Name)
 		}
 	}
-	if len(list) == 0 {
-		return candidates
+	if len(s.usable) == 0 {
+		s.usable = candidates
 	}
-	return list
+	return s
 }
--- a/core/blroute/messages.go
+++ b/core/blroute/messages.go
@@ -48,6 +48,9 @@
 	Partition blvalue.Partition
 	// Exclusive tells that the partition has to be granted to the upstream.
 	Exclusive bool
+	// HedgeAfter is when an idempotent request may go to a second upstream as
+	// well, or zero for never.
+	HedgeAfter time.Duration
 }
 
 // Observed tells how an upstream answered.
--- a/core/blroute/state.go
+++ b/core/blroute/state.go
@@ -1,6 +1,8 @@
 package blroute
 
 import (
+	"time"
+
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bltimer"
@@ -91,13 +93,45 @@
 	if len(candidates) == 0 {
 		return s, Target{}, blvalue.NotRun(blvalue.ReasonNoUpstream, "no upstream of the service is up")
 	}
-	s.draw++
-	entry := s.chooser.Choose(usable(candidates, s.healths, m.Avoid, now), s.healths, s.draw)
+	s, entry := s.choose(candidates, m, now)
 	return s.withOutstanding(entry), Target{
 		Node: entry.Node, Upstream: entry.Upstream.Name, Service: service.Name,
+		HedgeAfter: hedgeAfter(candidates, s.healths),
 	}, nil
 }
 
+// choose picks an upstream of a shared service. Now and then a request tries
+// an outlier, so that one that has recovered comes back.
+func (s State[C]) choose(candidates []blassign.Entry, m Find, now bltimer.Instant) (State[C], blassign.Entry) {
+	selected := selectUsable(candidates, s.healths, m.Avoid, now)
+	for _, name := range selected.passed {
+		health, _ := s.healths.Get(name)
+		health.Skipped++
+		s.healths = s.healths.With(name, health)
+	}
+	if selected.probe != nil && m.First {
+		health, _ := s.healths.Get(selected.probe.Upstream.Name)
+		health.Skipped = 0
+		s.healths = s.healths.With(selected.probe.Upstream.Name, health)
+		return s, *selected.probe
+	}
+	s.draw++
+	return s, s.chooser.Choose(selected.usable, s.healths, s.draw)
+}
+
+// shortestHedge keeps quick answers from being hedged.
+const shortestHedge = 3 * time.Millisecond
+
+// hedgeAfter returns how long a request may go unanswered before it is an
+// outlier, or zero while too little is known.
+func hedgeAfter(candidates []blassign.Entry, healths Healths) time.Duration {
+	median := medianLatency(candidates, healths)
+	if median == 0 || len(candidates) < 2 {
+		return 0
+	}
+	return max(outlierFactor*median, shortestHedge)
+}
+
 func (s State[C]) owner(m Find, service blconfig.Service) (State[C], Target, *blvalue.Refusal) {
 	partition := blvalue.PartitionOf(m.Request.Key, service.Partitions)
 	entry, ok := s.directory.Owner(service.Name, partition)
--- /dev/null
+++ b/core/blroute/straggler_test.go
@@ -0,0 +1,166 @@
+package blroute_test
+
+import (
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"bergamotlead/core/blassign"
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/blring"
+	"bergamotlead/core/blroute"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+// leastReported takes the candidate whose own report of its load is lowest.
+// The report lags. It is here to be compared with.
+type leastReported struct{ reports *map[blvalue.UpstreamName]int }
+
+func (l leastReported) Choose(candidates []blassign.Entry, _ blroute.Healths, draw uint64) blassign.Entry {
+	best := candidates[draw%uint64(len(candidates))]
+	for _, c := range candidates {
+		if (*l.reports)[c.Upstream.Name] < (*l.reports)[best.Upstream.Name] {
+			best = c
+		}
+	}
+	return best
+}
+
+// pool is a shared service of five upstreams with six slots each, of which
+// some take ten times as long.
+type pool struct {
+	free    map[blvalue.UpstreamName][]time.Duration
+	work    map[blvalue.UpstreamName]time.Duration
+	reports map[blvalue.UpstreamName]int
+}
+
+const (
+	poolUpstreams = 5
+	poolSlots     = 6
+	poolService   = 5 * time.Millisecond
+	reportEvery   = time.Second
+)
+
+func newPool(slow int) *pool {
+	p := &pool{
+		free: map[blvalue.UpstreamName][]time.Duration{}, work: map[blvalue.UpstreamName]time.Duration{},
+		reports: map[blvalue.UpstreamName]int{},
+	}
+	for i, name := range poolNames() {
+		p.free[name] = make([]time.Duration, poolSlots)
+		p.work[name] = poolService
+		if i < slow {
+			p.work[name] *= 10
+		}
+	}
+	return p
+}
+
+func poolNames() []blvalue.UpstreamName {
+	return []blvalue.UpstreamName{"wish_1", "wish_2", "wish_3", "wish_4", "wish_5"}
+}
+
+// serve returns when a request that arrives at now is answered.
+func (p *pool) serve(name blvalue.UpstreamName, now time.Duration, random *rand.Rand) time.Duration {
+	slots := p.free[name]
+	sort.Slice(slots, func(i, j int) bool { return slots[i] < slots[j] })
+	start := max(slots[0], now)
+	slots[0] = start + time.Duration(float64(p.work[name])*(0.5+random.Float64()))
+	return slots[0]
+}
+
+func (p *pool) busy(name blvalue.UpstreamName, now time.Duration) int {
+	count := 0
+	for _, free := range p.free[name] {
+		if free > now {
+			count++
+		}
+	}
+	return count
+}
+
+// run sends requests at 40% of the pool's capacity and returns the latency of
+// the 99th percentile after the first two seconds.
+func run[C blroute.Chooser](chooser C, p *pool, seed uint64) time.Duration {
+	random := rand.New(rand.NewPCG(seed, 3))
+	s := blroute.New(chooser)
+	s, _ = blroute.Decide(s, blroute.ConfigChanged{Accepted: blconfig.Accepted{Revision: 1, Plan: blconfig.Plan{
+		Services: map[blvalue.ServiceName]blconfig.Service{"wishlist": {Name: "wishlist", Kind: blconfig.ServiceShared}},
+	}}}, 0)
+	directory := blassign.Directory{Full: true}
+	for _, name := range poolNames() {
+		directory.Entries = append(directory.Entries, entry(string(name), "wishlist"))
+	}
+	s, _ = blroute.Decide(s, blroute.DirectoryChanged{Directory: directory}, 0)
+	type answer struct {
+		at       time.Duration
+		observed blroute.Observed
+	}
+	var open []answer
+	var latencies []time.Duration
+	gap := poolService * 10 / (poolUpstreams * poolSlots * 4)
+	reported := time.Duration(0)
+	for now := time.Duration(0); now < 20*time.Second; now += time.Duration(random.ExpFloat64() * float64(gap)) {
+		if now-reported > reportEvery {
+			reported = now
+			for _, name := range poolNames() {
+				p.reports[name] = p.busy(name, now)
+			}
+		}
+		rest := open[:0]
+		for _, a := range open {
+			if a.at > now {
+				rest = append(rest, a)
+				continue
+			}
+			s, _ = blroute.Decide(s, a.observed, bltimer.Instant(a.at))
+		}
+		open = rest
+		var effects []blroute.Effect
+		s, effects = blroute.Decide(s, blroute.Find{
+			Request: blvalue.Request{Service: "wishlist"}, First: true, Reply: blring.NewReply[blroute.Answer](),
+		}, bltimer.Instant(now))
+		name := effects[0].Answer.Target.Upstream
+		end := p.serve(name, now, random)
+		open = append(open, answer{at: end, observed: blroute.Observed{Upstream: name, Latency: end - now}})
+		if now > 2*time.Second {
+			latencies = append(latencies, end-now)
+		}
+	}
+	sort.Slice(latencies, func(i, j int) bool { return latencies[i] < latencies[j] })
+	return latencies[len(latencies)*99/100]
+}
+
+// runBlindly sends the same requests to the upstreams in turn, whatever they
+// are like.
+func runBlindly(p *pool, seed uint64) time.Duration {
+	random := rand.New(rand.NewPCG(seed, 3))
+	var latencies []time.Duration
+	gap := poolService * 10 / (poolUpstreams * poolSlots * 4)
+	turn := 0
+	for now := time.Duration(0); now < 20*time.Second; now += time.Duration(random.ExpFloat64() * float64(gap)) {
+		turn++
+		latencies = append(latencies, p.serve(poolNames()[turn%poolUpstreams], now, random)-now)
+	}
+	sort.Slice(latencies, func(i, j int) bool { return latencies[i] < latencies[j] })
+	return latencies[len(latencies)*99/100]
+}
+
+// TestStragglersDontSetTheTail compares the choices with one and two of five
+// upstreams slowed tenfold, at the same arrivals.
+func TestStragglersDontSetTheTail(t *testing.T) {
+	const target = 9 * time.Millisecond
+	for _, slow := range []int{0, 1, 2} {
+		p := newPool(slow)
+		roundRobin := run(blroute.RoundRobin{}, newPool(slow), 5)
+		reported := run(leastReported{reports: &p.reports}, p, 5)
+		twoChoices := run(blroute.TwoChoices{}, newPool(slow), 5)
+		t.Logf("%d of 5 slow: 99th percentile blind round robin %v, least reported load %v, round robin without outliers %v, two choices without outliers %v",
+			slow, runBlindly(newPool(slow), 5), reported, roundRobin, twoChoices)
+		if twoChoices > target {
+			t.Errorf("99th percentile with %d slow: got %v, want at most %v", slow, twoChoices, target)
+		}
+	}
+}
--- a/io/blhttp/forward.go
+++ b/io/blhttp/forward.go
@@ -120,7 +120,7 @@
 			return delivery, 0
 		}
 		j.front.metrics.Retried(delivery.Refusal.Reason)
-		next, err := j.find(ctx, answer, step == blroute.StepSpend)
+		next, err := j.find(ctx, answer, blroute.Find{Spend: step == blroute.StepSpend})
 		if err != nil || next.Refusal != nil && step == blroute.StepSpend {
 			return delivery, 0
 		}
@@ -133,8 +133,16 @@
 	if answer.Refusal != nil {
 		return bldeliver.Delivery{Refusal: answer.Refusal}
 	}
+	if answer.Route.Idempotent && answer.Target.HedgeAfter > 0 && j.call.body.replayable() {
+		return j.hedged(ctx, answer)
+	}
+	return j.deliver(ctx, answer, j.sink)
+}
+
+// deliver hands the order to its target and tells routing how that went.
+func (j *journey) deliver(ctx context.Context, answer blroute.Answer, sink bldeliver.Sink) bldeliver.Delivery {
 	sentAt := time.Now()
-	delivery := j.front.deliver(ctx, j.order(ctx, answer), j.sink)
+	delivery := j.front.deliver(ctx, j.order(ctx, answer), sink)
 	_ = j.front.route(blroute.Observed{
 		Upstream: answer.Target.Upstream, Latency: time.Since(sentAt), Failed: failed(delivery.Refusal),
 	})
@@ -176,13 +184,13 @@
 	return reply.Await(ctx) //nolint:wrapcheck // waitRefusal reads it
 }
 
-func (j *journey) find(ctx context.Context, last blroute.Answer, spend bool) (blroute.Answer, error) {
+// find looks for the target of another attempt, which the given message says
+// to be a repeat or a hedge.
+func (j *journey) find(ctx context.Context, last blroute.Answer, find blroute.Find) (blroute.Answer, error) {
 	reply := blring.NewReply[blroute.Answer]()
-	err := j.front.route(blroute.Find{
-		Request: j.call.request, Route: last.Route, Account: last.Account, Spend: spend,
-		Avoid: last.Target.Upstream, Reply: reply,
-	})
-	if err != nil {
+	find.Request, find.Route, find.Account = j.call.request, last.Route, last.Account
+	find.Avoid, find.Reply = last.Target.Upstream, reply
+	if err := j.front.route(find); err != nil {
 		return blroute.Answer{}, err
 	}
 	return reply.Await(ctx) //nolint:wrapcheck // waitRefusal reads it
--- a/tools/measure/document.go
+++ b/tools/measure/document.go
@@ -25,6 +25,17 @@
 	return blconfig.Value{Kind: blconfig.KindInteger, Integer: value}
 }
 
+// sharesDocument gives accounts the rates and bursts of a measurement.
+func sharesDocument(accounts []account) func(blconfig.Document) blconfig.Document {
+	return func(d blconfig.Document) blconfig.Document {
+		for _, a := range accounts {
+			d = set(d, "accounts", a.name, "rate", integer(int64(a.rate)))
+			d = set(d, "accounts", a.name, "burst", integer(int64(a.burst)))
+		}
+		return d
+	}
+}
+
 // fast makes the pot service as quick and wide as the checks allow, so that
 // the upstream is not what limits, and gives one account all of its rate.
 func fast(d blconfig.Document) blconfig.Document {
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -16,10 +16,15 @@
 )
 
 type arguments struct {
-	Path     pathCommand     `cmd:"" help:"Time that the path adds to a call of the upstream."`
-	Idle     idleCommand     `cmd:"" help:"What control costs when nothing changes, by the number of nodes."`
-	Recovery recoveryCommand `cmd:"" help:"Time during which keys are unavailable after a loss."`
-	All      allCommand      `cmd:"" default:"1" help:"Everything."`
+	Path       pathCommand       `cmd:"" help:"Time that the path adds to a call of the upstream."`
+	Idle       idleCommand       `cmd:"" help:"What control costs when nothing changes, by the number of nodes."`
+	Recovery   recoveryCommand   `cmd:"" help:"Time during which keys are unavailable after a loss."`
+	Sizes      sizesCommand      `cmd:"" help:"Latency at the Dakar mesh's size of today."`
+	Stragglers stragglersCommand `cmd:"" help:"Tail latency with slow upstreams."`
+	Shares     sharesCommand     `cmd:"" help:"Refusals of accounts that stay within their rates."`
+	Overload   overloadCommand   `cmd:"" help:"Goodput at twice the capacity."`
+	HotKey     hotKeyCommand     `cmd:"" help:"Latency of other keys beside a hot one."`
+	All        allCommand        `cmd:"" default:"1" help:"Everything."`
 }
 
 func main() {
@@ -37,7 +42,9 @@
 func (allCommand) Run() error {
 	commands := []interface{ Run() error }{
 		pathCommand{Length: 4 * time.Second}, idleCommand{Nodes: []int{3, 12, 48}, Length: 10 * time.Second},
-		recoveryCommand{Rounds: 3},
+		recoveryCommand{Rounds: 3}, sizesCommand{Length: 8 * time.Second}, stragglersCommand{Length: 8 * time.Second},
+		sharesCommand{Length: 10 * time.Second}, overloadCommand{Length: 20 * time.Second},
+		hotKeyCommand{Length: 8 * time.Second},
 	}
 	for _, command := range commands {
 		if err := command.Run(); err != nil {
--- /dev/null
+++ b/tools/measure/shares.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"bergamotlead/tools/blload"
+)
+
+type sharesCommand struct {
+	Length time.Duration `default:"10s" help:"Length of the load."`
+}
+
+type sharesMeasurement struct {
+	Measurement string `json:"measurement"`
+	Entry       string `json:"entry"`
+	// Each is the share of the ordinary accounts' requests that were refused
+	// though the accounts stayed within their rates, in percent.
+	Nodes         float64 `json:"refused_percent"`
+	FixedShares   float64 `json:"refused_percent_with_fixed_shares"`
+	CentralBucket float64 `json:"refused_percent_with_a_central_bucket"`
+	// Worst is the worst-served ordinary account's share of what it asked.
+	Worst float64 `json:"worst_served_percent"`
+	// Greedy is what the account that asked for five times its rate got, of its
+	// rate.
+	Greedy float64 `json:"greedy_got_of_its_rate"`
+}
+
+// arrival is one request as a caller sent it.
+type arrival struct {
+	at      time.Duration
+	account string
+	host    int
+}
+
+const (
+	greedy      = "bookkeeping"
+	greedyTimes = 5
+	// ordinaryShare is the part of its rate that an ordinary account asks for.
+	ordinaryShare = 0.8
+)
+
+// Run offers one account five times its rate beside seven ordinary ones, once
+// through all hosts alike and once mostly through one.
+func (c sharesCommand) Run() error {
+	for _, entry := range []string{"even", "skewed"} {
+		if err := c.measure(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type account struct {
+	name    string
+	rate    float64
+	burst   float64
+	service string
+}
+
+func sharesAccounts() []account {
+	return []account{
+		{"family_app", 300, 60, "pot"}, {"thies_kiosk", 60, 20, "pot"}, {"dakar_kiosk", 60, 20, "pot"},
+		{"grandparent_web", 120, 30, "wishlist"}, {"stock_check", 120, 30, "wishlist"}, {"gift_shops", 40, 20, "wishlist"},
+		{"school_groups", 40, 20, "pot"}, {greedy, 60, 20, "pot"},
+	}
+}
+
+func (c sharesCommand) measure(entry string) error {
+	accounts := sharesAccounts()
+	d, err := deploy(dakarToday(), sharesDocument(accounts))
+	if err != nil {
+		return err
+	}
+	defer d.stop()
+	recorder := &recorder{started: time.Now()}
+	results := map[string]blload.Result{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, a := range accounts {
+		wg.Go(func() {
+			result := blload.Run(c.plan(d, a, entry, recorder))
+			mu.Lock()
+			results[a.name] = result
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	report(c.summary(entry, accounts, results, recorder, len(d.Hosts)))
+	return nil
+}
+
+func (c sharesCommand) plan(d *deployment, a account, entry string, recorder *recorder) blload.Plan {
+	offered := a.rate * ordinaryShare
+	if a.name == greedy {
+		offered = a.rate * greedyTimes
+	}
+	return blload.Plan{Callers: 8, Length: c.Length, Rate: offered, Next: func(caller, number int) blload.Request {
+		host := (caller + number) % len(d.Hosts)
+		if entry == "skewed" && number%10 != 0 {
+			host = 0
+		}
+		recorder.note(a.name, host)
+		path := fmt.Sprintf("/%s/%d/contributions", a.service, number%benchKeys)
+		method := http.MethodPost
+		if a.service == "wishlist" {
+			method = http.MethodGet
+		}
+		return blload.Request{Method: method, URL: "http://" + d.Hosts[host].Callers + path, Key: d.Keys[a.name], Body: "1"}
+	}}
+}
+
+func (sharesCommand) summary(
+	entry string, accounts []account, results map[string]blload.Result, recorder *recorder, hosts int,
+) sharesMeasurement {
+	m := sharesMeasurement{Measurement: "shares", Entry: entry, Worst: 100}
+	asked, refused, fixed, central := 0, 0, 0, 0
+	for _, a := range accounts {
+		result := results[a.name]
+		if a.name == greedy {
+			m.Greedy = result.Rate() / a.rate
+			continue
+		}
+		asked += result.Answered
+		refused += result.Statuses[http.StatusTooManyRequests]
+		arrivals := recorder.of(a.name)
+		fixed += refusedBy(arrivals, a, hosts)
+		central += refusedBy(alike(arrivals), a, 1)
+		m.Worst = min(m.Worst, 100*float64(result.Statuses[http.StatusOK])/float64(result.Answered))
+	}
+	m.Nodes = 100 * float64(refused) / float64(asked)
+	m.FixedShares = 100 * float64(fixed) / float64(asked)
+	m.CentralBucket = 100 * float64(central) / float64(asked)
+	return m
+}
+
+// recorder notes every request, so that other ways of sharing a rate can be
+// tried on the same ones.
+type recorder struct {
+	started time.Time
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+func (r *recorder) note(name string, host int) {
+	r.mu.Lock()
+	r.arrivals = append(r.arrivals, arrival{at: time.Since(r.started), account: name, host: host})
+	r.mu.Unlock()
+}
+
+func (r *recorder) of(name string) []arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []arrival
+	for _, a := range r.arrivals {
+		if a.account == name {
+			list = append(list, a)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].at < list[j].at })
+	return list
+}
+
+// alike returns the arrivals as if all had come through one host.
+func alike(arrivals []arrival) []arrival {
+	list := make([]arrival, len(arrivals))
+	for i, a := range arrivals {
+		a.host = 0
+		list[i] = a
+	}
+	return list
+}
+
+// refusedBy returns how many of the arrivals are refused when each host has an
+// equal and fixed share of the rate and burst, with full buckets at the start.
+func refusedBy(arrivals []arrival, a account, hosts int) int {
+	levels := make([]float64, hosts)
+	filled := make([]time.Duration, hosts)
+	for i := range levels {
+		levels[i] = a.burst / float64(hosts)
+	}
+	refused := 0
+	for _, x := range arrivals {
+		elapsed := (x.at - filled[x.host]).Seconds()
+		levels[x.host] = min(levels[x.host]+elapsed*a.rate/float64(hosts), a.burst/float64(hosts))
+		filled[x.host] = x.at
+		if levels[x.host] < 1 {
+			refused++
+			continue
+		}
+		levels[x.host]--
+	}
+	return refused
+}
