Pass small bodies and answers in one frame; keep small cut answers from the caller

Cause: a request took three answer frames and two order frames between nodes. A small answer that broke off also broke the caller's connection, though nothing had been passed on yet. Change: a body of up to 32 KB of known length goes with the head, both ways; the owner's node reads a small answer whole before it passes it on. A cut small answer is now told as ran_partially_answered, and an idempotent request is tried again; a cut large one breaks the connection as before.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 TOOLS := $(CURDIR)/.bin
 BUILD := $(CURDIR)/.build
 
-.PHONY: build demo test unit race lint bench measure fuzz generate clean
+.PHONY: build demo test unit race lint bench measure fuzz generate config-page clean
 
 build: ## Build every program into .build
 	go build -o $(BUILD)/ ./cmd/... 
@@ -41,6 +41,9 @@
 generate: $(TOOLS)/buf ## Generate the code of the protocol between nodes
 	$(TOOLS)/buf generate
 
+config-page: ## Write docs/CONFIGURATION.md from the options
+	go run ./tools/configpage > docs/CONFIGURATION.md.new && mv docs/CONFIGURATION.md.new docs/CONFIGURATION.md
+
 clean:
 	rm -rf $(TOOLS) $(BUILD)
 
--- a/io/blgrpc/client.go
+++ b/io/blgrpc/client.go
@@ -203,19 +203,39 @@
 	if err != nil {
 		return notSent(err)
 	}
-	head := &blproto.DeliverRequest{Part: &blproto.DeliverRequest_Head{Head: orderToProto(order)}}
-	if err := stream.Send(head); err != nil {
+	head := orderToProto(order)
+	if err := addSmallBody(head, order); err != nil {
+		return notSent(err)
+	}
+	if err := stream.Send(&blproto.DeliverRequest{Part: &blproto.DeliverRequest_Head{Head: head}}); err != nil {
 		return broken(ctx, streamError(stream, err), false)
 	}
-	sender := &bodySender{stream: stream, body: order.Body}
-	if order.Body == nil {
+	if head.GetBodyWhole() {
 		_ = stream.CloseSend()
 	} else {
+		sender := &bodySender{stream: stream, body: order.Body}
 		go sender.run()
 	}
 	return receive(ctx, stream, sink)
 }
 
+// addSmallBody puts a body of known and small length, or none, into the head.
+func addSmallBody(head *blproto.OrderHead, order bldeliver.Order) error {
+	if order.BodyLength < 0 || order.BodyLength > frameBytes {
+		return nil
+	}
+	head.BodyWhole = true
+	if order.Body == nil {
+		return nil
+	}
+	body, err := io.ReadAll(order.Body)
+	if err != nil {
+		return fmt.Errorf("read body: %w", err)
+	}
+	head.Body = body
+	return nil
+}
+
 type deliverStream = grpc.BidiStreamingClient[blproto.DeliverRequest, blproto.DeliverReply]
 
 // streamError returns why a stream ended, which Send alone doesn't tell.
@@ -266,6 +286,9 @@
 		case *blproto.DeliverReply_Head:
 			started = true
 			err = sink.Head(int(part.Head.GetStatus()), fieldsFromProto(part.Head.GetHeader()))
+			if err == nil && part.Head.GetWhole() {
+				return whole(part.Head, sink)
+			}
 		case *blproto.DeliverReply_Body:
 			_, err = sink.Write(part.Body)
 		case *blproto.DeliverReply_Trailer:
@@ -276,16 +299,31 @@
 			return bldeliver.Delivery{Started: true}
 		}
 		if err != nil {
-			return bldeliver.Delivery{
-				Refusal: &blvalue.Refusal{
-					Outcome: blvalue.OutcomePartial, Reason: blvalue.ReasonCancelled, Detail: "the caller went away",
-				},
-				Started: started,
-			}
+			return callerGone(started)
 		}
 	}
 }
 
+// whole passes an answer on that came as one frame.
+func whole(head *blproto.AnswerHead, sink bldeliver.Sink) bldeliver.Delivery {
+	if len(head.GetBody()) == 0 {
+		return bldeliver.Delivery{Started: true}
+	}
+	if _, err := sink.Write(head.GetBody()); err != nil {
+		return callerGone(true)
+	}
+	return bldeliver.Delivery{Started: true}
+}
+
+func callerGone(started bool) bldeliver.Delivery {
+	return bldeliver.Delivery{
+		Refusal: &blvalue.Refusal{
+			Outcome: blvalue.OutcomePartial, Reason: blvalue.ReasonCancelled, Detail: "the caller went away",
+		},
+		Started: started,
+	}
+}
+
 // notSent is the delivery of an order that never left this node.
 func notSent(err error) bldeliver.Delivery {
 	return bldeliver.Delivery{
--- a/io/blgrpc/order.go
+++ b/io/blgrpc/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bldeliver"
@@ -81,22 +82,53 @@
 	return count, nil
 }
 
-// frameSink sends an answer as frames of a stream.
+// frameSink sends an answer as frames of a stream. A small answer of known
+// length goes out as one frame, by finish.
 type frameSink struct {
-	send    func(*blproto.DeliverReply) error
-	started bool
+	send func(*blproto.DeliverReply) error
+	// held is the head of an answer whose body is still collected.
+	held *blproto.AnswerHead
 }
 
 // Head implements bldeliver.Sink.
 func (f *frameSink) Head(status int, header map[string][]string) error {
-	f.started = true
-	return f.send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Head{
-		Head: &blproto.AnswerHead{Status: int32(status), Header: fieldsToProto(header)},
-	}})
+	head := &blproto.AnswerHead{Status: int32(status), Header: fieldsToProto(header)}
+	length, known := contentLength(header)
+	if known && length <= frameBytes {
+		f.held = head
+		return nil
+	}
+	return f.sendHead(head)
+}
+
+func contentLength(header map[string][]string) (int, bool) {
+	values := header["Content-Length"]
+	if len(values) != 1 {
+		return 0, false
+	}
+	length, err := strconv.Atoi(values[0])
+	return length, err == nil && length >= 0
+}
+
+func (f *frameSink) sendHead(head *blproto.AnswerHead) error {
+	return f.send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Head{Head: head}})
+}
+
+// finish sends an answer that was collected, or tells that all was sent.
+func (f *frameSink) finish() error {
+	if f.held == nil {
+		return f.send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Done{Done: true}})
+	}
+	f.held.Whole = true
+	return f.sendHead(f.held)
 }
 
 // Write implements bldeliver.Sink.
 func (f *frameSink) Write(chunk []byte) (int, error) {
+	if f.held != nil {
+		f.held.Body = append(f.held.GetBody(), chunk...)
+		return len(chunk), nil
+	}
 	for sent := 0; sent < len(chunk); sent += frameBytes {
 		frame := chunk[sent:min(sent+frameBytes, len(chunk))]
 		err := f.send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Body{Body: frame}})
@@ -107,8 +139,11 @@
 	return len(chunk), nil
 }
 
-// Trailer implements bldeliver.Sink.
+// Trailer implements bldeliver.Sink. An answer of known length has none.
 func (f *frameSink) Trailer(trailer map[string][]string) error {
+	if f.held != nil {
+		return nil
+	}
 	return f.send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Trailer{
 		Trailer: &blproto.Trailer{Fields: fieldsToProto(trailer)},
 	}})
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -2,8 +2,10 @@
 package blgrpc
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -141,6 +143,15 @@
 	}, nil
 }
 
+// bodyOf returns the body of an order: the one that came with its head, or the
+// frames that follow.
+func bodyOf(head *blproto.OrderHead, stream grpc.BidiStreamingServer[blproto.DeliverRequest, blproto.DeliverReply]) io.Reader {
+	if head.GetBodyWhole() {
+		return bytes.NewReader(head.GetBody())
+	}
+	return &frameReader{receive: stream.Recv}
+}
+
 // Deliver implements the Node service.
 func (s *Server) Deliver(stream grpc.BidiStreamingServer[blproto.DeliverRequest, blproto.DeliverReply]) error {
 	first, err := stream.Recv()
@@ -151,15 +162,17 @@
 	if head == nil {
 		return status.Error(codes.InvalidArgument, "the first frame isn't the head of an order")
 	}
-	order := orderFromProto(head, &frameReader{receive: stream.Recv})
+	order := orderFromProto(head, bodyOf(head, stream))
 	ctx, cancel := context.WithTimeout(stream.Context(), order.Timeout)
 	defer cancel()
-	delivery := s.node.Deliver(ctx, order, &frameSink{send: stream.Send})
-	last := &blproto.DeliverReply{Part: &blproto.DeliverReply_Done{Done: true}}
-	if delivery.Refusal != nil {
-		last = &blproto.DeliverReply{Part: &blproto.DeliverReply_Refusal{Refusal: refusalToProto(delivery)}}
+	sink := &frameSink{send: stream.Send}
+	delivery := s.node.Deliver(ctx, order, sink)
+	if delivery.Refusal == nil {
+		err = sink.finish()
+	} else {
+		err = stream.Send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Refusal{Refusal: refusalToProto(delivery)}})
 	}
-	if err := stream.Send(last); err != nil {
+	if err != nil {
 		return fmt.Errorf("send end of answer: %w", err)
 	}
 	return nil
--- a/io/blupstream/deliver.go
+++ b/io/blupstream/deliver.go
@@ -301,8 +301,29 @@
 	return refused(blvalue.NotRun(blvalue.ReasonOverload, "the upstream has too much to do")), bldeliver.ResultShed
 }
 
+// passSmall reads a small answer whole before it begins to pass it on. One that
+// breaks off has then not been seen by the caller.
+func (a *attempt) passSmall(ctx context.Context, response *http.Response) (bldeliver.Delivery, bldeliver.Result) {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		delivery := a.cut(ctx)
+		delivery.Started = false
+		return delivery, bldeliver.ResultBroke
+	}
+	if err := a.sink.Head(response.StatusCode, blheader.Answered(response.Header)); err != nil {
+		return a.cut(ctx), bldeliver.ResultUnused
+	}
+	if _, err := a.sink.Write(body); err != nil {
+		return a.cut(ctx), bldeliver.ResultUnused
+	}
+	return bldeliver.Delivery{Started: true}, bldeliver.ResultAnswered
+}
+
 // pass copies an answer to the sink.
 func (a *attempt) pass(ctx context.Context, response *http.Response) (bldeliver.Delivery, bldeliver.Result) {
+	if response.ContentLength >= 0 && response.ContentLength <= copyBytes {
+		return a.passSmall(ctx, response)
+	}
 	if err := a.sink.Head(response.StatusCode, blheader.Answered(response.Header)); err != nil {
 		return a.cut(ctx), bldeliver.ResultUnused
 	}
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -47,6 +48,8 @@
 	SlowFactor float64 `json:"slow_factor"`
 	// CutAnswers breaks off the next answers in the middle.
 	CutAnswers int `json:"cut_answers"`
+	// AnswerBytes pads the answers to this size.
+	AnswerBytes int `json:"answer_bytes"`
 	// BreakAfterRun ends the connection of the next requests after they ran.
 	BreakAfterRun int `json:"break_after_run"`
 	// FalseLoad is announced in place of the load when it isn't zero.
@@ -321,11 +324,13 @@
 	} else if cuts {
 		s.faults.CutAnswers--
 	}
+	padding := s.faults.AnswerBytes
 	s.mu.Unlock()
 	if breaks {
 		panic(http.ErrAbortHandler)
 	}
 	encoded, _ := json.Marshal(result)
+	encoded = append(encoded, bytes.Repeat([]byte(" "), max(padding-len(encoded), 0))...)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
 	if cuts {
--- a/tests/requests_test.go
+++ b/tests/requests_test.go
@@ -158,8 +158,11 @@
 	}{
 		{"breaks after it ran, not idempotent", map[string]any{"break_after_run": 1}, http.MethodPost, "contributions", http.StatusBadGateway, "unknown", [2]int{1, 1}, false},
 		{"breaks after it ran, idempotent", map[string]any{"break_after_run": 1}, http.MethodGet, "total", http.StatusOK, "", [2]int{2, 2}, false},
-		{"cut in the middle of the answer, not idempotent", map[string]any{"cut_answers": 1}, http.MethodPost, "contributions", 0, "", [2]int{1, 1}, true},
-		{"cut in the middle of the answer, idempotent", map[string]any{"cut_answers": 1}, http.MethodGet, "total", 0, "", [2]int{1, 1}, true},
+		{"cut in the middle of a small answer, not idempotent", map[string]any{"cut_answers": 1}, http.MethodPost, "contributions", http.StatusBadGateway, "ran_partially_answered", [2]int{1, 1}, false},
+		{"cut in the middle of a small answer, idempotent", map[string]any{"cut_answers": 1}, http.MethodGet, "total", http.StatusOK, "", [2]int{2, 2}, false},
+		{"cut in the middle of a large answer, not idempotent", map[string]any{"cut_answers": 1, "answer_bytes": 1 << 20}, http.MethodPost, "contributions", 0, "", [2]int{1, 1}, true},
+		{"cut in the middle of a large answer, idempotent", map[string]any{"cut_answers": 1, "answer_bytes": 1 << 20}, http.MethodGet, "total", 0, "", [2]int{1, 1}, true},
+		{"a large answer", map[string]any{"answer_bytes": 1 << 20}, http.MethodPost, "contributions", http.StatusOK, "", [2]int{1, 1}, false},
 		{"slower than the caller waits, not idempotent", map[string]any{"slow_factor": 400}, http.MethodPost, "contributions", http.StatusGatewayTimeout, "unknown", [2]int{0, 1}, false},
 	}
 	for _, host := range []*blfleet.Host{f.Hosts[0], other} {
@@ -168,7 +171,7 @@
 				before := f.runs(owner)
 				f.upstreamFaults(owner, c.faults)
 				answer, err := f.callFor(host, c.method, "/pot/"+key+"/"+c.path, "500ms")
-				f.upstreamFaults(owner, map[string]any{"slow_factor": 1, "break_after_run": 0, "cut_answers": 0})
+				f.upstreamFaults(owner, map[string]any{"slow_factor": 1, "break_after_run": 0, "cut_answers": 0, "answer_bytes": 0})
 				time.Sleep(50 * time.Millisecond)
 				runs := f.runs(owner) - before
 				if c.broken != (err != nil) {
--- /dev/null
+++ b/tools/configpage/main_test.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"os"
+	"testing"
+)
+
+func TestPageIsUpToDate(t *testing.T) {
+	t.Chdir("../..")
+	want, err := render("configs/dakar.toml")
+	if err != nil {
+		t.Fatalf("render: got %v, want nil", err)
+	}
+	got, err := os.ReadFile("docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatalf("read page: %v", err)
+	}
+	if string(got) != want {
+		t.Error("docs/CONFIGURATION.md: got another text, want what make config-page writes")
+	}
+}
