Let the standby watch its lead closely; leave held partitions out of heartbeats

The standby knew its standing only from a record that it had read before it was named, so that it waited the life of a grant (0.9 s) before it looked at the store, and not half a lease. Ruled out: the lease (0.5 s), the reads (every 50 ms), the members that the new lead knew (3 of 3 when it was settled). Change: a call of the lead tells the standby that it stands by. It still takes over only by the record in the store.

--- a/core/blassign/bench_test.go
+++ b/core/blassign/bench_test.go
@@ -72,7 +72,7 @@
 		b.Directory = reply.Directory.Version
 	}
 	for _, offer := range reply.Offers {
-		held := blgrant.Held{Upstream: offer.Upstream, Incarnation: offer.Incarnation, Service: offer.Service, Fence: offer.Fence}
+		held := blgrant.Held{Upstream: offer.Upstream, Incarnation: offer.Incarnation, Service: offer.Service, Fence: offer.Fence, HasSet: true}
 		if offer.HasSet {
 			held.Set = offer.Set
 		} else if len(b.Held) > 0 {
--- a/core/blassign/heartbeat.go
+++ b/core/blassign/heartbeat.go
@@ -25,6 +25,10 @@
 		reply.Config = &config
 	}
 	for _, upstream := range m.Upstreams {
+		if s.needsHeld(m, upstream, now) {
+			reply.NeedHeld = true
+			continue
+		}
 		var offer blgrant.Offer
 		var waits bool
 		s, offer, waits = s.offer(m, upstream, now)
@@ -200,6 +204,17 @@
 	return held.Set
 }
 
+// needsHeld reports whether this lead has to know what the upstream holds from
+// an older term, and the report leaves it out.
+func (s State[P]) needsHeld(m Heartbeat, upstream blvalue.Upstream, now bltimer.Instant) bool {
+	held := heldBy(m, upstream)
+	if s.authority.Settled(now) || held.HasSet || held.Fence.Term == 0 {
+		return false
+	}
+	_, known := s.outstanding.Get(NewHolder(m.Node.Incarnation, upstream.Incarnation))
+	return !known
+}
+
 func heldBy(m Heartbeat, upstream blvalue.Upstream) blgrant.Held {
 	for _, held := range m.Held {
 		if held.Incarnation == upstream.Incarnation {
--- a/core/blassign/messages.go
+++ b/core/blassign/messages.go
@@ -69,6 +69,8 @@
 	Directory *Directory
 	// Standby is the process to ask when the lead is gone.
 	Standby blvalue.Host
+	// NeedHeld asks the node to list the partitions that it holds.
+	NeedHeld bool
 	// Soon tells the node to report again without waiting for its period.
 	Soon time.Duration
 }
--- a/core/blgrant/grant.go
+++ b/core/blgrant/grant.go
@@ -30,6 +30,8 @@
 	Service     blvalue.ServiceName
 	// Fence is the fence of the oldest set under which requests may still run.
 	Fence blvalue.Fence
+	// HasSet tells whether Set is given. A lead that gave the grant knows it.
+	HasSet bool
 	// Set is what the holder holds and still may use when it sent the report.
 	Set blvalue.PartitionSet
 }
--- a/core/blgrant/state.go
+++ b/core/blgrant/state.go
@@ -206,6 +206,7 @@
 	for _, grant := range s.grants.All() {
 		report := Held{
 			Upstream: grant.Upstream, Incarnation: grant.Incarnation, Service: grant.Service, Fence: grant.reportedFence(),
+			HasSet: true,
 		}
 		if now.Before(grant.Until) {
 			report.Set = grant.Set
--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -142,7 +142,7 @@
 }
 
 func (s State) readEvery() time.Duration {
-	if s.stored.Record.Names(s.self.Incarnation) {
+	if s.standsBy() {
 		return standbyReadEvery
 	}
 	return followerReadEvery
@@ -153,7 +153,7 @@
 // grant for others, which hear of it by their heartbeats.
 func (s State) missesLead(now bltimer.Instant) bool {
 	patience := s.timing.GrantTTL
-	if s.stored.Record.Names(s.self.Incarnation) {
+	if s.standsBy() {
 		patience = s.timing.Lease / 2
 	}
 	return s.leadHeard == 0 || now.Sub(s.leadHeard) > patience
@@ -424,6 +424,7 @@
 	effects := []Effect{AnswerStandby{Reply: m.Reply, Answer: answer}}
 	if m.Standby == s.self.Incarnation && s.Role() == RoleFollower && m.Term >= s.stored.Record.Term {
 		s.leadHeard = now
+		s.askedTerm = m.Term
 		s, effects = probeStore(s, effects, m.WantPromise, now)
 	}
 	return s, effects
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -56,6 +56,9 @@
 	storeHeard    bltimer.Instant
 	storeSent     bltimer.Instant
 	acquiringAt   bltimer.Instant
+	// askedTerm is the term of the lead that last called this process its
+	// standby. The record read last may be older than that.
+	askedTerm uint64
 	// lapsedAt is when the earlier lead is known to have had no authority.
 	lapsedAt bltimer.Instant
 	leaving  bool
@@ -80,6 +83,13 @@
 	return s.Role() == RoleLeading || s.Role() == RoleHolding
 }
 
+// standsBy reports whether the process has reason to watch the lead closely:
+// the record that it knows names it, or a lead has called it its standby.
+func (s State) standsBy() bool {
+	return s.stored.Record.Names(s.self.Incarnation) ||
+		s.askedTerm != 0 && s.askedTerm >= s.stored.Record.Term
+}
+
 // Unresolved reports whether a write of the record may still take effect.
 func (s State) Unresolved() bool {
 	return s.writing != nil
--- a/core/blmember/messages.go
+++ b/core/blmember/messages.go
@@ -71,6 +71,8 @@
 	SentAt    bltimer.Instant
 	To        blvalue.Host
 	Heartbeat blassign.Heartbeat
+	// ListHeld tells the sender to list the partitions held.
+	ListHeld bool
 }
 
 // UpstreamsSeen lists the upstreams beside this node.
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -49,6 +49,9 @@
 	revision  uint64
 	directory blassign.DirectoryVersion
 
+	// listHeld asks for the partitions held in the next heartbeat, since the
+	// lead may be a new one.
+	listHeld bool
 	sequence uint64
 	inFlight bool
 	// again asks for another heartbeat once the one under way is answered.
@@ -59,7 +62,7 @@
 
 // New returns the state of a node that has just started.
 func New(self blvalue.Host) State {
-	return State{self: self, heartbeat: DefaultHeartbeat}
+	return State{self: self, heartbeat: DefaultHeartbeat, listHeld: true}
 }
 
 // Term returns the latest term that this node has heard of.
@@ -157,7 +160,7 @@
 	for _, a := range s.Announcements(now) {
 		heartbeat.Upstreams = append(heartbeat.Upstreams, a.Upstream)
 	}
-	return s, []Effect{SendHeartbeat{SentAt: now, To: to, Heartbeat: heartbeat}}
+	return s, []Effect{SendHeartbeat{SentAt: now, To: to, Heartbeat: heartbeat, ListHeld: s.listHeld}}
 }
 
 // target returns whom to report to: the lead of the record, and the standby by
@@ -176,6 +179,7 @@
 	s.inFlight = false
 	if m.Failed || m.Reply.Term == 0 || m.Reply.Term < s.term {
 		s.askStandby = !s.askStandby
+		s.listHeld = true
 		s.nextAt = now.Add(retryAfter)
 		return s, nil
 	}
@@ -188,6 +192,10 @@
 	s.record.Lead = m.From
 	s.record.Standby = m.Reply.Standby
 	s.askStandby = false
+	s.listHeld = m.Reply.NeedHeld
+	if m.Reply.NeedHeld {
+		s.nextAt = now
+	}
 	if m.Reply.Soon > 0 {
 		s.nextAt = min(s.nextAt, now.Add(m.Reply.Soon))
 	}
--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -309,6 +309,11 @@
 	var effects []blgrant.Effect
 	n.grant, effects = blgrant.Decide(n.grant, blgrant.ReportAsked{}, n.clock())
 	heartbeat.Held = effects[0].(blgrant.Report).Held
+	for i := range heartbeat.Held {
+		if !e.ListHeld {
+			heartbeat.Held[i].HasSet, heartbeat.Held[i].Set = false, blvalue.PartitionSet{}
+		}
+	}
 	if n.world.sabotage.releasedEarly {
 		for i := range heartbeat.Held {
 			heartbeat.Held[i].Fence.Sequence += 1000
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -60,7 +60,7 @@
 	for _, held := range h.Held {
 		request.Held = append(request.Held, &blproto.Held{
 			Upstream: string(held.Upstream), Incarnation: string(held.Incarnation), Service: string(held.Service),
-			Fence: fenceToProto(held.Fence), Partitions: held.Set.Words(),
+			Fence: fenceToProto(held.Fence), HasSet: held.HasSet, Partitions: held.Set.Words(),
 		})
 	}
 	return request
@@ -78,7 +78,7 @@
 		heartbeat.Held = append(heartbeat.Held, blgrant.Held{
 			Upstream: blvalue.UpstreamName(held.GetUpstream()), Incarnation: blvalue.Incarnation(held.GetIncarnation()),
 			Service: blvalue.ServiceName(held.GetService()), Fence: fenceFromProto(held.GetFence()),
-			Set: blvalue.PartitionSetOfWords(held.GetPartitions()),
+			HasSet: held.GetHasSet(), Set: blvalue.PartitionSetOfWords(held.GetPartitions()),
 		})
 	}
 	return heartbeat
@@ -86,7 +86,7 @@
 
 func replyToProto(r blassign.HeartbeatReply) *blproto.HeartbeatReply {
 	reply := &blproto.HeartbeatReply{
-		Term: r.Term, Standby: hostToProto(r.Standby), SoonMs: milliseconds(r.Soon),
+		Term: r.Term, Standby: hostToProto(r.Standby), SoonMs: milliseconds(r.Soon), NeedHeld: r.NeedHeld,
 	}
 	for _, offer := range r.Offers {
 		reply.Offers = append(reply.Offers, &blproto.Offer{
@@ -107,7 +107,7 @@
 // replyFromProto leaves the configuration out, which the caller parses.
 func replyFromProto(r *blproto.HeartbeatReply) blassign.HeartbeatReply {
 	reply := blassign.HeartbeatReply{
-		Term: r.GetTerm(), Standby: hostFromProto(r.GetStandby()), Soon: duration(r.GetSoonMs()),
+		Term: r.GetTerm(), Standby: hostFromProto(r.GetStandby()), Soon: duration(r.GetSoonMs()), NeedHeld: r.GetNeedHeld(),
 	}
 	for _, offer := range r.GetOffers() {
 		reply.Offers = append(reply.Offers, blgrant.Offer{
--- a/io/blnode/node_work.go
+++ b/io/blnode/node_work.go
@@ -39,7 +39,7 @@
 	if w.grant(blgrant.ReportAsked{Reply: reply}) == nil {
 		if held, err := reply.Await(ctx); err == nil {
 			heartbeat := effect.Heartbeat
-			heartbeat.Held = held
+			heartbeat.Held = listed(held, effect.ListHeld)
 			answer.Reply, err = w.client.Heartbeat(ctx, effect.To.Address, heartbeat)
 			answer.Failed = err != nil
 		}
@@ -47,6 +47,20 @@
 	_ = w.put(answer)
 }
 
+// listed returns the grants held, without their partitions unless these are
+// asked for.
+func listed(held []blgrant.Held, partitions bool) []blgrant.Held {
+	if partitions {
+		return held
+	}
+	short := make([]blgrant.Held, 0, len(held))
+	for _, h := range held {
+		h.HasSet, h.Set = false, blvalue.PartitionSet{}
+		short = append(short, h)
+	}
+	return short
+}
+
 // peerWork performs the lead duty's calls to other nodes.
 type peerWork struct {
 	client *blgrpc.Client
