--- a/core/bladmit/state.go
+++ b/core/bladmit/state.go
@@ -45,6 +45,16 @@
 	return s.config
 }
 
+// Busy reports whether a request waits, or the lead has to be told something.
+func (s State) Busy(now bltimer.Instant) bool {
+	for _, purse := range s.purses.All() {
+		if !purse.idle(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Decide computes the next state and the effects of one message.
 func Decide(s State, message Message, now bltimer.Instant) (State, []Effect) {
 	switch m := message.(type) {
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -36,6 +36,15 @@
 	return s.held.Len()
 }
 
+// Waiting returns the number of requests that wait for a slot.
+func (s State) Waiting() int {
+	count := 0
+	for _, gate := range s.gates.All() {
+		count += gate.Waiting()
+	}
+	return count
+}
+
 // Decide computes the next state and the effects of one message.
 func Decide(s State, message Message, now bltimer.Instant) (State, []Effect) {
 	switch m := message.(type) {
--- a/core/bltimer/service.go
+++ b/core/bltimer/service.go
@@ -17,6 +17,8 @@
 type subscription struct {
 	due    Instant
 	period time.Duration
+	// busy tells whether the subscriber has anything to wait for.
+	busy   func() bool
 	notify func(Tick)
 }
 
@@ -38,9 +40,18 @@
 // Subscribe puts message(tick) on target every period. A tick that finds the
 // ring full is dropped, since the next one carries a later time.
 func Subscribe[M any](s *Service, period time.Duration, target *blring.Ring[M], message func(Tick) M) {
+	SubscribeWhile(s, period, target, message, func() bool { return true })
+}
+
+// SubscribeWhile is Subscribe for a part that has nothing to do with time
+// while busy reports false. It then gets no tick, so that its thread sleeps on.
+func SubscribeWhile[M any](
+	s *Service, period time.Duration, target *blring.Ring[M], message func(Tick) M, busy func() bool,
+) {
 	s.add(subscription{
 		due:    s.clock.Now().Add(period),
 		period: period,
+		busy:   busy,
 		notify: func(tick Tick) { _ = target.TryPut(message(tick)) },
 	})
 }
@@ -89,7 +100,9 @@
 func (s *Service) Fire() time.Duration {
 	now := s.clock.Now()
 	for _, due := range s.takeDue(now) {
-		due.notify(Tick{Now: now})
+		if due.busy() {
+			due.notify(Tick{Now: now})
+		}
 	}
 	return s.untilNext()
 }
--- a/core/bltimer/service_test.go
+++ b/core/bltimer/service_test.go
@@ -38,6 +38,26 @@
 	}
 }
 
+func TestServiceLeavesIdleSubscribersAlone(t *testing.T) {
+	clock := bltimer.NewManual()
+	service := bltimer.New(clock)
+	ring := blring.New[bltimer.Tick](8)
+	busy := false
+	bltimer.SubscribeWhile(service, time.Second, ring, func(tick bltimer.Tick) bltimer.Tick { return tick },
+		func() bool { return busy })
+	clock.Advance(time.Second)
+	service.Fire()
+	if got, want := ring.Len(), 0; got != want {
+		t.Errorf("ticks while idle: got %d, want %d", got, want)
+	}
+	busy = true
+	clock.Advance(time.Second)
+	service.Fire()
+	if got, want := ring.Len(), 1; got != want {
+		t.Errorf("ticks while busy: got %d, want %d", got, want)
+	}
+}
+
 func TestServiceRunsOnItsThread(t *testing.T) {
 	service := bltimer.New(bltimer.NewSystem())
 	service.Start()
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -22,15 +22,8 @@
 // ringCapacity is the number of messages that may wait for a duty.
 const ringCapacity = 4096
 
-// The periods of the duties' ticks.
-const (
-	leadPeriod    = 50 * time.Millisecond
-	assignPeriod  = 50 * time.Millisecond
-	memberPeriod  = 50 * time.Millisecond
-	grantPeriod   = 50 * time.Millisecond
-	admitPeriod   = 50 * time.Millisecond
-	deliverPeriod = 50 * time.Millisecond
-)
+// tickPeriod is the period of the duties' ticks.
+const tickPeriod = 50 * time.Millisecond
 
 type (
 	placement = blassign.LeastMoves
@@ -102,19 +95,24 @@
 	d.grant.Stop()
 }
 
+// subscribe gives the duties their ticks, those that only wait for something
+// now and then only while they do.
 func (n *Node) subscribe() {
-	bltimer.Subscribe(n.timer, leadPeriod, n.duties.lead.Ring(),
+	bltimer.Subscribe(n.timer, tickPeriod, n.duties.lead.Ring(),
 		func(bltimer.Tick) bllead.Message { return bllead.Tick{} })
-	bltimer.Subscribe(n.timer, assignPeriod, n.duties.assign.Ring(),
-		func(bltimer.Tick) blassign.Message { return blassign.Tick{} })
-	bltimer.Subscribe(n.timer, memberPeriod, n.duties.member.Ring(),
+	bltimer.Subscribe(n.timer, tickPeriod, n.duties.member.Ring(),
 		func(bltimer.Tick) blmember.Message { return blmember.Tick{} })
-	bltimer.Subscribe(n.timer, grantPeriod, n.duties.grant.Ring(),
-		func(bltimer.Tick) blgrant.Message { return blgrant.Tick{} })
-	bltimer.Subscribe(n.timer, admitPeriod, n.duties.admit.Ring(),
-		func(bltimer.Tick) bladmit.Message { return bladmit.Tick{} })
-	bltimer.Subscribe(n.timer, deliverPeriod, n.duties.deliver.Ring(),
-		func(bltimer.Tick) bldeliver.Message { return bldeliver.Tick{} })
+	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.assign.Ring(),
+		func(bltimer.Tick) blassign.Message { return blassign.Tick{} }, n.leads)
+	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.grant.Ring(),
+		func(bltimer.Tick) blgrant.Message { return blgrant.Tick{} },
+		func() bool { return n.duties.grant.View().Running() > 0 })
+	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.admit.Ring(),
+		func(bltimer.Tick) bladmit.Message { return bladmit.Tick{} },
+		func() bool { return n.duties.admit.View().Busy(n.clock.Now()) })
+	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.deliver.Ring(),
+		func(bltimer.Tick) bldeliver.Message { return bldeliver.Tick{} },
+		func() bool { return n.duties.deliver.View().Waiting() > 0 })
 }
 
 // fullPause is how long a message that must not be lost waits for room.
