--- /dev/null
+++ b/core/bllead/standby.go
@@ -0,0 +1,117 @@
+package bllead
+
+import (
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+// askStandby keeps the standby informed, and asks for its promise as soon as
+// the lease has missed a renewal.
+func askStandby(s State, effects []Effect, now bltimer.Instant) (State, []Effect) {
+	standby, ok := s.standby()
+	if !ok || now.Sub(s.askedAt) < s.timing.renewEvery() {
+		return s, effects
+	}
+	s.askedAt = now
+	missed := s.leaseUntil.Sub(now) < s.timing.Lease-2*s.timing.renewEvery()
+	return s, append(effects, AskStandby{
+		Term: s.stored.Record.Term, Standby: standby, WantPromise: missed && s.writing == nil,
+	})
+}
+
+// nameStandby writes a record with another standby when there is none that
+// answers. It needs the store.
+func nameStandby(s State, effects []Effect, now bltimer.Instant) (State, []Effect) {
+	if s.writing != nil || !now.Before(s.leaseUntil) || s.leaving {
+		return s, effects
+	}
+	current, ok := s.standby()
+	if ok && now.Sub(s.standbyHeard) < standbySilence {
+		return s, effects
+	}
+	chosen := s.chooseStandby(current.Incarnation)
+	if chosen.IsZero() {
+		return s, effects
+	}
+	var write WriteRecord
+	s, write = s.withWrite(s.stored.Record.WithStandby(chosen, ""))
+	s.standbyHeard = now
+	return s, append(effects, write)
+}
+
+// chooseStandby returns a peer in another failure domain, or else any peer.
+func (s State) chooseStandby(silent blvalue.Incarnation) blvalue.Host {
+	var found blvalue.Host
+	for _, peer := range s.peers {
+		if peer.Incarnation == s.self.Incarnation || peer.Incarnation == silent || s.hasEnded(peer.Incarnation) {
+			continue
+		}
+		if peer.Domain != s.self.Domain {
+			return peer
+		}
+		if found.IsZero() {
+			found = peer
+		}
+	}
+	return found
+}
+
+func standbyAsked(s State, m StandbyAsked, now bltimer.Instant) (State, []Effect) {
+	answer := StandbyAnswer{Incarnation: s.self.Incarnation}
+	answer.Refusal = s.refusesPromise(m, now)
+	if answer.Refusal == "" && m.WantPromise {
+		answer.Promised = true
+		s.promisedUntil = max(s.promisedUntil, now.Add(s.timing.Lease+s.timing.Margin))
+	}
+	effects := []Effect{AnswerStandby{Reply: m.Reply, Answer: answer}}
+	if m.Standby == s.self.Incarnation && s.Role() == RoleFollower && m.Term >= s.stored.Record.Term {
+		s.leadHeard = now
+		s.askedTerm = m.Term
+		s, effects = probeStore(s, effects, m.WantPromise, now)
+	}
+	return s, effects
+}
+
+// probeStore reads the store while the lead can't: a standby that reaches it
+// takes over rather than let the lead hold.
+func probeStore(s State, effects []Effect, wantPromise bool, now bltimer.Instant) (State, []Effect) {
+	if !wantPromise || now.Sub(s.storeSent) < standbyReadEvery {
+		return s, effects
+	}
+	s.storeSent = now
+	return s, append(effects, ReadRecord{})
+}
+
+// refusesPromise returns why the standby promises nothing, or empty text.
+func (s State) refusesPromise(m StandbyAsked, now bltimer.Instant) string {
+	switch {
+	case m.Standby != s.self.Incarnation:
+		return "not the standby: another incarnation"
+	case s.Role() != RoleFollower:
+		return "role is " + string(s.Role())
+	case s.writing != nil:
+		return "a write of the record is unresolved"
+	case m.Term < s.stored.Record.Term:
+		return "a later term is known"
+	case s.leaving:
+		return "leaving"
+	case s.storeHeard != 0 && now.Sub(s.storeHeard) < s.timing.Lease/2:
+		return "the store answers here"
+	}
+	return ""
+}
+
+func standbyAnswered(s State, m StandbyAnswered, now bltimer.Instant) (State, []Effect) {
+	standby := s.stored.Record.Standby
+	if m.Failed || m.Asked != standby.Incarnation {
+		return s, nil
+	}
+	if m.Answer.Incarnation != standby.Incarnation {
+		return s.withEnded(standby.Incarnation), nil
+	}
+	s.standbyHeard = now
+	if m.Answer.Promised && s.leads() && s.writing == nil {
+		s.promiseUntil = max(s.promiseUntil, m.SentAt.Add(s.timing.Lease-s.timing.Margin))
+	}
+	return s, nil
+}
--- /dev/null
+++ b/core/bllead/takeover.go
@@ -0,0 +1,133 @@
+package bllead
+
+import (
+	"time"
+
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+// followerTick reads the store when no lead is heard, and asks who answers at
+// the addresses of lead and standby.
+func followerTick(s State, now bltimer.Instant) (State, []Effect) {
+	if s.leaving || !s.missesLead(now) {
+		return s, nil
+	}
+	if now.Sub(s.storeSent) < s.readEvery() && s.storeSent != 0 {
+		return s, nil
+	}
+	s.storeSent = now
+	effects := []Effect{ReadRecord{}}
+	for _, host := range []blvalue.Host{s.stored.Record.Lead, s.stored.Record.Standby} {
+		if !host.IsZero() && host.Incarnation != s.self.Incarnation && !s.hasEnded(host.Incarnation) {
+			effects = append(effects, Identify{Address: host.Address})
+		}
+	}
+	return s, effects
+}
+
+func (s State) readEvery() time.Duration {
+	if s.standsBy() {
+		return standbyReadEvery
+	}
+	return followerReadEvery
+}
+
+// missesLead reports whether no lead was heard for too long: half a lease for
+// the standby, which the lead calls four times in a lease, and the life of a
+// grant for others, which hear of it by their heartbeats.
+func (s State) missesLead(now bltimer.Instant) bool {
+	patience := s.timing.GrantTTL
+	if s.standsBy() {
+		patience = s.timing.Lease / 2
+	}
+	return s.leadHeard == 0 || now.Sub(s.leadHeard) > patience
+}
+
+// claimingTick gives up a claim whose lease has run out. A write without an
+// answer stays unresolved until the store has told what became of it.
+func claimingTick(s State, now bltimer.Instant) (State, []Effect) {
+	if now.Before(s.leaseUntil) {
+		return s, nil
+	}
+	return s.withEvent(eventLose), nil
+}
+
+func recordRead(s State, m RecordRead, now bltimer.Instant) (State, []Effect) {
+	if m.Failed {
+		return s, nil
+	}
+	s.storeHeard = now
+	s = s.withStored(m.Stored)
+	for _, lost := range m.Lost {
+		s = s.withEnded(lost)
+	}
+	if s.Role() != RoleFollower || s.leaving {
+		return s, nil
+	}
+	if m.LeaseHolder != "" || !s.mayTakeOver(now) {
+		return s, nil
+	}
+	s = s.withEvent(eventAcquire)
+	s.acquiringAt = now
+	s.lapsedAt = now
+	return s, []Effect{AcquireLease{}}
+}
+
+// mayTakeOver reports whether this process may lead next: it is named in the
+// record, or both that are have ended, or there is no record; and no promise
+// of its own runs.
+func (s State) mayTakeOver(now bltimer.Instant) bool {
+	if now.Before(s.promisedUntil) || s.writing != nil || !s.missesLead(now) {
+		return false
+	}
+	return s.mayLead()
+}
+
+func (s State) mayLead() bool {
+	if s.stored.Revision == 0 || s.stored.Record.Names(s.self.Incarnation) {
+		return true
+	}
+	record := s.stored.Record
+	standbyEnded := record.Standby.IsZero() || s.hasEnded(record.Standby.Incarnation)
+	return s.hasEnded(record.Lead.Incarnation) && standbyEnded
+}
+
+func leaseAcquired(s State, m LeaseAcquired, now bltimer.Instant) (State, []Effect) {
+	if s.Role() == RoleHolding {
+		return leaseRegained(s, m)
+	}
+	if m.Failed {
+		return s.withEvent(eventLose), nil
+	}
+	s = s.withStored(m.Stored)
+	leaseUntil := m.SentAt.Add(s.timing.Lease - s.timing.Margin)
+	if s.Role() != RoleAcquiring || !s.mayLead() || !now.Before(leaseUntil) || now.Before(s.promisedUntil) {
+		return s.withEvent(eventLose), []Effect{EndLease{Lease: m.Lease}}
+	}
+	s = s.withEvent(eventClaim)
+	s.lease = m.Lease
+	s.leaseUntil = leaseUntil
+	record := Record{Term: s.stored.Record.Term + 1, Lead: s.self, Standby: s.chooseStandby("")}
+	var write WriteRecord
+	s, write = s.withWrite(record)
+	return s, []Effect{write}
+}
+
+// identified records that a process has ended when another one answers at its
+// address.
+func identified(s State, m Identified) State {
+	for _, host := range []blvalue.Host{s.stored.Record.Lead, s.stored.Record.Standby} {
+		if host.Address == m.Address && host.Incarnation != m.Incarnation && m.Incarnation != "" {
+			s = s.withEnded(host.Incarnation)
+		}
+	}
+	return s
+}
+
+func leadHeard(s State, m LeadHeard, now bltimer.Instant) State {
+	if m.Term >= s.stored.Record.Term {
+		s.leadHeard = now
+	}
+	return s
+}
--- a/core/blroute/messages.go
+++ b/core/blroute/messages.go
@@ -59,6 +59,8 @@
 	Latency  time.Duration
 	// Failed tells that the upstream broke or shed the request.
 	Failed bool
+	// Unused tells that the request was never sent.
+	Unused bool
 }
 
 // ConfigChanged carries a later configuration.
--- a/core/blroute/route_test.go
+++ b/core/blroute/route_test.go
@@ -154,6 +154,20 @@
 	}
 }
 
+func TestRequestThatWasNeverSentLeavesNoTrace(t *testing.T) {
+	s := newState()
+	for range 50 {
+		var answer blroute.Answer
+		s, answer = find(s, "wishlist", "x", 0)
+		s, _ = blroute.Decide(s, blroute.Observed{Upstream: answer.Target.Upstream, Unused: true}, 0)
+	}
+	for name, health := range s.Healths().All() {
+		if health.Outstanding != 0 || health.Latency != 0 {
+			t.Errorf("health of %s: got %+v, want nothing outstanding and no latency", name, health)
+		}
+	}
+}
+
 func TestLeavingUpstreamGetsNothing(t *testing.T) {
 	s := newState()
 	leaving := entry("wish_2", "wishlist")
--- a/core/blroute/state.go
+++ b/core/blroute/state.go
@@ -41,9 +41,7 @@
 	case Find:
 		return s.find(m, now)
 	case Observed:
-		health, _ := s.healths.Get(m.Upstream)
-		s.healths = s.healths.With(m.Upstream, health.WithAnswer(m.Latency, m.Failed, now))
-		return s, nil
+		return s.observed(m, now), nil
 	case ConfigChanged:
 		if m.Accepted.Revision > s.config.Revision {
 			s.config = m.Accepted
@@ -56,6 +54,17 @@
 	return s, nil
 }
 
+func (s State[C]) observed(m Observed, now bltimer.Instant) State[C] {
+	health, _ := s.healths.Get(m.Upstream)
+	if m.Unused {
+		health.Outstanding = max(health.Outstanding-1, 0)
+	} else {
+		health = health.WithAnswer(m.Latency, m.Failed, now)
+	}
+	s.healths = s.healths.With(m.Upstream, health)
+	return s
+}
+
 func (s State[C]) find(m Find, now bltimer.Instant) (State[C], []Effect) {
 	s, refusal := s.spendBudget(m)
 	answer := Answer{Refusal: refusal, Account: m.Account, Route: m.Route, Limits: s.config.Plan.Limits}
--- a/io/blhttp/forward.go
+++ b/io/blhttp/forward.go
@@ -181,7 +181,26 @@
 	if err != nil {
 		return blroute.Answer{}, err
 	}
-	return reply.Await(ctx) //nolint:wrapcheck // waitRefusal reads it
+	return j.await(ctx, reply)
+}
+
+// lateAnswer is how long a request that ended waits for the target that it may
+// still be given. No duty holds a request longer.
+const lateAnswer = 3 * time.Second
+
+// await waits for the duties' answer. A request that ended meanwhile gives the
+// target back that it is given all the same.
+func (j *journey) await(ctx context.Context, reply blring.Reply[blroute.Answer]) (blroute.Answer, error) {
+	answer, err := reply.Await(ctx)
+	if err == nil {
+		return answer, nil
+	}
+	late, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateAnswer)
+	defer cancel()
+	if unused, lateErr := reply.Await(late); lateErr == nil && unused.Target.Upstream != "" {
+		_ = j.front.route(blroute.Observed{Upstream: unused.Target.Upstream, Unused: true})
+	}
+	return answer, err //nolint:wrapcheck // waitRefusal reads it
 }
 
 // find looks for the target of another attempt, which the given message says
@@ -193,7 +212,7 @@
 	if err := j.front.route(find); err != nil {
 		return blroute.Answer{}, err
 	}
-	return reply.Await(ctx) //nolint:wrapcheck // waitRefusal reads it
+	return j.await(ctx, reply)
 }
 
 // waitRefusal is the refusal of a request that no duty took, or that ended
--- a/io/bloperator/console.go
+++ b/io/bloperator/console.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"html/template"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -148,9 +149,12 @@
 func (c *console) state(w http.ResponseWriter, _ *http.Request) {
 	data := stateData{Status: c.operator.node.Status()}
 	if document, err := blsettings.ParseDocument([]byte(c.operator.node.Config().Document)); err == nil {
-		for _, service := range document.Entries(blconfig.SectionServices) {
-			data.Services = append(data.Services, blvalue.ServiceName(service))
+		for name, service := range blconfig.NewPlan(document).Services {
+			if service.Kind == blconfig.ServiceExclusive {
+				data.Services = append(data.Services, name)
+			}
 		}
+		slices.Sort(data.Services)
 	}
 	c.show(w, http.StatusOK, "state.html", data)
 }
--- /dev/null
+++ b/tools/blfleet/operate.go
@@ -0,0 +1,157 @@
+package blfleet
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/io/bloperator"
+	"bergamotlead/io/blsettings"
+)
+
+// StatusError reports an unexpected answer.
+type StatusError struct {
+	URL    string
+	Status int
+	Body   string
+}
+
+// Error returns the answer as text.
+func (e StatusError) Error() string {
+	return fmt.Sprintf("%s: status %d: %s", e.URL, e.Status, e.Body)
+}
+
+func (f *Fleet) get(url string, into any) error {
+	return f.call(http.MethodGet, url, nil, into)
+}
+
+func (f *Fleet) call(method, url string, body, into any) error {
+	var payload io.Reader = http.NoBody
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return fmt.Errorf("encode: %w", err)
+		}
+		payload = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(context.Background(), method, url, payload)
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+f.Token)
+	response, err := f.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return StatusError{URL: url, Status: response.StatusCode, Body: string(text)}
+	}
+	if into == nil || len(text) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
+
+// Status returns the status of a host's node.
+func (f *Fleet) Status(host *Host) (bloperator.Status, error) {
+	var status bloperator.Status
+	err := f.get("http://"+host.Operators+"/status", &status)
+	return status, err
+}
+
+// Lead returns the host whose node leads, or nil.
+func (f *Fleet) Lead() *Host {
+	for _, host := range f.Hosts {
+		status, err := f.Status(host)
+		if err == nil && len(status.Members) > 0 {
+			return host
+		}
+	}
+	return nil
+}
+
+// HostNamed returns the host of the given name, or nil.
+func (f *Fleet) HostNamed(name string) *Host {
+	for _, host := range f.Hosts {
+		if host.Spec.Name == name {
+			return host
+		}
+	}
+	return nil
+}
+
+// leadRole returns the host whose node has the role of lead, though it may
+// have no configuration yet.
+func (f *Fleet) leadRole() *Host {
+	for _, host := range f.Hosts {
+		status, err := f.Status(host)
+		if err == nil && status.Role == "leading" {
+			return host
+		}
+	}
+	return nil
+}
+
+// Document returns the shipped document at path with one new client key for
+// each account. The keys are in Keys.
+func (f *Fleet) Document(path string, edit func(blconfig.Document) blconfig.Document) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("read document: %w", err)
+	}
+	document, err := blsettings.ParseDocument(text)
+	if err != nil {
+		return "", fmt.Errorf("read document: %w", err)
+	}
+	for _, account := range document.Entries(blconfig.SectionAccounts) {
+		key := randomText()
+		sum := sha256.Sum256([]byte(key))
+		f.Keys[account] = key
+		setting := blconfig.Path{Section: blconfig.SectionAccounts, Entry: account, Option: "key_digests"}
+		old, _ := document.Get(setting)
+		old.Value.List = []string{hex.EncodeToString(sum[:])}
+		document = document.With(setting, old)
+	}
+	if edit != nil {
+		document = edit(document)
+	}
+	formatted, err := blsettings.FormatDocument(document)
+	if err != nil {
+		return "", fmt.Errorf("write document: %w", err)
+	}
+	return string(formatted), nil
+}
+
+// Apply stores a document through a host's node and waits until it is in
+// force.
+func (f *Fleet) Apply(host *Host, base uint64, document string) (bloperator.ChangeResult, error) {
+	var result bloperator.ChangeResult
+	err := f.call(http.MethodPost, "http://"+host.Operators+"/config",
+		bloperator.Change{BaseRevision: base, Document: document, WaitMS: 10000}, &result)
+	return result, err
+}
+
+// secretBytes is the size of client keys and of the operators' token.
+const secretBytes = 32
+
+func randomText() string {
+	var raw [secretBytes]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
--- /dev/null
+++ b/tools/blfleet/standins.go
@@ -0,0 +1,62 @@
+package blfleet
+
+import (
+	"net/http"
+)
+
+// PlatformFaults sets the faults of the platform stand-in.
+func (f *Fleet) PlatformFaults(faults map[string]any) error {
+	return f.call(http.MethodPost, "http://"+f.Store+"/faults", faults, nil)
+}
+
+// PlatformCalls returns the calls that the platform stand-in has counted.
+func (f *Fleet) PlatformCalls() (map[string]int, error) {
+	var counts map[string]int
+	err := f.get("http://"+f.Store+"/calls", &counts)
+	return counts, err
+}
+
+// UpstreamFaults sets the faults of an upstream stand-in.
+func (f *Fleet) UpstreamFaults(upstream *RunningUpstream, faults map[string]any) error {
+	return f.call(http.MethodPost, "http://"+upstream.Address+"/standin/faults", faults, nil)
+}
+
+// Work is one line of an upstream's log of accepted work.
+type Work struct {
+	Upstream  string `json:"-"`
+	AtNS      int64  `json:"at_ns"`
+	Key       string `json:"key"`
+	Partition int    `json:"partition"`
+	Fence     string `json:"fence"`
+	Account   string `json:"account"`
+	Method    string `json:"method"`
+	Request   string `json:"request_id"`
+}
+
+// Log returns the log of accepted work of an upstream.
+func (f *Fleet) Log(upstream *RunningUpstream) ([]Work, error) {
+	var log []Work
+	err := f.get("http://"+upstream.Address+"/standin/log", &log)
+	for i := range log {
+		log[i].Upstream = upstream.Spec.Name
+	}
+	return log, err
+}
+
+// Counts is what an upstream stand-in has seen.
+type Counts struct {
+	Runs       int `json:"runs"`
+	Shed       int `json:"shed"`
+	Fenced     int `json:"fenced"`
+	KeysSeen   int `json:"keys_seen"`
+	MostAtOnce int `json:"most_at_once"`
+	MostCold   int `json:"most_at_once_cold"`
+	Cancelled  int `json:"cancelled"`
+}
+
+// Counts returns what an upstream has seen.
+func (f *Fleet) Counts(upstream *RunningUpstream) (Counts, error) {
+	var counts Counts
+	err := f.get("http://"+upstream.Address+"/standin/counts", &counts)
+	return counts, err
+}
