Let a new lead wait for the longest grant that may run

Cause: found by reading: a new lead settled by the grant_ttl that its own node had in force. After a change that raises grant_ttl, a standby that had not got it yet would have given away keys whose holders still served them: 930 ms of waiting against a grant of up to 1.2 s. Ruled out: always waiting for the longest grant_ttl that the checks allow, since that would miss the recovery target; refusing to raise it. Change: the store keeps with the document the longest grant_ttl of this revision and the one before; a new lead waits for that, counted from when it saw the lease gone, after it has read the document. Purses wait for at least their own time to live. After: a fault case of core/blassign; the model, the slices' tests and the linter pass. The case was not run against the former code. Also: one blduty.PutWaiting in place of two copies.

--- a/core/blassign/bench_test.go
+++ b/core/blassign/bench_test.go
@@ -35,6 +35,8 @@
 	state blassign.State[blassign.LeastMoves]
 	beats []blassign.Heartbeat
 	now   bltimer.Instant
+	// bound is the longest grant of the revision before.
+	bound time.Duration
 }
 
 func (r *region) send(message blassign.Message) {
@@ -43,7 +45,7 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case blassign.LoadConfig:
-			r.send(blassign.ConfigSeen{Accepted: blconfig.Accepted{Revision: 1, Plan: benchPlan()}})
+			r.send(blassign.ConfigSeen{Accepted: blconfig.Accepted{Revision: 1, Plan: benchPlan()}.WithGrantBound(r.bound)})
 		case blassign.LoadChunk:
 			r.send(blassign.ChunkLoaded{Term: e.Term, ID: e.ID})
 		case blassign.WriteChunk:
--- a/core/blassign/heartbeat.go
+++ b/core/blassign/heartbeat.go
@@ -177,7 +177,7 @@
 func (s State[P]) allowed(
 	ownership Ownership, holder Holder, owned blvalue.PartitionSet, held blgrant.Held, now bltimer.Instant,
 ) blvalue.PartitionSet {
-	if !s.authority.Settled(now) {
+	if !s.settled(now) {
 		owned = owned.Intersect(s.heldUnder(holder, held, now))
 	}
 	for p := range owned.All() {
@@ -208,7 +208,7 @@
 // an older term, and the report leaves it out.
 func (s State[P]) needsHeld(m Heartbeat, upstream blvalue.Upstream, now bltimer.Instant) bool {
 	held := heldBy(m, upstream)
-	if s.authority.Settled(now) || held.HasSet || held.Fence.Term == 0 {
+	if s.settled(now) || held.HasSet || held.Fence.Term == 0 {
 		return false
 	}
 	_, known := s.outstanding.Get(NewHolder(m.Node.Incarnation, upstream.Incarnation))
--- a/core/blassign/place.go
+++ b/core/blassign/place.go
@@ -24,7 +24,7 @@
 	}
 	s = s.withoutGone(now)
 	s, effects := s.tellPeers(now)
-	if !s.authority.MayChange || !s.authority.Settled(now) || now.Sub(s.placedAt) < placeEvery {
+	if !s.authority.MayChange || !s.settled(now) || now.Sub(s.placedAt) < placeEvery {
 		return s, effects
 	}
 	s.placedAt = now
--- a/core/blassign/state.go
+++ b/core/blassign/state.go
@@ -93,7 +93,7 @@
 	freshness := timing.Freshness + timing.Margin
 	// A node that only the earlier lead knows may admit requests for as long as
 	// it takes itself for fresh.
-	knowsAll := s.authority.SettledAt.Add(max(timing.Freshness-timing.GrantTTL, 0))
+	knowsAll := s.authority.SettledAt(max(s.config.Settle(), freshness))
 	if now.Before(knowsAll) || s.members.Len() == 0 {
 		return false
 	}
@@ -105,6 +105,11 @@
 	return true
 }
 
+// settled reports whether every grant of an older term has lapsed.
+func (s State[P]) settled(now bltimer.Instant) bool {
+	return !now.Before(s.authority.SettledAt(s.config.Settle()))
+}
+
 // ready reports whether everything that a lead must know has been loaded.
 func (s State[P]) ready() bool {
 	if s.config.Revision == 0 {
--- a/core/blassign/state_test.go
+++ b/core/blassign/state_test.go
@@ -96,7 +96,7 @@
 		}},
 		{"a new term forgets what the old one knew", func(t *testing.T, r *region) {
 			r.send(blassign.AuthorityChanged{Authority: bllead.Authority{
-				Term: 2, Until: r.now.Add(time.Hour), MayChange: true, SettledAt: r.now.Add(time.Second),
+				Term: 2, Until: r.now.Add(time.Hour), MayChange: true, LapsedAt: r.now,
 			}})
 			if got := len(r.state.Members()); got != 0 {
 				t.Errorf("members in a new term: got %d, want 0", got)
@@ -106,7 +106,7 @@
 			chunks := chunksOf(r)
 			fresh := &region{state: blassign.New(blassign.LeastMoves{}), now: r.now, beats: r.beats}
 			fresh.sendWith(blassign.AuthorityChanged{Authority: bllead.Authority{
-				Term: 2, Until: r.now.Add(time.Hour), MayChange: true, SettledAt: r.now.Add(time.Second),
+				Term: 2, Until: r.now.Add(time.Hour), MayChange: true, LapsedAt: r.now,
 			}}, chunks)
 			fresh.beats[0].Held = nil
 			fresh.beat(0)
@@ -118,6 +118,25 @@
 				t.Error("granted to a node that held its partitions: got 0, want them all")
 			}
 		}},
+		{"a lead waits for the longest grant of the revision before", func(t *testing.T, r *region) {
+			chunks := chunksOf(r)
+			fresh := &region{state: blassign.New(blassign.LeastMoves{}), now: r.now, beats: r.beats}
+			fresh.bound = 1500 * time.Millisecond
+			fresh.sendWith(blassign.AuthorityChanged{Authority: bllead.Authority{
+				Term: 2, Until: r.now.Add(time.Hour), MayChange: true, LapsedAt: r.now,
+			}}, chunks)
+			fresh.now = fresh.now.Add(1500 * time.Millisecond)
+			fresh.beats[0].Held = nil
+			fresh.beat(0)
+			if got := fresh.beats[0].Held[0].Set.Len(); got != 0 {
+				t.Errorf("granted while an earlier grant may run: got %d, want 0", got)
+			}
+			fresh.now = fresh.now.Add(30 * time.Millisecond)
+			fresh.beat(0)
+			if got := fresh.beats[0].Held[0].Set.Len(); got == 0 {
+				t.Error("granted afterwards: got 0, want its partitions")
+			}
+		}},
 		{"an earlier configuration is ignored", func(t *testing.T, r *region) {
 			later := r.state.Config()
 			later.Revision = 9
--- a/core/blconfig/document.go
+++ b/core/blconfig/document.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"bergamotlead/core/bltable"
 )
@@ -108,9 +109,25 @@
 	Source string
 	// Plan is the document in the form that decisions read.
 	Plan Plan
+	// GrantBound is the longest grant_ttl of this revision and the one before,
+	// by which a lead may have given grants out that still run.
+	GrantBound time.Duration
+}
+
+// WithGrantBound returns the accepted document with another bound.
+func (a Accepted) WithGrantBound(bound time.Duration) Accepted {
+	a.GrantBound = max(bound, a.Plan.Timing.GrantTTL)
+	return a
+}
+
+// Settle returns for how long grants of an earlier lead may be in use after
+// its end.
+func (a Accepted) Settle() time.Duration {
+	return a.GrantBound + a.Plan.Timing.Margin
 }
 
 // NewAccepted returns the accepted form of document.
 func NewAccepted(revision uint64, document Document, source string) Accepted {
-	return Accepted{Revision: revision, Document: document, Source: source, Plan: NewPlan(document)}
+	accepted := Accepted{Revision: revision, Document: document, Source: source, Plan: NewPlan(document)}
+	return accepted.WithGrantBound(0)
 }
--- a/core/bllead/decide_test.go
+++ b/core/bllead/decide_test.go
@@ -317,11 +317,11 @@
 func TestNewLeadWaitsForOlderGrants(t *testing.T) {
 	p := newProcess(t)
 	p.lead()
+	seen := p.instant()
+	p.now += 100 * time.Millisecond
+	p.send(bllead.Tick{})
 	authority := p.state.Authority(p.instant())
-	if authority.Settled(p.instant().Add(ttl)) {
-		t.Error("settled after a grant without margin: got true, want false")
-	}
-	if !authority.Settled(p.instant().Add(ttl + margin)) {
-		t.Error("settled after a grant and margin: got false, want true")
+	if got, want := authority.SettledAt(ttl+margin), seen.Add(ttl+margin); got != want {
+		t.Errorf("settled at: got %v, want %v", got, want)
 	}
 }
--- a/core/bllead/messages.go
+++ b/core/bllead/messages.go
@@ -1,6 +1,8 @@
 package bllead
 
 import (
+	"time"
+
 	"bergamotlead/core/blplatform"
 	"bergamotlead/core/blring"
 	"bergamotlead/core/bltimer"
@@ -184,9 +186,9 @@
 	Until bltimer.Instant
 	// MayChange tells whether the lead may change what is stored.
 	MayChange bool
-	// SettledAt is when every grant of an older term has lapsed.
-	SettledAt bltimer.Instant
-	Standby   blvalue.Host
+	// LapsedAt is a moment at which no earlier lead had authority any more.
+	LapsedAt bltimer.Instant
+	Standby  blvalue.Host
 }
 
 // Holds reports whether the authority lasts at now.
@@ -194,7 +196,8 @@
 	return a.Term != 0 && now.Before(a.Until)
 }
 
-// Settled reports whether every grant of an older term has lapsed at now.
-func (a Authority) Settled(now bltimer.Instant) bool {
-	return !now.Before(a.SettledAt)
+// SettledAt returns when all that earlier leads gave out has lapsed, given for
+// how long it may last.
+func (a Authority) SettledAt(lasts time.Duration) bltimer.Instant {
+	return a.LapsedAt.Add(lasts)
 }
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -39,7 +39,6 @@
 	lease        blplatform.LeaseID
 	leaseUntil   bltimer.Instant
 	promiseUntil bltimer.Instant
-	settledAt    bltimer.Instant
 	standbyHeard bltimer.Instant
 	// writing is the write of the record whose outcome isn't known yet.
 	writing *WriteRecord
@@ -158,7 +157,7 @@
 		Term:      s.stored.Record.Term,
 		Until:     until,
 		MayChange: now.Before(s.leaseUntil),
-		SettledAt: s.settledAt,
+		LapsedAt:  s.lapsedAt,
 		Standby:   s.stored.Record.Standby,
 	}
 }
--- a/core/bllead/write.go
+++ b/core/bllead/write.go
@@ -70,7 +70,6 @@
 		return stepDown(s)
 	}
 	s = s.withEvent(eventGain)
-	s.settledAt = s.lapsedAt.Add(s.timing.GrantTTL + s.timing.Margin)
 	s.renewedAt = now
 	return s, nil
 }
--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -236,7 +236,9 @@
 	switch e := effect.(type) {
 	case blassign.LoadConfig:
 		n.atStore(false, func() func() {
-			return func() { n.tellAssign(blassign.ConfigSeen{Accepted: blconfig.Accepted{Revision: 1, Plan: plan()}}) }
+			return func() {
+				n.tellAssign(blassign.ConfigSeen{Accepted: blconfig.Accepted{Revision: 1, Plan: plan()}.WithGrantBound(0)})
+			}
 		}, func(bool) {})
 	case blassign.LoadChunk:
 		n.atStore(false, func() func() {
--- a/core/blproof/ownership_test.go
+++ b/core/blproof/ownership_test.go
@@ -199,7 +199,7 @@
 			return o
 		}},
 		{name: "no wait for grants of older terms", authority: func(a bllead.Authority) bllead.Authority {
-			a.SettledAt = 0
+			a.LapsedAt = -bltimer.Instant(time.Hour)
 			return a
 		}},
 		{name: "grants of an ended lead taken for released", releasedEarly: true},
--- a/core/blpurse/state.go
+++ b/core/blpurse/state.go
@@ -86,17 +86,22 @@
 	for name, account := range s.config.Plan.Accounts {
 		bucket, ok := s.buckets.Get(name)
 		if !ok {
-			bucket = NewBucket(account, max(now, s.authority.SettledAt))
+			bucket = NewBucket(account, max(now, s.settledAt()))
 		}
-		s.buckets = s.buckets.With(name, bucket.WithAccount(account, max(now, s.authority.SettledAt)))
+		s.buckets = s.buckets.With(name, bucket.WithAccount(account, max(now, s.settledAt())))
 	}
 	return s
 }
 
+// settledAt returns when every purse of an older term has lapsed.
+func (s State) settledAt() bltimer.Instant {
+	return s.authority.SettledAt(max(s.config.Settle(), PurseTTL+s.config.Plan.Timing.Margin))
+}
+
 // borrow lends tokens. Until every purse of an older term has lapsed, the
 // lead lends nothing.
 func (s State) borrow(m Borrow, now bltimer.Instant) (State, []Effect) {
-	if !s.authority.Holds(now) || !s.authority.Settled(now) || s.config.Revision == 0 {
+	if !s.authority.Holds(now) || now.Before(s.settledAt()) || s.config.Revision == 0 {
 		return s, []Effect{{Reply: m.Reply}}
 	}
 	answer := BorrowAnswer{Term: s.authority.Term}
--- a/core/blpurse/state_test.go
+++ b/core/blpurse/state_test.go
@@ -28,7 +28,7 @@
 func lead(settledAt bltimer.Instant) blpurse.State {
 	state := blpurse.New()
 	state, _ = blpurse.Decide(state, blpurse.AuthorityChanged{Authority: bllead.Authority{
-		Term: 1, Until: bltimer.Instant(time.Hour), SettledAt: settledAt,
+		Term: 1, Until: bltimer.Instant(time.Hour), LapsedAt: settledAt.Add(-blpurse.PurseTTL),
 	}}, 0)
 	state, _ = blpurse.Decide(state, blpurse.ConfigSeen{Accepted: blconfig.Accepted{Revision: 1, Plan: blconfig.Plan{
 		Accounts: map[blvalue.AccountName]blconfig.Account{"kiosk": {Name: "kiosk", Rate: rate, Burst: burst}},
--- a/io/blnode/apply.go
+++ b/io/blnode/apply.go
@@ -42,9 +42,10 @@
 	if faults := blconfig.CheckChange(current.Document, document); len(faults) > 0 {
 		return refusedChange(blconfig.FaultsError{Faults: faults}.Error())
 	}
-	result := n.writeConfig(ctx, change, blconfig.Difference(current.Document, document))
+	result, bound := n.writeConfig(ctx, change, blconfig.Difference(current.Document, document))
 	if result.Result == blproto.ApplyReply_RESULT_ACCEPTED {
-		n.configRead(blconfig.NewAccepted(result.Revision, document, string(change.Document)))
+		accepted := blconfig.NewAccepted(result.Revision, document, string(change.Document))
+		n.configRead(accepted.WithGrantBound(bound))
 		result.InForce = n.waitInForce(ctx, result.Revision, change.Wait)
 	}
 	return result
@@ -54,27 +55,43 @@
 	return blgrpc.ChangeResult{Result: blproto.ApplyReply_RESULT_REFUSED, Detail: detail}
 }
 
-// writeConfig writes the document and says only what is certain.
+// writeConfig writes the document and says only what is certain. It returns the
+// longest grant_ttl of the document and the one that it replaces as well.
 func (n *Node) writeConfig(
 	ctx context.Context, change blgrpc.Change, differences []blconfig.Change,
-) blgrpc.ChangeResult {
+) (blgrpc.ChangeResult, time.Duration) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
 	defer cancel()
 	stored, err := n.storedConfig(ctx)
 	if err != nil {
-		return refusedChange(err.Error())
+		return refusedChange(err.Error()), 0
 	}
+	bound := max(grantTTL(stored.Document), grantTTL(string(change.Document)))
 	settings := make([]string, 0, len(differences))
 	for _, difference := range differences {
 		settings = append(settings, difference.Path.String())
 	}
 	next := stored.WithChange(uuid.NewString(), string(change.Document), change.Base, time.Now().UTC(), settings)
-	value, err := blstore.EncodeConfig(next)
+	value, err := blstore.EncodeConfig(next.WithGrantBound(bound))
 	if err != nil {
-		return refusedChange(err.Error())
+		return refusedChange(err.Error()), 0
 	}
 	n.metrics.StoreCall("swap")
 	written, err := blplatform.Write(ctx, n.store, blstore.Config, change.Base, value)
+	return changeResult(written, err), bound
+}
+
+// grantTTL returns the grant_ttl of a document, or zero when there is none.
+func grantTTL(text string) time.Duration {
+	document, err := blsettings.ParseDocument([]byte(text))
+	if err != nil {
+		return 0
+	}
+	return blconfig.NewPlan(document).Timing.GrantTTL
+}
+
+// changeResult tells what became of the write of a change.
+func changeResult(written blplatform.WriteResult, err error) blgrpc.ChangeResult {
 	switch written.Outcome {
 	case blplatform.Written:
 		return blgrpc.ChangeResult{
--- a/io/blnode/assign_work.go
+++ b/io/blnode/assign_work.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return blconfig.Accepted{}, fmt.Errorf("read configuration: %w", err)
 	}
-	return blconfig.NewAccepted(entry.Revision, document, stored.Document), nil
+	return blconfig.NewAccepted(entry.Revision, document, stored.Document).WithGrantBound(stored.GrantBound()), nil
 }
 
 func (w assignWork) loadChunk(e blassign.LoadChunk) blassign.ChunkLoaded {
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"bergamotlead/core/blduty"
+
 	"github.com/hashicorp/go-hclog"
 	"github.com/justinas/alice"
 
@@ -85,7 +87,7 @@
 // leave hands partitions and the lead over. It waits until nothing is granted
 // here any more, or nobody takes it.
 func (n *Node) leave(ctx context.Context) {
-	must[blmember.Message](n.duties.member.Put, blmember.Leave{})
+	blduty.PutWaiting[blmember.Message](n.duties.member.Put, blmember.Leave{})
 	ctx, cancel := context.WithTimeout(ctx, handOverWait)
 	defer cancel()
 	ticker := time.NewTicker(handOverPoll)
@@ -93,8 +95,8 @@
 	for n.grantsPartitions() && ctx.Err() == nil {
 		<-ticker.C
 	}
-	must[bladmit.Message](n.duties.admit.Put, bladmit.Leave{})
-	must[bllead.Message](n.duties.lead.Put, bllead.Resign{})
+	blduty.PutWaiting[bladmit.Message](n.duties.admit.Put, bladmit.Leave{})
+	blduty.PutWaiting[bllead.Message](n.duties.lead.Put, bllead.Resign{})
 }
 
 func (n *Node) grantsPartitions() bool {
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -1,7 +1,6 @@
 package blnode
 
 import (
-	"errors"
 	"time"
 
 	"bergamotlead/core/bladmit"
@@ -13,7 +12,6 @@
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/blpurse"
-	"bergamotlead/core/blring"
 	"bergamotlead/core/blroute"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
@@ -115,28 +113,12 @@
 		func() bool { return n.duties.deliver.View().Waiting() > 0 })
 }
 
-// fullPause is how long a message that must not be lost waits for room.
-const fullPause = time.Millisecond
-
-// must puts a message that must not be lost, waiting for room. It is used only
-// from a duty whose ring the receiving duty never waits for.
-func must[M any](put func(M) error, message M) {
-	for {
-		err := put(message)
-		var full blring.FullError
-		if !errors.As(err, &full) {
-			return
-		}
-		time.Sleep(fullPause)
-	}
-}
-
 func (n *Node) performLead(effect bllead.Effect) {
 	switch e := effect.(type) {
 	case bllead.AuthorityChanged:
 		n.authorityChanged(e.Authority)
 	case bllead.RecordSeen:
-		must[blmember.Message](n.duties.member.Put, blmember.RecordSeen{Record: e.Record})
+		blduty.PutWaiting[blmember.Message](n.duties.member.Put, blmember.RecordSeen{Record: e.Record})
 	case bllead.AnswerStandby:
 		e.Reply.Put(e.Answer)
 	case bllead.RenewLease, bllead.AcquireLease, bllead.EndLease:
@@ -158,8 +140,8 @@
 
 func (n *Node) authorityChanged(authority bllead.Authority) {
 	last := n.duties.assign.View().Authority()
-	must[blassign.Message](n.duties.assign.Put, blassign.AuthorityChanged{Authority: authority})
-	must[blpurse.Message](n.duties.purse.Put, blpurse.AuthorityChanged{Authority: authority})
+	blduty.PutWaiting[blassign.Message](n.duties.assign.Put, blassign.AuthorityChanged{Authority: authority})
+	blduty.PutWaiting[blpurse.Message](n.duties.purse.Put, blpurse.AuthorityChanged{Authority: authority})
 	if last.Term != authority.Term || last.MayChange != authority.MayChange {
 		n.logger.Info("authority changed", "term", authority.Term, "may_change", authority.MayChange,
 			"standby", string(authority.Standby.Name))
@@ -197,7 +179,7 @@
 	case blmember.ConfigChanged:
 		n.configChanged(e.Accepted)
 	case blmember.DirectoryChanged:
-		must[blroute.Message](n.duties.route.Put, blroute.DirectoryChanged{Directory: e.Directory})
+		blduty.PutWaiting[blroute.Message](n.duties.route.Put, blroute.DirectoryChanged{Directory: e.Directory})
 	case blmember.LeadHeard:
 		n.drop("lead", n.duties.lead.Put(bllead.LeadHeard{Term: e.Term}))
 		n.drop("admit", n.duties.admit.Put(bladmit.LeadHeard{SentAt: e.SentAt}))
@@ -209,18 +191,18 @@
 	for _, a := range e.Announcements {
 		upstreams = append(upstreams, a.Upstream)
 	}
-	must[blgrant.Message](n.duties.grant.Put, blgrant.UpstreamsSeen{Upstreams: upstreams})
-	must[bldeliver.Message](n.duties.deliver.Put, bldeliver.UpstreamsSeen{Announcements: e.Announcements})
+	blduty.PutWaiting[blgrant.Message](n.duties.grant.Put, blgrant.UpstreamsSeen{Upstreams: upstreams})
+	blduty.PutWaiting[bldeliver.Message](n.duties.deliver.Put, bldeliver.UpstreamsSeen{Announcements: e.Announcements})
 	n.drop("upstream", n.workers.upstream.Put(grantJob{announcements: e.Announcements, at: n.clock.Now()}))
 }
 
 // configChanged brings a later configuration into force at this node.
 func (n *Node) configChanged(accepted blconfig.Accepted) {
-	must[bladmit.Message](n.duties.admit.Put, bladmit.ConfigChanged{Accepted: accepted})
-	must[blroute.Message](n.duties.route.Put, blroute.ConfigChanged{Accepted: accepted})
-	must[bldeliver.Message](n.duties.deliver.Put, bldeliver.ConfigChanged{Accepted: accepted})
+	blduty.PutWaiting[bladmit.Message](n.duties.admit.Put, bladmit.ConfigChanged{Accepted: accepted})
+	blduty.PutWaiting[blroute.Message](n.duties.route.Put, blroute.ConfigChanged{Accepted: accepted})
+	blduty.PutWaiting[bldeliver.Message](n.duties.deliver.Put, bldeliver.ConfigChanged{Accepted: accepted})
 	timing := accepted.Plan.Timing
-	must[bllead.Message](n.duties.lead.Put, bllead.TimingChanged{Timing: bllead.Timing{
+	blduty.PutWaiting[bllead.Message](n.duties.lead.Put, bllead.TimingChanged{Timing: bllead.Timing{
 		Lease: timing.LeadLease, GrantTTL: timing.GrantTTL, Margin: timing.Margin,
 	}})
 	n.logger.Info("configuration in force", "revision", accepted.Revision)
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -115,6 +115,6 @@
 
 // configRead hands a configuration of the store to the lead's duties.
 func (n *Node) configRead(accepted blconfig.Accepted) {
-	must[blassign.Message](n.duties.assign.Put, blassign.ConfigSeen{Accepted: accepted})
-	must[blpurse.Message](n.duties.purse.Put, blpurse.ConfigSeen{Accepted: accepted})
+	blduty.PutWaiting[blassign.Message](n.duties.assign.Put, blassign.ConfigSeen{Accepted: accepted})
+	blduty.PutWaiting[blpurse.Message](n.duties.purse.Put, blpurse.ConfigSeen{Accepted: accepted})
 }
--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -114,6 +114,9 @@
 type StoredConfig struct {
 	WriteID  string `json:"write_id"`
 	Document string `json:"document"`
+	// GrantBoundMS is the longest grant_ttl, in milliseconds, of this document
+	// and the one before.
+	GrantBoundMS int64 `json:"grant_bound_ms"`
 	// History lists the latest changes, the newest first.
 	History []PastChange `json:"history"`
 }
@@ -134,6 +137,17 @@
 	mostSettings = 20
 )
 
+// GrantBound returns the longest grant that may be in use.
+func (c StoredConfig) GrantBound() time.Duration {
+	return time.Duration(c.GrantBoundMS) * time.Millisecond
+}
+
+// WithGrantBound returns the configuration with another bound.
+func (c StoredConfig) WithGrantBound(bound time.Duration) StoredConfig {
+	c.GrantBoundMS = bound.Milliseconds()
+	return c
+}
+
 // WithChange returns the configuration that replaces c at the given revision.
 func (c StoredConfig) WithChange(writeID, document string, base uint64, at time.Time, settings []string) StoredConfig {
 	past := PastChange{BaseRevision: base, At: at, Settings: settings[:min(len(settings), mostSettings)]}
--- a/io/blupstream/attempt.go
+++ b/io/blupstream/attempt.go
@@ -8,6 +8,7 @@
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/bldeliver"
+	"bergamotlead/core/blduty"
 	"bergamotlead/core/blgrant"
 	"bergamotlead/core/blring"
 	"bergamotlead/core/bltimer"
@@ -78,8 +79,8 @@
 }
 
 func (a *attempt) release(result bldeliver.Result, latency time.Duration) {
-	a.deliverer.mustPut(func() error {
-		return a.deliverer.duties.Deliver(bldeliver.Release{Ticket: a.ticket, Result: result, Latency: latency})
+	blduty.PutWaiting[bldeliver.Message](a.deliverer.duties.Deliver, bldeliver.Release{
+		Ticket: a.ticket, Result: result, Latency: latency,
 	})
 }
 
@@ -128,7 +129,5 @@
 	if a.permit.ID == 0 {
 		return
 	}
-	a.deliverer.mustPut(func() error {
-		return a.deliverer.duties.Grant(blgrant.End{Permit: a.permit.ID})
-	})
+	blduty.PutWaiting[blgrant.Message](a.deliverer.duties.Grant, blgrant.End{Permit: a.permit.ID})
 }
--- a/io/blupstream/deliver.go
+++ b/io/blupstream/deliver.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,7 +11,6 @@
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blgrant"
-	"bergamotlead/core/blring"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/io/bltrace"
 )
@@ -60,19 +58,3 @@
 	span.With("upstream", string(order.Target.Upstream)).End(delivery.Refusal)
 	return delivery
 }
-
-// fullPause is how long a message that must not be lost waits for room.
-const fullPause = time.Millisecond
-
-// mustPut puts a message that gives something back, waiting for room. It gives
-// up only when the ring is closed.
-func (d *Deliverer) mustPut(put func() error) {
-	for {
-		err := put()
-		var full blring.FullError
-		if !errors.As(err, &full) {
-			return
-		}
-		time.Sleep(fullPause)
-	}
-}
