Keep the lead when a second attempt at its lease fails; send spans by OTLP

Cause: found by reading: a lead in hold asks for its lease several times. When the first attempt succeeded and a second one failed, since the lease was held already, the lead gave its role up and left its lease standing. Ruled out in the model: no key was unserved by it, since grants go on. Change: an answer that comes when no lease is asked for takes nothing away; a lease that is no longer wanted is given back. Before: the new fault case had no authority. After: it leads.

--- a/cmd/bergamotlead/main.go
+++ b/cmd/bergamotlead/main.go
@@ -39,7 +39,7 @@
 		return fmt.Errorf("%s: %w", args.Settings, err)
 	}
 	logger := bllog.New(settings.Host, settings.LogLevel, os.Stderr)
-	node, err := blnode.New(settings, blstore.New(settings.Store), logger)
+	node, err := blnode.New(context.Background(), settings, blstore.New(settings.Store), logger)
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
--- a/core/blassign/place.go
+++ b/core/blassign/place.go
@@ -64,7 +64,8 @@
 }
 
 // withoutGone takes the partitions of nodes whose grants have lapsed for free.
-// A node is remembered for as long as it may go on admitting requests.
+// A node is remembered for as long as it may go on admitting requests. What
+// earlier runs of a node held is forgotten once it has lapsed.
 func (s State[P]) withoutGone(now bltimer.Instant) State[P] {
 	timing := s.config.Plan.Timing
 	for _, member := range s.members.All() {
@@ -79,6 +80,11 @@
 			s.members = s.members.Without(member.Host.Name)
 		}
 	}
+	for holder, outstanding := range s.outstanding.All() {
+		if outstanding.lapsed(now) {
+			s.outstanding = s.outstanding.Without(holder)
+		}
+	}
 	return s
 }
 
--- a/core/bllead/decide_test.go
+++ b/core/bllead/decide_test.go
@@ -86,6 +86,11 @@
 	}
 }
 
+// stored returns the record as the store holds it.
+func (p *process) stored() bllead.Stored {
+	return bllead.Stored{Record: p.state.Record(), Revision: 1}
+}
+
 func (p *process) holds() bool {
 	return p.state.Authority(p.instant()).Holds(p.instant())
 }
@@ -198,6 +203,15 @@
 			p.now += 10 * time.Second
 			p.send(bllead.Tick{})
 		}, true, false},
+		{"the store back, and a second attempt at the lease that failed", func(p *process) {
+			p.now += 300 * time.Millisecond
+			promise(p, "b", true)
+			p.now += 300 * time.Millisecond
+			p.send(bllead.Tick{})
+			p.send(bllead.LeaseAcquired{SentAt: p.instant(), Lease: "lease_2", Stored: p.stored()})
+			p.send(bllead.LeaseAcquired{SentAt: p.instant(), Failed: true})
+			p.send(bllead.Tick{})
+		}, true, true},
 		{"the store ended the lease", func(p *process) {
 			p.send(bllead.LeaseRenewed{SentAt: p.instant(), Lease: "lease_1", Lost: true})
 			p.send(bllead.Tick{})
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -97,12 +97,15 @@
 	if s.Role() == RoleHolding {
 		return leaseRegained(s, m)
 	}
+	if s.Role() != RoleAcquiring {
+		return answeredLate(s, m)
+	}
 	if m.Failed {
 		return s.withEvent(eventLose), nil
 	}
 	s = s.withStored(m.Stored)
 	leaseUntil := m.SentAt.Add(s.timing.Lease - s.timing.Margin)
-	if s.Role() != RoleAcquiring || !s.mayLead() || !now.Before(leaseUntil) || now.Before(s.promisedUntil) {
+	if !s.mayLead() || !now.Before(leaseUntil) || now.Before(s.promisedUntil) {
 		return s.withEvent(eventLose), []Effect{EndLease{Lease: m.Lease}}
 	}
 	s = s.withEvent(eventClaim)
@@ -114,6 +117,15 @@
 	return s, []Effect{write}
 }
 
+// answeredLate gives a lease back that this process no longer asks for. That
+// another attempt failed takes nothing from one that succeeded.
+func answeredLate(s State, m LeaseAcquired) (State, []Effect) {
+	if m.Failed || m.Lease == s.lease {
+		return s, nil
+	}
+	return s, []Effect{EndLease{Lease: m.Lease}}
+}
+
 // identified records that a process has ended when another one answers at its
 // address.
 func identified(s State, m Identified) State {
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -58,8 +58,12 @@
 )
 
 // New returns a node. Start runs it.
-func New(settings blsettings.Process, store blplatform.Store, logger hclog.Logger) (*Node, error) {
-	tracer, err := bltrace.New(settings.Host, settings.TraceFile)
+func New(
+	ctx context.Context, settings blsettings.Process, store blplatform.Store, logger hclog.Logger,
+) (*Node, error) {
+	tracer, err := bltrace.New(ctx, settings.Host, bltrace.Target{
+		File: settings.TraceFile, Collector: settings.TraceCollector,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("create node: %w", err)
 	}
--- a/io/blsettings/process.go
+++ b/io/blsettings/process.go
@@ -38,6 +38,9 @@
 	LogLevel string `toml:"log_level"`
 	// TraceFile is where spans are written, or empty for none.
 	TraceFile string `toml:"trace_file"`
+	// TraceCollector is the address of a collector that takes spans by OTLP over
+	// gRPC, or empty for none.
+	TraceCollector string `toml:"trace_collector"`
 }
 
 // SettingError reports a process setting that can't be used.
@@ -96,6 +99,9 @@
 		"caller_listen": p.CallerListen, "node_listen": p.NodeListen, "upstream_listen": p.UpstreamListen,
 		"operator_listen": p.OperatorListen, "store": p.Store,
 	}
+	if p.TraceCollector != "" {
+		addresses["trace_collector"] = p.TraceCollector
+	}
 	for name, value := range addresses {
 		if _, err := netip.ParseAddrPort(value); err != nil {
 			faults = append(faults, SettingError{Name: name, What: fmt.Sprintf("want an IP address and port: %v", err)})
--- a/io/bltrace/trace.go
+++ b/io/bltrace/trace.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracegrpc"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
@@ -20,40 +22,65 @@
 
 const (
 	traceParent = "traceparent"
+	tracerName  = "bergamotlead"
 	// fileMode lets the process's own user alone read the spans.
 	fileMode = 0o600
 )
 
-// Tracer starts spans. Without a file it starts none.
+// Tracer starts spans. Without a target it starts none.
 type Tracer struct {
 	tracer trace.Tracer
 	stop   func(context.Context) error
 }
 
-// New returns a tracer that writes the spans of host to the file at path, as
-// JSON. An empty path records nothing.
-func New(host blvalue.HostName, path string) (*Tracer, error) {
-	if path == "" {
-		return &Tracer{tracer: noop.NewTracerProvider().Tracer("bergamotlead"), stop: nothing}, nil
+// Target says where spans go. An empty field is no target.
+type Target struct {
+	// File is the path of a file to which spans are written as JSON.
+	File string
+	// Collector is the address of a collector that speaks OTLP over gRPC.
+	Collector string
+}
+
+// New returns a tracer that records the spans of host at target.
+func New(ctx context.Context, host blvalue.HostName, target Target) (*Tracer, error) {
+	var options []sdktrace.TracerProviderOption
+	closeFile := nothing
+	if target.File != "" {
+		exporter, file, err := newFileExporter(target.File)
+		if err != nil {
+			return nil, err
+		}
+		closeFile = func(context.Context) error { return file.Close() }
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	if target.Collector != "" {
+		exporter, err := otlptracegrpc.New(ctx,
+			otlptracegrpc.WithEndpoint(target.Collector), otlptracegrpc.WithInsecure())
+		if err != nil {
+			return nil, fmt.Errorf("create collector exporter: %w", err)
+		}
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	if len(options) == 0 {
+		return &Tracer{tracer: noop.NewTracerProvider().Tracer(tracerName), stop: nothing}, nil
 	}
+	options = append(options, sdktrace.WithResource(
+		resource.NewSchemaless(attribute.String("service.name", tracerName), attribute.String("host.name", string(host)))))
+	provider := sdktrace.NewTracerProvider(options...)
+	stop := func(ctx context.Context) error { return errors.Join(provider.Shutdown(ctx), closeFile(ctx)) }
+	return &Tracer{tracer: provider.Tracer(tracerName), stop: stop}, nil
+}
+
+func newFileExporter(path string) (*stdouttrace.Exporter, *os.File, error) {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode) //nolint:gosec // the operator names the file
 	if err != nil {
-		return nil, fmt.Errorf("open trace file: %w", err)
+		return nil, nil, fmt.Errorf("open trace file: %w", err)
 	}
 	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
 	if err != nil {
-		return nil, fmt.Errorf("create exporter: %w", err)
-	}
-	provider := sdktrace.NewTracerProvider(
-		sdktrace.WithBatcher(exporter),
-		sdktrace.WithResource(resource.NewSchemaless(attribute.String("host.name", string(host)))),
-	)
-	stop := func(ctx context.Context) error {
-		err := provider.Shutdown(ctx)
-		_ = file.Close()
-		return err //nolint:wrapcheck // Stop wraps it
+		return nil, nil, fmt.Errorf("create file exporter: %w", err)
 	}
-	return &Tracer{tracer: provider.Tracer("bergamotlead"), stop: stop}, nil
+	return exporter, file, nil
 }
 
 func nothing(context.Context) error { return nil }
