Don't blame an upstream for a caller's body; give a dropped hedge back

Cause: found by reading: a body of unknown length that grew too large, or broke off, counted as a broken connection of the upstream and put its limit back to the cold start; a hedge that found no other upstream left the one it found counted busy. Change: a break of the caller's body is marked and told as such, with the outcome unknown; the dropped hedge's target is given back. After: TestBodyThatGrowsTooLargeBlamesNoUpstream; not run against the former code.

--- a/io/blhttp/hedge.go
+++ b/io/blhttp/hedge.go
@@ -98,7 +98,11 @@
 // second starts an attempt at another upstream, if the budget allows it.
 func (j *journey) second(ctx context.Context, r *race, answer blroute.Answer, done chan finished) *contender {
 	next, err := j.find(ctx, answer, blroute.Find{Hedge: true})
-	if err != nil || next.Refusal != nil || next.Target.Upstream == answer.Target.Upstream {
+	if err != nil || next.Refusal != nil {
+		return nil
+	}
+	if next.Target.Upstream == answer.Target.Upstream {
+		_ = j.front.route(blroute.Observed{Upstream: next.Target.Upstream, Unused: true})
 		return nil
 	}
 	return j.contend(ctx, r, next, done)
--- a/io/blupstream/attempt.go
+++ b/io/blupstream/attempt.go
@@ -24,6 +24,9 @@
 	permit    blgrant.Permit
 	// begun tells that the upstream may have got the request.
 	begun atomic.Bool
+	// bodyBroke tells that the caller's body broke off or grew too large, which
+	// says nothing about the upstream.
+	bodyBroke atomic.Bool
 }
 
 func refused(refusal *blvalue.Refusal) bldeliver.Delivery {
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blvalue"
@@ -45,6 +47,8 @@
 // it never repeats a request of its own accord.
 type onceBody struct {
 	reader io.Reader
+	// broke is set when the caller's body broke off.
+	broke *atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -52,7 +56,11 @@
 	if o.reader == nil {
 		return 0, io.EOF
 	}
-	return o.reader.Read(buffer) //nolint:wrapcheck // io.EOF has to reach the transport as it is
+	count, err := o.reader.Read(buffer)
+	if err != nil && !errors.Is(err, io.EOF) {
+		o.broke.Store(true)
+	}
+	return count, err //nolint:wrapcheck // io.EOF has to reach the transport as it is
 }
 
 // Close implements io.Closer.
@@ -66,7 +74,7 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // its text goes to the caller
 	}
-	request.Body = onceBody{reader: a.order.Body}
+	request.Body = onceBody{reader: a.order.Body, broke: &a.bodyBroke}
 	request.ContentLength = a.order.BodyLength
 	request.Header = make(http.Header, len(a.order.Header))
 	for name, values := range a.order.Header {
@@ -91,9 +99,13 @@
 func (a *attempt) failed(ctx context.Context, err error) (bldeliver.Delivery, bldeliver.Result) {
 	result := bldeliver.ResultBroke
 	reason := blvalue.ReasonUpstreamBroke
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		result = bldeliver.ResultUnused
 		reason = endReason(ctx)
+	case a.bodyBroke.Load():
+		result = bldeliver.ResultUnused
+		reason = blvalue.ReasonMalformed
 	}
 	if a.permit.ID != 0 && !a.deliverer.clock.Now().Before(a.permit.Until) && reason == blvalue.ReasonCancelled {
 		reason = blvalue.ReasonGrantLapsed
--- a/tests/requests_test.go
+++ b/tests/requests_test.go
@@ -280,6 +280,47 @@
 	}
 }
 
+// TestBodyThatGrowsTooLargeBlamesNoUpstream sends a body of unknown length above
+// the limit. The upstream's limit must not fall for it.
+func TestBodyThatGrowsTooLargeBlamesNoUpstream(t *testing.T) {
+	f := deploy(t, potHosts(3, true), nil)
+	owner, key := f.ownedBy(f.Hosts[0])
+	f.flood(12, time.Second)
+	before := f.limitOf(owner)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost,
+		"http://"+f.Hosts[0].Callers+"/pot/"+key+"/contributions", io.MultiReader(strings.NewReader(strings.Repeat("7", 3<<20))))
+	if err != nil {
+		t.Fatalf("build request: %v", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+f.Keys[account])
+	response, err := http.DefaultClient.Do(request)
+	if err == nil {
+		_ = response.Body.Close()
+		if got := response.StatusCode; got != http.StatusBadRequest {
+			t.Errorf("status: got %d, want 400", got)
+		}
+	}
+	if got := f.limitOf(owner); got < before {
+		t.Errorf("limit of the upstream: got %d after %d, want no fall", got, before)
+	}
+}
+
+func (f *fleet) limitOf(upstream *blfleet.RunningUpstream) int {
+	f.t.Helper()
+	for _, host := range f.Hosts {
+		status, err := f.Status(host)
+		if err != nil {
+			f.t.Fatalf("status of %s: %v", host.Spec.Name, err)
+		}
+		for _, u := range status.Upstreams {
+			if string(u.Name) == upstream.Spec.Name {
+				return u.Limit
+			}
+		}
+	}
+	return 0
+}
+
 // TestLargeBodiesPass streams a body and an answer above every buffer.
 func TestLargeBodiesPass(t *testing.T) {
 	f := deploy(t, potHosts(3, true), nil)
