--- a/tools/blfleet/operate.go
+++ b/tools/blfleet/operate.go
@@ -1,6 +1,7 @@
 package blfleet
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/rand"
@@ -11,6 +12,8 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 
 	"bergamotlead/core/blconfig"
 	"bergamotlead/io/bloperator"
@@ -155,3 +158,34 @@
 	_, _ = rand.Read(raw[:])
 	return hex.EncodeToString(raw[:])
 }
+
+// NoMetricError reports a metric that a node doesn't have.
+type NoMetricError struct {
+	Name string
+}
+
+// Error returns the fault as text.
+func (e NoMetricError) Error() string {
+	return "no metric " + e.Name
+}
+
+// Metric returns a metric without labels of a host's node.
+func (f *Fleet) Metric(host *Host, name string) (float64, error) {
+	request, err := http.NewRequestWithContext(
+		context.Background(), http.MethodGet, "http://"+host.Operators+"/metrics", nil)
+	if err != nil {
+		return 0, fmt.Errorf("build request: %w", err)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return 0, fmt.Errorf("read metrics: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if found, value, _ := strings.Cut(lines.Text(), " "); found == name {
+			return strconv.ParseFloat(value, 64)
+		}
+	}
+	return 0, NoMetricError{Name: name}
+}
--- a/tools/measure/path.go
+++ b/tools/measure/path.go
@@ -21,6 +21,7 @@
 	P99MS        float64 `json:"p99_ms"`
 	PerSecond    float64 `json:"requests_per_second"`
 	NodeCPUUS    float64 `json:"node_cpu_us_per_request"`
+	NodeAllocKB  float64 `json:"node_allocated_kb_per_request"`
 	NotAnswered  int     `json:"not_answered"`
 	NodeMemoryMB float64 `json:"largest_node_memory_mb"`
 }
@@ -71,13 +72,15 @@
 	d *deployment, way string, callers int, next func(caller, number int) blload.Request,
 ) pathMeasurement {
 	_ = blload.Run(blload.Plan{Callers: callers, Length: p.Length / 4, Next: next})
-	before := d.nodeCPU()
+	before, allocated := d.nodeCPU(), d.nodeAllocated()
 	result := blload.Run(blload.Plan{Callers: callers, Length: p.Length, Next: next})
 	used := d.nodeCPU() - before
+	allocated = d.nodeAllocated() - allocated
 	return pathMeasurement{
 		Measurement: "path", Way: way, Callers: callers,
 		P50MS: milliseconds(result.Quantile(50)), P99MS: milliseconds(result.Quantile(99)),
 		PerSecond: result.Rate(), NodeCPUUS: float64(used.Microseconds()) / float64(result.Answered),
+		NodeAllocKB: allocated / 1024 / float64(result.Answered),
 		NotAnswered: result.Answered - result.Statuses[http.StatusOK], NodeMemoryMB: d.largestNode(),
 	}
 }
@@ -90,6 +93,18 @@
 	return total
 }
 
+// nodeAllocated returns the bytes that all nodes have allocated so far.
+func (d *deployment) nodeAllocated() float64 {
+	total := 0.0
+	for _, host := range d.Hosts {
+		value, err := d.Metric(host, "go_memstats_alloc_bytes_total")
+		if err == nil {
+			total += value
+		}
+	}
+	return total
+}
+
 func (d *deployment) largestNode() float64 {
 	largest := 0.0
 	for _, host := range d.Hosts {
