Bound a graceful end by shutdown_grace; share the counts of busy accounts

Cause: found by reading: the setting shutdown_grace was checked and explained, and acted on nothing; a gate copied a map at every slot. Change: Stop ends within the setting; the counts are a table with structural sharing. After: the linter is clean; the tests of shutdown, overload and delivery pass.

--- a/core/bldeliver/gate.go
+++ b/core/bldeliver/gate.go
@@ -3,6 +3,7 @@
 import (
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blmember"
+	"bergamotlead/core/bltable"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 )
@@ -14,7 +15,7 @@
 	running      int
 	queue        []Acquire
 	// busy counts the requests of each account that run.
-	busy map[blvalue.AccountName]int
+	busy bltable.Table[blvalue.AccountName, int]
 }
 
 // Limit returns how many requests may run at the upstream at once.
@@ -43,16 +44,13 @@
 }
 
 func (g Gate) withBusy(account blvalue.AccountName, change int) Gate {
-	busy := make(map[blvalue.AccountName]int, len(g.busy)+1)
-	for name, count := range g.busy {
-		busy[name] = count
-	}
-	busy[account] += change
-	if busy[account] <= 0 {
-		delete(busy, account)
-	}
-	g.busy = busy
 	g.running += change
+	count, _ := g.busy.Get(account)
+	if count+change <= 0 {
+		g.busy = g.busy.Without(account)
+		return g
+	}
+	g.busy = g.busy.With(account, count+change)
 	return g
 }
 
@@ -77,8 +75,10 @@
 	if a.Priority != b.Priority {
 		return a.Priority == blconfig.PriorityUrgent
 	}
-	if g.busy[a.Account] != g.busy[b.Account] {
-		return g.busy[a.Account] < g.busy[b.Account]
+	busyA, _ := g.busy.Get(a.Account)
+	busyB, _ := g.busy.Get(b.Account)
+	if busyA != busyB {
+		return busyA < busyB
 	}
 	return a.Deadline.Before(b.Deadline)
 }
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -194,9 +194,15 @@
 )
 
 // Stop leaves the region without cutting a request short: it hands its
-// partitions and the lead over, lets running requests end, and then ends.
+// partitions and the lead over, lets running requests end, and then ends. The
+// configuration's shutdown_grace bounds it.
 func (n *Node) Stop(ctx context.Context) error {
 	n.logger.Info("leaving")
+	if grace := n.duties.admit.View().Config().Plan.Limits.ShutdownGrace; grace > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, grace)
+		defer cancel()
+	}
 	n.leave(ctx)
 	var faults []error
 	for _, server := range n.servers {
