Use one look-up where two stood, and build the options once

Cause: read of the whole change. blgrant and blassign each had the same search for a run of an upstream; blconfig and blassign had loops that the standard library has; the list of options was built anew for every setting of a document, twice; a change was parsed again for its grant_ttl; a field of Outstanding was set and never read; a test repeated one check thrice. Ruled out: one type for the faults and counts of the stand-in and of the fleet, since the stand-in is a program of its own; one shape for the decisions' switches, which are alike in form alone. Change: blvalue.HasIncarnation, slices and strings, options behind sync.OnceValue, the checked document handed to the write of a change. Behaviour and assertions stay.

--- a/core/blassign/heartbeat.go
+++ b/core/blassign/heartbeat.go
@@ -76,7 +76,7 @@
 		return s
 	}
 	for _, upstream := range old.Upstreams {
-		if lists(m.Upstreams, upstream.Incarnation) {
+		if blvalue.HasIncarnation(m.Upstreams, upstream.Incarnation) {
 			continue
 		}
 		holder := NewHolder(old.Host.Incarnation, upstream.Incarnation)
@@ -87,15 +87,6 @@
 	return s
 }
 
-func lists(upstreams []blvalue.Upstream, incarnation blvalue.Incarnation) bool {
-	for _, upstream := range upstreams {
-		if upstream.Incarnation == incarnation {
-			return true
-		}
-	}
-	return false
-}
-
 func (s State[P]) withMember(m Heartbeat, now bltimer.Instant) State[P] {
 	s.members = s.members.With(m.Node.Name, Member{
 		Host: m.Node, HeardAt: now, Sequence: m.Sequence, ConfigRevision: m.ConfigRevision, Leaving: m.Leaving, Upstreams: m.Upstreams,
@@ -148,7 +139,6 @@
 		fence = blvalue.Fence{Term: s.authority.Term, Sequence: s.sequence}
 	}
 	timing := s.config.Plan.Timing
-	outstanding.service = upstream.Service
 	outstanding.heartbeat = max(outstanding.heartbeat, m.Sequence)
 	outstanding = outstanding.withSent(fence, allowed, now.Add(s.lapseAfter(timing, upstream)))
 	s.outstanding = s.outstanding.With(holder, outstanding)
--- a/core/blassign/holder.go
+++ b/core/blassign/holder.go
@@ -23,7 +23,6 @@
 // Outstanding is the immutable list of what a holder may still be using. The
 // last element is the current grant.
 type Outstanding struct {
-	service blvalue.ServiceName
 	// heartbeat is the sequence of the heartbeat that was last answered.
 	heartbeat uint64
 	sent      []sentSet
--- a/core/blassign/place.go
+++ b/core/blassign/place.go
@@ -1,6 +1,7 @@
 package blassign
 
 import (
+	"slices"
 	"time"
 
 	"bergamotlead/core/blconfig"
@@ -168,7 +169,7 @@
 	for index := range ownership.chunkCount() {
 		first := index * ChunkSize
 		last := min(first+ChunkSize, len(current))
-		if sameOwners(current[first:last], wanted[first:last]) {
+		if slices.Equal(current[first:last], wanted[first:last]) {
 			continue
 		}
 		var write Effect
@@ -178,15 +179,6 @@
 	return s, effects
 }
 
-func sameOwners(a, b []blvalue.UpstreamName) bool {
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // candidates returns the upstreams of a service that may own partitions,
 // sorted by name.
 func (s State[P]) candidates(service blvalue.ServiceName) []Candidate {
--- a/core/blassign/state_test.go
+++ b/core/blassign/state_test.go
@@ -24,6 +24,16 @@
 	return count
 }
 
+// checkHolders looks for a partition that several nodes hold.
+func (r *region) checkHolders(t *testing.T) {
+	t.Helper()
+	for p, got := range r.holders() {
+		if got != 1 {
+			t.Fatalf("holders of %d: got %d, want 1", p, got)
+		}
+	}
+}
+
 func TestEveryPartitionHasOneHolder(t *testing.T) {
 	r := newRegion(6)
 	count := r.holders()
@@ -50,11 +60,7 @@
 			for i := 1; i < len(r.beats); i++ {
 				r.beat(i)
 			}
-			for p, got := range r.holders() {
-				if got != 1 {
-					t.Fatalf("holders of %d: got %d, want 1", p, got)
-				}
-			}
+			r.checkHolders(t)
 		}},
 		{"a late heartbeat of an earlier run releases nothing", func(t *testing.T, r *region) {
 			late := r.beats[0]
@@ -66,11 +72,7 @@
 			for i := 1; i < len(r.beats); i++ {
 				r.beat(i)
 			}
-			for p, got := range r.holders() {
-				if got != 1 {
-					t.Fatalf("holders of %d: got %d, want 1", p, got)
-				}
-			}
+			r.checkHolders(t)
 		}},
 		{"nothing moves before a silent holder's grant has lapsed", func(t *testing.T, r *region) {
 			for range 8 {
@@ -80,11 +82,7 @@
 					r.beat(i)
 				}
 			}
-			for p, got := range r.holders() {
-				if got != 1 {
-					t.Fatalf("holders of %d: got %d, want 1", p, got)
-				}
-			}
+			r.checkHolders(t)
 		}},
 		{"a lead without authority answers nothing", func(t *testing.T, r *region) {
 			r.send(blassign.AuthorityChanged{Authority: bllead.Authority{Term: 1, Until: r.now}})
--- a/core/blconfig/options.go
+++ b/core/blconfig/options.go
@@ -1,6 +1,7 @@
 package blconfig
 
 import (
+	"sync"
 	"time"
 )
 
@@ -39,8 +40,17 @@
 	digestBytes          = 32
 )
 
-// Options returns all options in the order in which pages show them.
+// Options returns all options in the order in which pages show them. The list
+// must not be changed.
 func Options() []Option {
+	return allOptions()
+}
+
+// allOptions builds the list once: every setting of a document is looked up in
+// it.
+var allOptions = sync.OnceValue(newOptions)
+
+func newOptions() []Option {
 	var options []Option
 	options = append(options, serviceOptions()...)
 	options = append(options, accountOptions()...)
--- a/core/blconfig/plan.go
+++ b/core/blconfig/plan.go
@@ -1,6 +1,7 @@
 package blconfig
 
 import (
+	"slices"
 	"time"
 
 	"bergamotlead/core/blvalue"
@@ -41,12 +42,7 @@
 
 // MayCall reports whether the account may call service.
 func (a Account) MayCall(service blvalue.ServiceName) bool {
-	for _, allowed := range a.Services {
-		if allowed == service {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(a.Services, service)
 }
 
 // Priority orders requests that wait for a slot.
--- a/core/blconfig/ranges.go
+++ b/core/blconfig/ranges.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -58,14 +60,14 @@
 	holds := len(v.List) > 0
 	known := d.Entries(SectionServices)
 	for _, name := range v.List {
-		holds = holds && contains(known, name)
+		holds = holds && slices.Contains(known, name)
 	}
-	return Range{Allowed: "one or more of " + joinWords(known), SetBy: "the services of the document", Holds: holds}
+	return Range{Allowed: "one or more of " + strings.Join(known, ", "), SetBy: "the services of the document", Holds: holds}
 }
 
 func serviceRange(d Document, _ string, v Value) Range {
 	known := d.Entries(SectionServices)
-	return Range{Allowed: "one of " + joinWords(known), SetBy: "the services of the document", Holds: contains(known, v.Text)}
+	return Range{Allowed: "one of " + strings.Join(known, ", "), SetBy: "the services of the document", Holds: slices.Contains(known, v.Text)}
 }
 
 func pathRange(_ Document, _ string, v Value) Range {
@@ -103,12 +105,3 @@
 	return durationRange(v, d.value(SectionLimits, "", "request_timeout").Duration, longestShutdown,
 		"request_timeout, so that no request is cut short")
 }
-
-func contains(list []string, word string) bool {
-	for _, item := range list {
-		if item == word {
-			return true
-		}
-	}
-	return false
-}
--- a/core/blconfig/schema.go
+++ b/core/blconfig/schema.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -94,11 +96,9 @@
 
 func choices(setBy string, allowed ...string) func(Document, string, Value) Range {
 	return func(_ Document, _ string, v Value) Range {
-		found := false
-		for _, choice := range allowed {
-			found = found || choice == v.Text
+		return Range{
+			Allowed: "one of " + strings.Join(allowed, ", "), SetBy: setBy, Holds: slices.Contains(allowed, v.Text),
 		}
-		return Range{Allowed: "one of " + joinWords(allowed), SetBy: setBy, Holds: found}
 	}
 }
 
@@ -130,14 +130,3 @@
 	}
 	return true
 }
-
-func joinWords(words []string) string {
-	text := ""
-	for i, word := range words {
-		if i > 0 {
-			text += ", "
-		}
-		text += word
-	}
-	return text
-}
--- a/core/blgrant/state.go
+++ b/core/blgrant/state.go
@@ -117,7 +117,7 @@
 func (s State) upstreamsSeen(m UpstreamsSeen) (State, []Effect) {
 	var effects []Effect
 	for name, grant := range s.grants.All() {
-		if hasIncarnation(m.Upstreams, grant.Incarnation) {
+		if blvalue.HasIncarnation(m.Upstreams, grant.Incarnation) {
 			continue
 		}
 		s.grants = s.grants.Without(name)
@@ -138,15 +138,6 @@
 	return s, effects
 }
 
-func hasIncarnation(upstreams []blvalue.Upstream, incarnation blvalue.Incarnation) bool {
-	for _, upstream := range upstreams {
-		if upstream.Incarnation == incarnation {
-			return true
-		}
-	}
-	return false
-}
-
 func (s State) begin(m Begin, now bltimer.Instant) (State, []Effect) {
 	for _, grant := range s.grants.All() {
 		if grant.Service != m.Service || !grant.Covers(m.Partition, now) {
--- a/core/blvalue/identity.go
+++ b/core/blvalue/identity.go
@@ -1,6 +1,8 @@
 // Package blvalue holds the immutable values that slices exchange.
 package blvalue
 
+import "slices"
+
 // HostName names a machine that runs one process of the system.
 type HostName string
 
@@ -46,6 +48,11 @@
 	Leaving bool
 }
 
+// HasIncarnation reports whether one of the upstreams is the given run.
+func HasIncarnation(upstreams []Upstream, incarnation Incarnation) bool {
+	return slices.ContainsFunc(upstreams, func(u Upstream) bool { return u.Incarnation == incarnation })
+}
+
 // WithLeaving returns the upstream with its leaving state set.
 func (u Upstream) WithLeaving(leaving bool) Upstream {
 	u.Leaving = leaving
--- a/io/blnode/apply.go
+++ b/io/blnode/apply.go
@@ -42,7 +42,7 @@
 	if faults := blconfig.CheckChange(current.Document, document); len(faults) > 0 {
 		return refusedChange(blconfig.FaultsError{Faults: faults}.Error())
 	}
-	result, bound := n.writeConfig(ctx, change, blconfig.Difference(current.Document, document))
+	result, bound := n.writeConfig(ctx, change, current.Document, document)
 	if result.Result == blproto.ApplyReply_RESULT_ACCEPTED {
 		accepted := blconfig.NewAccepted(result.Revision, document, string(change.Document))
 		n.configRead(accepted.WithGrantBound(bound))
@@ -58,7 +58,7 @@
 // writeConfig writes the document and says only what is certain. It returns the
 // longest grant_ttl of the document and the one that it replaces as well.
 func (n *Node) writeConfig(
-	ctx context.Context, change blgrpc.Change, differences []blconfig.Change,
+	ctx context.Context, change blgrpc.Change, before, after blconfig.Document,
 ) (blgrpc.ChangeResult, time.Duration) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
 	defer cancel()
@@ -66,7 +66,8 @@
 	if err != nil {
 		return refusedChange(err.Error()), 0
 	}
-	bound := max(grantTTL(stored.Document), grantTTL(string(change.Document)))
+	bound := max(grantTTL(stored.Document), blconfig.NewPlan(after).Timing.GrantTTL)
+	differences := blconfig.Difference(before, after)
 	settings := make([]string, 0, len(differences))
 	for _, difference := range differences {
 		settings = append(settings, difference.Path.String())
