--- a/core/bladmit/borrow.go
+++ b/core/bladmit/borrow.go
@@ -5,6 +5,7 @@
 
 	"bergamotlead/core/blpurse"
 	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
 )
 
 // borrow asks the lead for tokens when something waits or it is time to
@@ -62,19 +63,20 @@
 	if m.Failed {
 		return s, nil
 	}
+	s.lentAt = max(s.lentAt, m.SentAt)
 	var effects []Effect
 	for _, loan := range m.Loans {
 		purse, _ := s.purses.Get(loan.Account)
 		purse = purse.withLoan(loan, m.Term, m.SentAt.Add(s.config.Plan.Timing.PurseTTL), now)
 		var served []Effect
-		purse, served = s.serve(purse, now)
+		purse, served = s.serve(loan.Account, purse, now)
 		s.purses = s.purses.With(loan.Account, purse)
 		effects = append(effects, served...)
 	}
 	return s, effects
 }
 
-func (s State) serve(purse Purse, now bltimer.Instant) (Purse, []Effect) {
+func (s State) serve(account blvalue.AccountName, purse Purse, now bltimer.Instant) (Purse, []Effect) {
 	var effects []Effect
 	var kept []waiter
 	for _, w := range purse.waiting {
@@ -84,7 +86,7 @@
 			purse = next
 			effects = append(effects, w.find)
 		case w.borrowed:
-			effects = append(effects, s.overRate(w.admit, purse))
+			effects = append(effects, s.overRate(w.admit, account, purse))
 		default:
 			kept = append(kept, w)
 		}
--- a/core/bladmit/check.go
+++ b/core/bladmit/check.go
@@ -31,8 +31,14 @@
 		s, effects := s.borrow(now)
 		return s, append(effects, find)
 	}
-	if len(purse.waiting) >= mostWaiting {
-		return s, []Effect{s.overRate(m, purse)}
+	if purse, spent = s.withOwnToken(purse, s.config.Plan.Accounts[find.Find.Account].Rate, now); spent {
+		s.purses = s.purses.With(find.Find.Account, purse)
+		s, effects := s.borrow(now)
+		return s, append(effects, find)
+	}
+	if len(purse.waiting) >= mostWaiting || purse.empty(now) {
+		s.purses = s.purses.With(find.Find.Account, purse)
+		return s, []Effect{s.overRate(m, find.Find.Account, purse)}
 	}
 	wait := min(m.Request.Timeout, s.longestWait(find.Find.Route))
 	purse.waiting = append(purse.waiting[:len(purse.waiting):len(purse.waiting)],
@@ -50,10 +56,11 @@
 	return longestWait
 }
 
-func (s State) overRate(m Admit, purse Purse) Refuse {
+func (s State) overRate(m Admit, account blvalue.AccountName, purse Purse) Refuse {
 	return Refuse{
 		Reply:      m.Reply,
 		Refusal:    blvalue.NotRun(blvalue.ReasonOverRate, "the client account has spent its rate and burst"),
+		Account:    account,
 		RetryAfter: purse.retryAfter,
 	}
 }
@@ -97,11 +104,18 @@
 	return name, nil
 }
 
+// callRank is the rank of requests without an account in a deployment that has
+// accounts. They are calls of upstreams, on which work waits that has begun.
+const callRank = -1
+
 // ranked returns the route with the rank of the account, if it has its own.
 func (s State) ranked(route blconfig.Route, account blvalue.AccountName) blconfig.Route {
 	if a := s.config.Plan.Accounts[account]; a.HasRank {
 		return route.WithRank(a.Rank)
 	}
+	if account == "" && len(s.config.Plan.Accounts) > 0 {
+		return route.WithRank(callRank)
+	}
 	return route
 }
 
--- a/core/bladmit/messages.go
+++ b/core/bladmit/messages.go
@@ -53,6 +53,11 @@
 	Failed bool
 }
 
+// NodesSeen tells how many nodes share the rates while no lead lends.
+type NodesSeen struct{ Count int }
+
+func (NodesSeen) admitMessage() {}
+
 // Leave tells that this node takes no new work.
 type Leave struct{}
 
@@ -72,8 +77,10 @@
 
 // Refuse answers a request that may not run.
 type Refuse struct {
-	Reply      blring.Reply[blroute.Answer]
-	Refusal    *blvalue.Refusal
+	Reply   blring.Reply[blroute.Answer]
+	Refusal *blvalue.Refusal
+	// Account is empty where none was found.
+	Account    blvalue.AccountName
 	RetryAfter time.Duration
 }
 
--- a/core/bladmit/purse.go
+++ b/core/bladmit/purse.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// demandWindow is how often demand is measured.
-	demandWindow = 100 * time.Millisecond
+	// shortestWindow is the least time over which demand is measured.
+	shortestWindow = 100 * time.Millisecond
 	// settlePart and settleParts give the part of the time ahead after which a
 	// node reports to the lead.
 	settlePart  = 4
@@ -33,6 +33,11 @@
 	demand     int64
 	windowedAt bltimer.Instant
 	retryAfter time.Duration
+	// emptyUntil is when the lead is likely to have tokens again, after it lent
+	// none.
+	emptyUntil bltimer.Instant
+	// own holds the tokens that the node may spend while no lead lends.
+	own ownShare
 }
 
 type waiter struct {
@@ -69,10 +74,11 @@
 
 func (p Purse) withWindow(ahead time.Duration, now bltimer.Instant) Purse {
 	elapsed := now.Sub(p.windowedAt)
-	if elapsed < demandWindow {
+	window := max(ahead, shortestWindow)
+	if elapsed < window {
 		return p
 	}
-	p.demand = p.arrived * int64(ahead) / int64(max(elapsed, demandWindow))
+	p.demand = (p.arrived*int64(ahead) + int64(elapsed) - 1) / int64(elapsed)
 	p.arrived = 0
 	p.windowedAt = now
 	return p
@@ -124,9 +130,22 @@
 		p.until = until
 	}
 	p.retryAfter = loan.RetryAfter
+	p.emptyUntil = 0
+	if loan.Tokens == 0 && loan.RetryAfter > 0 {
+		p.emptyUntil = now.Add(min(loan.RetryAfter, longestEmpty))
+	}
 	return p
 }
 
+// longestEmpty bounds the time for which a node takes an account for spent
+// without asking again.
+const longestEmpty = 250 * time.Millisecond
+
+// empty reports whether the lead has just said that the account is spent.
+func (p Purse) empty(now bltimer.Instant) bool {
+	return now.Before(p.emptyUntil)
+}
+
 // idle reports whether there is nothing to tell the lead.
 func (p Purse) idle(now bltimer.Instant) bool {
 	return p.spent == 0 && len(p.waiting) == 0 && p.usable(now) == 0 && p.demand == 0 && p.arrived == 0
--- a/core/bladmit/state.go
+++ b/core/bladmit/state.go
@@ -32,6 +32,12 @@
 	purses    bltable.Table[blvalue.AccountName, Purse]
 	borrowing bool
 	askedAt   bltimer.Instant
+	// lentAt is when a lead lent last, and startedAt when this state began.
+	lentAt    bltimer.Instant
+	startedAt bltimer.Instant
+	// nodes is the number of nodes that share a rate while no lead lends, or
+	// zero where they wait for a lead.
+	nodes int
 	// number counts the requests, for routes that several services share.
 	number uint64
 }
@@ -73,6 +79,10 @@
 		return s, nil
 	case Lent:
 		return s.lent(m, now)
+	case NodesSeen:
+		s.nodes = m.Count
+		s.startedAt = max(s.startedAt, now)
+		return s, nil
 	case Leave:
 		s.leaving = true
 		return s, nil
@@ -119,6 +129,11 @@
 				kept = append(kept, w)
 				continue
 			}
+			var spent bool
+			if purse, spent = s.withOwnToken(purse, s.config.Plan.Accounts[name].Rate, now); spent {
+				effects = append(effects, w.find)
+				continue
+			}
 			effects = append(effects, Refuse{
 				Reply:   w.admit.Reply,
 				Refusal: blvalue.NotRun(blvalue.ReasonStale, "no lead lent tokens in time"),
--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -47,7 +47,7 @@
 // configSeen takes a configuration of a later revision; an earlier one is a
 // late answer.
 func (s State[P]) configSeen(m ConfigSeen, now bltimer.Instant) (State[P], []Effect) {
-	if s.authority.Term == 0 || m.Accepted.Revision <= s.config.Revision {
+	if s.authority.Term == 0 || m.Accepted.Revision <= s.config.Revision || m.Accepted.SameAs(s.config) {
 		return s, nil
 	}
 	s.config = m.Accepted
@@ -119,11 +119,16 @@
 	pending := Chunk{
 		Term:    s.authority.Term,
 		WriteID: fmt.Sprintf("%d.%d", s.authority.Term, s.writes),
-		Owners:  owners,
+		Owners:  owners, Previous: make([]blvalue.UpstreamName, len(owners)),
 	}
 	for i, owner := range owners {
+		p := blvalue.Partition(id.Index*ChunkSize + i)
+		if i < len(chunk.Previous) && !s.unused(ownership, p, s.seenAt) {
+			pending.Previous[i] = chunk.Previous[i]
+		}
 		if owner != chunk.Owners[i] {
 			s.moves++
+			pending.Previous[i] = chunk.Owners[i]
 		}
 	}
 	chunk.pending = &pending
--- a/core/blassign/heartbeat.go
+++ b/core/blassign/heartbeat.go
@@ -20,13 +20,9 @@
 	}
 	s = s.withReleases(m, now)
 	s = s.withHandovers(m)
-	s = s.withMember(m, now)
+	s = s.withMember(m, now).withLoads(m)
 	reply := HeartbeatReply{Term: s.authority.Term, Standby: s.authority.Standby}
-	reply.NeedConfig = m.ConfigRevision > s.config.Revision
-	if m.ConfigRevision < s.config.Revision && (m.WantsConfig || now.Sub(s.configAt) > configPatience) {
-		config := s.config
-		reply.Config = &config
-	}
+	reply = s.withConfig(reply, m, now)
 	for _, upstream := range m.Upstreams {
 		if s.needsHeld(m, upstream, now) {
 			reply.NeedHeld = true
@@ -44,6 +40,9 @@
 	}
 	reply.Directory = s.directorySince(m.Directory)
 	effects := []Effect{Answer{Reply: m.Reply, HeartbeatReply: reply}}
+	if reply.NeedConfig {
+		effects = append(effects, ReloadConfig{})
+	}
 	if m.Config != nil && m.Config.Revision > s.config.Revision {
 		effects = append(effects, ConfigOffered{Accepted: *m.Config})
 	}
@@ -52,7 +51,25 @@
 
 // configPatience is how long a node that reads the configuration itself may be
 // behind before the lead hands it over.
-const configPatience = 400 * time.Millisecond
+const configPatience = 1200 * time.Millisecond
+
+// withConfig completes the answer to a node that has another configuration:
+// the later one goes to the side that lacks it.
+func (s State[P]) withConfig(reply HeartbeatReply, m Heartbeat, now bltimer.Instant) HeartbeatReply {
+	if m.ConfigRevision == s.config.Revision || m.ConfigDigest == s.config.Digest && s.config.Digest != 0 {
+		return reply
+	}
+	if m.ConfigRevision > s.config.Revision {
+		reply.NeedConfig = true
+		return reply
+	}
+	reply.ConfigRevision = s.config.Revision
+	if m.WantsConfig || now.Sub(s.configAt) > configPatience {
+		config := s.config
+		reply.Config = &config
+	}
+	return reply
+}
 
 // withHandovers keeps what upstreams gave back with partitions for their next
 // owners.
@@ -86,6 +103,9 @@
 // overtaken reports whether a later heartbeat of the same run has been seen.
 func (s State[P]) overtaken(m Heartbeat) bool {
 	member, ok := s.members.Get(m.Node.Name)
+	if ok && youngest(m.Upstreams) < youngest(member.Upstreams) {
+		return true
+	}
 	return ok && member.Host.Incarnation == m.Node.Incarnation && m.Sequence <= member.Sequence
 }
 
@@ -116,6 +136,7 @@
 // another run of the node held is left to lapse: the report may be a late one
 // of the earlier run.
 func (s State[P]) withoutEnded(old Member, m Heartbeat) State[P] {
+	s = s.withoutReplaced(old, m)
 	if old.Host.Incarnation != m.Node.Incarnation {
 		return s
 	}
@@ -131,6 +152,26 @@
 	return s
 }
 
+// withoutReplaced drops the holders of runs that a later one on the same host
+// has replaced.
+func (s State[P]) withoutReplaced(old Member, m Heartbeat) State[P] {
+	for _, upstream := range old.Upstreams {
+		if upstream.KeepsGrants && upstream.Born < youngest(m.Upstreams) {
+			s.outstanding = s.outstanding.Without(NewHolder(old.Host.Incarnation, upstream))
+		}
+	}
+	return s
+}
+
+// youngest returns when the youngest of the upstreams started.
+func youngest(upstreams []blvalue.Upstream) int64 {
+	born := int64(0)
+	for _, upstream := range upstreams {
+		born = max(born, upstream.Born)
+	}
+	return born
+}
+
 func (s State[P]) withMember(m Heartbeat, now bltimer.Instant) State[P] {
 	s.members = s.members.With(m.Node.Name, Member{
 		Host: m.Node, HeardAt: now, Sequence: m.Sequence, ConfigRevision: m.ConfigRevision, Leaving: m.Leaving, Upstreams: m.Upstreams,
@@ -177,7 +218,7 @@
 	allowed := owned
 	unchanged := now.Before(current.expires) && current.set.Equal(owned)
 	if !unchanged {
-		allowed = s.allowed(ownership, holder, owned, held, now)
+		allowed = s.allowed(ownership, holder, upstream, owned, held, now)
 		s = s.withService(upstream.Service, ownership.withClaims(allowed, holder))
 	}
 	fence := current.fence
@@ -213,10 +254,11 @@
 // no other holder may still be using. Until the grants of older terms have
 // lapsed, these are only what it holds already.
 func (s State[P]) allowed(
-	ownership Ownership, holder Holder, owned blvalue.PartitionSet, held blgrant.Held, now bltimer.Instant,
+	ownership Ownership, holder Holder, upstream blvalue.Upstream, owned blvalue.PartitionSet, held blgrant.Held,
+	now bltimer.Instant,
 ) blvalue.PartitionSet {
 	if !s.settled(now) {
-		owned = owned.Intersect(s.heldUnder(holder, held, now))
+		owned = owned.Intersect(s.heldUnder(holder, held, now).Union(s.undisputed(ownership, upstream, owned)))
 	}
 	for p := range owned.All() {
 		claimant, ok := ownership.claims.Get(p)
@@ -231,6 +273,24 @@
 	return owned
 }
 
+// undisputed returns the partitions that nobody but the stored owner can be
+// using. An upstream that keeps its grants is one holder whichever node renews
+// them, and its host has only one run at a time.
+func (s State[P]) undisputed(
+	ownership Ownership, upstream blvalue.Upstream, owned blvalue.PartitionSet,
+) blvalue.PartitionSet {
+	if !upstream.KeepsGrants {
+		return blvalue.PartitionSet{}
+	}
+	var list []blvalue.Partition
+	for p := range owned.All() {
+		if ownership.previous(p) == "" {
+			list = append(list, p)
+		}
+	}
+	return blvalue.NewPartitionSet(list...)
+}
+
 // heldUnder returns what the holder still uses, by its own report or by a
 // grant of this term.
 func (s State[P]) heldUnder(holder Holder, held blgrant.Held, now bltimer.Instant) blvalue.PartitionSet {
--- a/core/blassign/messages.go
+++ b/core/blassign/messages.go
@@ -49,12 +49,16 @@
 	Sequence  uint64
 	Upstreams []blvalue.Upstream
 	Held      []blgrant.Held
-	// ConfigRevision is the revision that is in force at the node.
+	// ConfigRevision is the revision that is in force at the node, and
+	// ConfigDigest the digest of its text.
 	ConfigRevision uint64
+	ConfigDigest   uint64
 	// Directory is the version of the directory that the node has.
 	Directory DirectoryVersion
 	// Leaving tells that the node takes no new work.
 	Leaving bool
+	// Loads holds the work of the upstreams.
+	Loads []UpstreamLoad
 	// WantsConfig tells that the node depends on the lead for configurations.
 	WantsConfig bool
 	// Config is the node's configuration, if the lead asked for it.
@@ -62,6 +66,12 @@
 	Reply  blring.Reply[HeartbeatReply]
 }
 
+// UpstreamLoad is the work of one run of an upstream.
+type UpstreamLoad struct {
+	Incarnation blvalue.Incarnation
+	Load        blvalue.Load
+}
+
 // HeartbeatReply is the lead's answer to a heartbeat.
 type HeartbeatReply struct {
 	// Term is zero when this process isn't lead or not ready to answer.
@@ -75,6 +85,9 @@
 	Standby blvalue.Host
 	// NeedHeld asks the node to list the partitions that it holds.
 	NeedHeld bool
+	// ConfigRevision is that of the lead's configuration where the node has
+	// another one, or zero.
+	ConfigRevision uint64
 	// NeedConfig asks for the node's configuration, which is later than the
 	// lead's.
 	NeedConfig bool
@@ -133,6 +146,12 @@
 // left an owner that is lost.
 type Nudge struct{ Nodes []blvalue.Host }
 
+// ReloadConfig asks for the configuration of the store, since a node knows a
+// later one.
+type ReloadConfig struct{}
+
+func (ReloadConfig) assignEffect() {}
+
 // ConfigOffered carries a configuration that a node knew before the lead.
 type ConfigOffered struct{ Accepted blconfig.Accepted }
 
--- a/core/blassign/ownership.go
+++ b/core/blassign/ownership.go
@@ -17,6 +17,9 @@
 	Term    uint64
 	WriteID string
 	Owners  []blvalue.UpstreamName
+	// Previous holds the earlier owners of partitions that may not have stopped
+	// using them, at the positions of Owners. It is empty once all have.
+	Previous []blvalue.UpstreamName
 }
 
 // ChunkID names one chunk.
@@ -70,6 +73,15 @@
 	return chunk.Owners[int(p)%ChunkSize]
 }
 
+// previous returns an earlier owner of p that may still use it, or empty.
+func (o Ownership) previous(p blvalue.Partition) blvalue.UpstreamName {
+	chunk, ok := o.chunks.Get(int(p) / ChunkSize)
+	if !ok || int(p)%ChunkSize >= len(chunk.Previous) {
+		return ""
+	}
+	return chunk.Previous[int(p)%ChunkSize]
+}
+
 // Owners returns the owner of every partition.
 func (o Ownership) Owners() []blvalue.UpstreamName {
 	owners := make([]blvalue.UpstreamName, o.partitions)
--- a/core/blassign/state.go
+++ b/core/blassign/state.go
@@ -4,6 +4,8 @@
 package blassign
 
 import (
+	"time"
+
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/bltable"
@@ -40,6 +42,15 @@
 	outstanding bltable.Table[Holder, Outstanding]
 	// handovers holds what upstreams gave back with partitions.
 	handovers bltable.Table[string, string]
+	// paces holds how long requests take at upstreams, as a moving average, and
+	// weights what follows from that, in percent.
+	paces     bltable.Table[blvalue.Incarnation, time.Duration]
+	weights   bltable.Table[blvalue.UpstreamName, int]
+	weighedAt bltimer.Instant
+	// seenAt is the time of the last tick, and clearedAt when the lead last
+	// looked for earlier owners to forget.
+	seenAt    bltimer.Instant
+	clearedAt bltimer.Instant
 	// configAt is when the configuration was taken.
 	configAt bltimer.Instant
 
--- a/core/blconfig/document.go
+++ b/core/blconfig/document.go
@@ -8,6 +8,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotlead/core/bltable"
 )
 
@@ -112,6 +114,20 @@
 	// GrantBound is the longest grant_ttl of this revision and the one before,
 	// by which a lead may have given grants out that still run.
 	GrantBound time.Duration
+	// Digest is that of Source. Revisions of different readers may differ for
+	// the same text.
+	Digest uint64
+}
+
+// SameAs reports whether both are the same text.
+func (a Accepted) SameAs(other Accepted) bool {
+	return a.Source != "" && a.Digest == other.Digest
+}
+
+// WithRevision returns the accepted document as it stands at a later revision.
+func (a Accepted) WithRevision(revision uint64) Accepted {
+	a.Revision = max(a.Revision, revision)
+	return a
 }
 
 // WithGrantBound returns the accepted document with another bound.
@@ -129,12 +145,14 @@
 // NewAcceptedPlan returns the accepted form of a configuration that is no
 // document of the project's own. Source is the text that others decode.
 func NewAcceptedPlan(revision uint64, plan Plan, source string) Accepted {
-	accepted := Accepted{Revision: revision, Plan: plan, Source: source}
+	accepted := Accepted{Revision: revision, Plan: plan, Source: source, Digest: xxhash.Sum64String(source)}
 	return accepted.WithGrantBound(0)
 }
 
 // NewAccepted returns the accepted form of document.
 func NewAccepted(revision uint64, document Document, source string) Accepted {
-	accepted := Accepted{Revision: revision, Document: document, Source: source, Plan: NewPlan(document)}
+	accepted := Accepted{
+		Revision: revision, Document: document, Source: source, Plan: NewPlan(document), Digest: xxhash.Sum64String(source),
+	}
 	return accepted.WithGrantBound(0)
 }
--- a/core/bldeliver/gate.go
+++ b/core/bldeliver/gate.go
@@ -18,6 +18,8 @@
 	queue        []Acquire
 	// busy counts the requests of each account that run.
 	busy bltable.Table[blvalue.AccountName, int]
+	// paces holds how long requests of each class take, as a moving average.
+	paces bltable.Table[string, time.Duration]
 	// closesAt is when a leaving upstream gets no more work, or zero.
 	closesAt bltimer.Instant
 }
@@ -30,6 +32,9 @@
 	return g.limiter.Limit()
 }
 
+// Incarnation returns the run of the upstream.
+func (g Gate) Incarnation() blvalue.Incarnation { return g.announcement.Upstream.Incarnation }
+
 // Running returns how many requests run at the upstream.
 func (g Gate) Running() int { return g.running }
 
@@ -41,6 +46,30 @@
 	return blvalue.Load{Running: g.running, Waiting: len(g.queue), Limit: g.Limit(), Service: g.limiter.Pace()}
 }
 
+// classPace returns how long a request of the class takes, or the average over
+// all classes while none of it has been answered.
+func (g Gate) classPace(class string) time.Duration {
+	if pace, ok := g.paces.Get(class); ok {
+		return pace
+	}
+	return g.limiter.Pace()
+}
+
+// mostClasses bounds the classes whose pace is kept.
+const mostClasses = 256
+
+func (g Gate) withPace(class string, latency time.Duration) Gate {
+	pace, ok := g.paces.Get(class)
+	if !ok && g.paces.Len() >= mostClasses {
+		return g
+	}
+	if !ok {
+		pace = latency
+	}
+	g.paces = g.paces.With(class, pace+(latency-pace)/paceWeight)
+	return g
+}
+
 // cold reports whether the upstream is in cold start at now.
 func (g Gate) cold(now bltimer.Instant) bool {
 	return g.announcement.Cold && (g.announcement.ColdUntil == 0 || now.Before(g.announcement.ColdUntil))
@@ -124,7 +153,7 @@
 // useful reports whether an answer would come in time if the request started
 // at now.
 func (g Gate) useful(a Acquire, now bltimer.Instant) bool {
-	return a.Goal == 0 || !a.Goal.Before(now.Add(g.limiter.Pace()))
+	return a.Goal == 0 || !a.Goal.Before(now.Add(g.classPace(a.Class)))
 }
 
 func (g Gate) without(position int) Gate {
--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -23,6 +23,8 @@
 	Account  blvalue.AccountName
 	// Rank orders requests that wait: lower ranks go first.
 	Rank int
+	// Class names requests that take about the same time.
+	Class string
 	// Deadline is when the caller stops waiting.
 	Deadline bltimer.Instant
 	// Goal is until when an answer is most useful, or zero.
@@ -36,6 +38,8 @@
 	Refusal *blvalue.Refusal
 	// Address is where the upstream takes requests.
 	Address string
+	// Incarnation is the run of the upstream.
+	Incarnation blvalue.Incarnation
 	// RetryAfter is when there is likely to be room, after a refusal.
 	RetryAfter time.Duration
 	// Load is the upstream's work at the moment.
--- a/core/bldeliver/order.go
+++ b/core/bldeliver/order.go
@@ -18,7 +18,9 @@
 	Idempotent bool
 	Open       bool
 	// Rank orders requests that wait for a slot: lower ranks go first.
-	Rank      int
+	Rank int
+	// Class names requests that take about the same time.
+	Class     string
 	RequestID string
 	// URI is the path and query that the upstream gets.
 	URI string
--- a/core/bldeliver/prospect.go
+++ b/core/bldeliver/prospect.go
@@ -23,7 +23,7 @@
 	if a.Goal == 0 {
 		return 0
 	}
-	return g.limiter.Pace() / leastPart
+	return g.classPace(a.Class) / leastPart
 }
 
 // wait returns how long a request would wait for a slot: until those that go
@@ -56,3 +56,20 @@
 	}
 	return !g.useful(a, start) && wait > a.Deadline.Sub(now)/latePart
 }
+
+// withoutHopeless returns the gate without the requests that later ones have
+// pushed back too far, and those requests.
+func (g Gate) withoutHopeless(now bltimer.Instant) (Gate, []Acquire) {
+	var kept, hopeless []Acquire
+	for i, a := range g.queue {
+		if others := g.without(i); others.hopeless(a, others.wait(a, now), now) {
+			hopeless = append(hopeless, a)
+			continue
+		}
+		kept = append(kept, a)
+	}
+	if len(hopeless) > 0 {
+		g.queue = kept
+	}
+	return g, hopeless
+}
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -12,6 +12,7 @@
 type held struct {
 	upstream blvalue.UpstreamName
 	account  blvalue.AccountName
+	class    string
 }
 
 // State is the delivery duty's immutable state.
@@ -107,9 +108,11 @@
 		chosen := gate.queue[position]
 		gate = gate.without(position).withBusy(chosen.Account, 1)
 		gate.pacer = gate.pacer.WithSent(now)
-		s.held = s.held.With(chosen.Ticket, held{upstream: name, account: chosen.Account})
+		s.held = s.held.With(chosen.Ticket, held{upstream: name, account: chosen.Account, class: chosen.Class})
 		effects = append(effects, Effect{
-			Reply: chosen.Reply, Answer: AcquireAnswer{Address: gate.announcement.Address, Load: gate.Load()},
+			Reply: chosen.Reply, Answer: AcquireAnswer{
+				Address: gate.announcement.Address, Incarnation: gate.Incarnation(), Load: gate.Load(),
+			},
 		})
 	}
 	s.gates = s.gates.With(name, gate)
@@ -130,6 +133,7 @@
 	switch m.Result {
 	case ResultAnswered:
 		gate.limiter = gate.limiter.WithAnswer(m.Latency)
+		gate = gate.withPace(slot.class, m.Latency)
 	case ResultShed:
 		gate.limiter = gate.limiter.WithShed()
 	case ResultBroke:
@@ -239,11 +243,18 @@
 			s.gates = s.gates.With(name, gate)
 			continue
 		}
-		kept, expired := gate.withoutExpired(now)
+		kept, hopeless := gate.withoutHopeless(now)
+		for _, waiting := range hopeless {
+			refusal := refuse(waiting, blvalue.ReasonOverload, "the upstream can no longer answer in time")
+			refusal.Answer.RetryAfter = max(gate.limiter.Pace(), shortestRetry)
+			refusal.Answer.Load = gate.Load()
+			effects = append(effects, refusal)
+		}
+		kept, expired := kept.withoutExpired(now)
 		for _, waiting := range expired {
 			effects = append(effects, refuse(waiting, blvalue.ReasonTimeout, "no slot came free in time"))
 		}
-		if len(expired) > 0 || kept.pacer.paces() {
+		if len(expired)+len(hopeless) > 0 || kept.pacer.paces() {
 			var admitted []Effect
 			s, admitted = s.admitNext(name, kept, now)
 			effects = append(effects, admitted...)
--- a/core/blduty/worker.go
+++ b/core/blduty/worker.go
@@ -35,6 +35,11 @@
 	return nil
 }
 
+// Ring returns the ring that the worker reads, for timer subscriptions.
+func (w *Worker[J]) Ring() *blring.Ring[J] {
+	return w.ring
+}
+
 // Start runs the worker on its own thread.
 func (w *Worker[J]) Start() {
 	go w.run()
--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -48,7 +48,7 @@
 	case StandbyAnswered:
 		return standbyAnswered(s, m, now)
 	case Identified:
-		return identified(s, m), nil
+		return identified(s, m, now)
 	case LeadHeard:
 		return leadHeard(s, m, now), nil
 	case PeersSeen:
--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -95,5 +95,11 @@
 	if s.Role() == RoleFollower {
 		return s, nil
 	}
-	return stepDown(s)
+	standby, ok := s.standby()
+	tell := AskStandby{Term: s.stored.Record.Term, Standby: standby, Resigned: true}
+	s, effects := stepDown(s)
+	if ok {
+		effects = append(effects, tell)
+	}
+	return s, effects
 }
--- a/core/bllead/messages.go
+++ b/core/bllead/messages.go
@@ -22,6 +22,8 @@
 	Stored Stored
 	// LeaseHolder is the incarnation that holds the lead lease, or empty.
 	LeaseHolder blvalue.Incarnation
+	// LeaseRevision is the revision of the lease's key.
+	LeaseRevision uint64
 	// Lost lists the incarnations that an operator declared lost.
 	Lost []blvalue.Incarnation
 	// Failed tells that the store didn't answer; the rest is then unset.
@@ -64,7 +66,9 @@
 	Standby blvalue.Incarnation
 	// WantPromise asks the standby not to take over for a while.
 	WantPromise bool
-	Reply       blring.Reply[StandbyAnswer]
+	// Resigned tells that the lead gives up: the standby is to take over.
+	Resigned bool
+	Reply    blring.Reply[StandbyAnswer]
 }
 
 // StandbyAnswer is the standby's answer to StandbyAsked.
@@ -130,8 +134,9 @@
 // ReadRecord reads the lead record, the lead lease and the lost hosts.
 type ReadRecord struct{}
 
-// AcquireLease takes the lead lease if nobody holds it, then reads the record.
-type AcquireLease struct{}
+// AcquireLease takes the lead lease if its key is still at the revision that
+// was read, then reads the record. Zero means that nobody holds it.
+type AcquireLease struct{ Revision uint64 }
 
 // RenewLease extends the lead lease.
 type RenewLease struct{ Lease blplatform.LeaseID }
@@ -150,6 +155,8 @@
 	Term        uint64
 	Standby     blvalue.Host
 	WantPromise bool
+	// Resigned tells that this lead gives up.
+	Resigned bool
 }
 
 // AnswerStandby answers StandbyAsked.
--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -58,6 +58,9 @@
 
 func standbyAsked(s State, m StandbyAsked, now bltimer.Instant) (State, []Effect) {
 	answer := StandbyAnswer{Incarnation: s.self.Incarnation}
+	if m.Resigned {
+		return standbyCalled(s, m, answer)
+	}
 	answer.Refusal = s.refusesPromise(m, now)
 	if answer.Refusal == "" && m.WantPromise {
 		answer.Promised = true
@@ -72,6 +75,16 @@
 	return s, effects
 }
 
+// standbyCalled takes the lead's word that it gives up.
+func standbyCalled(s State, m StandbyAsked, answer StandbyAnswer) (State, []Effect) {
+	if m.Standby == s.self.Incarnation && s.Role() == RoleFollower && m.Term >= s.stored.Record.Term {
+		s.leadHeard = 0
+		s.storeSent = 0
+		s.askedTerm = m.Term
+	}
+	return s, []Effect{AnswerStandby{Reply: m.Reply, Answer: answer}}
+}
+
 // probeStore reads the store while the lead can't: a standby that reaches it
 // takes over rather than let the lead hold.
 func probeStore(s State, effects []Effect, wantPromise bool, now bltimer.Instant) (State, []Effect) {
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -62,16 +62,27 @@
 	for _, lost := range m.Lost {
 		s = s.withEnded(lost)
 	}
+	s = s.withOwnPast()
 	if s.Role() != RoleFollower || s.leaving {
 		return s, nil
 	}
-	if m.LeaseHolder != "" || !s.mayTakeOver(now) {
+	if m.LeaseHolder != "" && !s.hasEnded(m.LeaseHolder) || !s.mayTakeOver(now) {
 		return s, nil
 	}
 	s = s.withEvent(eventAcquire)
 	s.acquiringAt = now
 	s.lapsedAt = now
-	return s, []Effect{AcquireLease{}}
+	return s, []Effect{AcquireLease{Revision: m.LeaseRevision}}
+}
+
+// withOwnPast records that earlier runs of this host have ended.
+func (s State) withOwnPast() State {
+	for _, host := range []blvalue.Host{s.stored.Record.Lead, s.stored.Record.Standby} {
+		if host.Name == s.self.Name && host.Incarnation != s.self.Incarnation {
+			s = s.withEnded(host.Incarnation)
+		}
+	}
+	return s
 }
 
 // mayTakeOver reports whether this process may lead next: it is named in the
@@ -144,13 +155,18 @@
 
 // identified records that a process has ended when another one answers at its
 // address.
-func identified(s State, m Identified) State {
+func identified(s State, m Identified, now bltimer.Instant) (State, []Effect) {
+	before := s.ended.Len()
 	for _, host := range []blvalue.Host{s.stored.Record.Lead, s.stored.Record.Standby} {
 		if host.Address == m.Address && host.Incarnation != m.Incarnation && m.Incarnation != "" {
 			s = s.withEnded(host.Incarnation)
 		}
 	}
-	return s
+	if s.ended.Len() == before || s.Role() != RoleFollower || s.leaving {
+		return s, nil
+	}
+	s.storeSent = now
+	return s, []Effect{ReadRecord{}}
 }
 
 func leadHeard(s State, m LeadHeard, now bltimer.Instant) State {
--- a/core/blmember/messages.go
+++ b/core/blmember/messages.go
@@ -35,10 +35,6 @@
 	ColdFor time.Duration
 	// ColdUntil is when that ends. The membership duty sets it.
 	ColdUntil bltimer.Instant
-	// Born is when the upstream started, in milliseconds since the Unix epoch by
-	// its own clock, or zero where it doesn't say. Of two runs beside one node
-	// the one that was born later has replaced the other.
-	Born int64
 	// Sequence rises with each announcement of a run, or is zero where the
 	// upstream doesn't number them.
 	Sequence uint64
@@ -115,9 +111,20 @@
 // ConfigChanged carries a later configuration.
 type ConfigChanged struct{ Accepted blconfig.Accepted }
 
+// ReloadConfig asks for the configuration of the store, since the lead has a
+// later one.
+type ReloadConfig struct{}
+
+func (ReloadConfig) memberEffect() {}
+
 // DirectoryChanged carries changes of the directory.
 type DirectoryChanged struct{ Directory blassign.Directory }
 
+// NodesSeen tells how many nodes the directory names, this one included.
+type NodesSeen struct{ Count int }
+
+func (NodesSeen) memberEffect() {}
+
 // LeadHeard tells that a lead answered a heartbeat that was sent at SentAt.
 type LeadHeard struct {
 	SentAt bltimer.Instant
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -20,9 +20,9 @@
 	retryAfter = 80 * time.Millisecond
 	// answerTimeout is how long a heartbeat waits for its answer.
 	answerTimeout = 250 * time.Millisecond
-	// knownNodes bounds the nodes that are asked for the lead when neither it
-	// nor its standby answers.
-	knownNodes = 64
+	// knownNodes bounds the nodes that are remembered. Any of them is asked for
+	// the lead when neither it nor its standby answers.
+	knownNodes = 1024
 )
 
 // Patience is how long an upstream may be silent.
@@ -204,7 +204,7 @@
 	s.sequence++
 	s.nextAt = now.Add(s.heartbeat)
 	heartbeat := blassign.Heartbeat{
-		Node: s.self, Sequence: s.sequence, ConfigRevision: s.config.Revision, Directory: s.directory, Leaving: s.leaving,
+		Node: s.self, Sequence: s.sequence, ConfigRevision: s.config.Revision, ConfigDigest: s.config.Digest, Directory: s.directory, Leaving: s.leaving,
 		WantsConfig: !s.fresh,
 	}
 	if s.sendConfig {
@@ -286,9 +286,13 @@
 		s, changed = s.configSeen(*config)
 		effects = append(effects, changed...)
 	}
+	if s.fresh && m.Reply.ConfigRevision > s.config.Revision {
+		effects = append(effects, ReloadConfig{})
+	}
 	if directory := m.Reply.Directory; directory != nil {
 		s.directory = directory.Version
 		s = s.withNodes(*directory)
+		effects = append(effects, NodesSeen{Count: len(s.nodes) + 1})
 		effects = append(effects, DirectoryChanged{Directory: *directory})
 	}
 	return s, effects
--- a/io/blgrpc/client.go
+++ b/io/blgrpc/client.go
@@ -21,14 +21,15 @@
 // Client calls other nodes, over one connection to each address.
 type Client struct {
 	decode Decode
+	names  Names
 
 	mu          sync.Mutex
 	connections map[string]*grpc.ClientConn
 }
 
 // NewClient returns a client without connections.
-func NewClient(decode Decode) *Client {
-	return &Client{decode: decode, connections: map[string]*grpc.ClientConn{}}
+func NewClient(decode Decode, names Names) *Client {
+	return &Client{decode: decode, names: names, connections: map[string]*grpc.ClientConn{}}
 }
 
 // Close ends every connection.
@@ -42,6 +43,8 @@
 }
 
 const (
+	// windowBytes is the flow-control window of streams and connections.
+	windowBytes     = 1 << 20
 	connectTimeout  = 500 * time.Millisecond
 	longestBackoff  = 500 * time.Millisecond
 	shortestBackoff = 50 * time.Millisecond
@@ -59,6 +62,9 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
+		// A window that is given keeps the library from measuring by pings.
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(largestMessage)),
 		grpc.WithContextDialer(dial),
 		grpc.WithConnectParams(grpc.ConnectParams{
@@ -130,7 +136,7 @@
 	}
 	answer, err := node.AskStandby(ctx, &blproto.AskStandbyRequest{
 		Term: asked.Term, Lead: hostToProto(self),
-		StandbyIncarnation: string(asked.Standby.Incarnation), WantPromise: asked.WantPromise,
+		StandbyIncarnation: string(asked.Standby.Incarnation), WantPromise: asked.WantPromise, Resigned: asked.Resigned,
 	})
 	if err != nil {
 		return bllead.StandbyAnswer{}, fmt.Errorf("ask standby at %s: %w", asked.Standby.Address, err)
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -30,7 +30,7 @@
 func upstreamToProto(u blvalue.Upstream) *blproto.Upstream {
 	return &blproto.Upstream{
 		Name: string(u.Name), Incarnation: string(u.Incarnation), Service: string(u.Service),
-		Slots: uint32(u.Slots), ChecksFence: u.ChecksFence, Leaving: u.Leaving, KeepsGrants: u.KeepsGrants, Cold: u.Cold,
+		Slots: uint32(u.Slots), ChecksFence: u.ChecksFence, Leaving: u.Leaving, KeepsGrants: u.KeepsGrants, Cold: u.Cold, Born: u.Born,
 	}
 }
 
@@ -38,7 +38,7 @@
 	return blvalue.Upstream{
 		Name: blvalue.UpstreamName(u.GetName()), Incarnation: blvalue.Incarnation(u.GetIncarnation()),
 		Service: blvalue.ServiceName(u.GetService()), Slots: int(u.GetSlots()),
-		ChecksFence: u.GetChecksFence(), Leaving: u.GetLeaving(), KeepsGrants: u.GetKeepsGrants(), Cold: u.GetCold(),
+		ChecksFence: u.GetChecksFence(), Leaving: u.GetLeaving(), KeepsGrants: u.GetKeepsGrants(), Cold: u.GetCold(), Born: u.GetBorn(),
 	}
 }
 
@@ -54,7 +54,12 @@
 	request := &blproto.HeartbeatRequest{
 		Node: hostToProto(h.Node), Sequence: h.Sequence, ConfigRevision: h.ConfigRevision, Leaving: h.Leaving,
 		Directory: &blproto.DirectoryVersion{Term: h.Directory.Term, Version: h.Directory.Version}, WantsConfig: h.WantsConfig,
-		Config: configToProto(h.Config),
+		Config: configToProto(h.Config), ConfigDigest: h.ConfigDigest,
+	}
+	for _, reported := range h.Loads {
+		request.Loads = append(request.Loads, &blproto.UpstreamLoad{
+			Incarnation: string(reported.Incarnation), Load: loadToProto(reported.Load),
+		})
 	}
 	for _, upstream := range h.Upstreams {
 		request.Upstreams = append(request.Upstreams, upstreamToProto(upstream))
@@ -74,7 +79,12 @@
 	heartbeat := blassign.Heartbeat{
 		Node: hostFromProto(r.GetNode()), Sequence: r.GetSequence(), ConfigRevision: r.GetConfigRevision(), Leaving: r.GetLeaving(),
 		Directory:   blassign.DirectoryVersion{Term: r.GetDirectory().GetTerm(), Version: r.GetDirectory().GetVersion()},
-		WantsConfig: r.GetWantsConfig(),
+		WantsConfig: r.GetWantsConfig(), ConfigDigest: r.GetConfigDigest(),
+	}
+	for _, reported := range r.GetLoads() {
+		heartbeat.Loads = append(heartbeat.Loads, blassign.UpstreamLoad{
+			Incarnation: blvalue.Incarnation(reported.GetIncarnation()), Load: loadFromProto(reported.GetLoad()),
+		})
 	}
 	for _, upstream := range r.GetUpstreams() {
 		heartbeat.Upstreams = append(heartbeat.Upstreams, upstreamFromProto(upstream))
@@ -93,7 +103,7 @@
 func replyToProto(r blassign.HeartbeatReply) *blproto.HeartbeatReply {
 	reply := &blproto.HeartbeatReply{
 		Term: r.Term, Standby: hostToProto(r.Standby), SoonMs: milliseconds(r.Soon), NeedHeld: r.NeedHeld,
-		NeedConfig: r.NeedConfig, Lead: hostToProto(r.Lead), Config: configToProto(r.Config),
+		NeedConfig: r.NeedConfig, Lead: hostToProto(r.Lead), Config: configToProto(r.Config), ConfigRevision: r.ConfigRevision,
 	}
 	for _, offer := range r.Offers {
 		reply.Offers = append(reply.Offers, &blproto.Offer{
@@ -112,7 +122,7 @@
 func replyFromProto(r *blproto.HeartbeatReply) blassign.HeartbeatReply {
 	reply := blassign.HeartbeatReply{
 		Term: r.GetTerm(), Standby: hostFromProto(r.GetStandby()), Soon: duration(r.GetSoonMs()), NeedHeld: r.GetNeedHeld(),
-		NeedConfig: r.GetNeedConfig(), Lead: hostFromProto(r.GetLead()),
+		NeedConfig: r.GetNeedConfig(), Lead: hostFromProto(r.GetLead()), ConfigRevision: r.GetConfigRevision(),
 	}
 	for _, offer := range r.GetOffers() {
 		reply.Offers = append(reply.Offers, blgrant.Offer{
@@ -265,22 +275,6 @@
 	return list
 }
 
-func fieldsToProto(header map[string][]string) []*blproto.Field {
-	fields := make([]*blproto.Field, 0, len(header))
-	for name, values := range header {
-		fields = append(fields, &blproto.Field{Name: name, Values: values})
-	}
-	return fields
-}
-
-func fieldsFromProto(fields []*blproto.Field) map[string][]string {
-	header := make(map[string][]string, len(fields))
-	for _, field := range fields {
-		header[field.GetName()] = field.GetValues()
-	}
-	return header
-}
-
 func milliseconds(d time.Duration) uint32 {
 	return uint32(max(d.Milliseconds(), 0))
 }
--- a/io/blgrpc/deliver.go
+++ b/io/blgrpc/deliver.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -29,7 +30,7 @@
 	if err != nil {
 		return notSent(err)
 	}
-	head := orderToProto(order)
+	head := c.names.orderToProto(order)
 	if err := addSmallBody(head, order); err != nil {
 		return notSent(err)
 	}
@@ -42,7 +43,7 @@
 		sender := &bodySender{stream: stream, body: order.Body}
 		go sender.run()
 	}
-	return receive(ctx, stream, sink)
+	return c.receive(ctx, stream, sink)
 }
 
 // addSmallBody puts a body of known and small length, or none, into the head.
@@ -101,7 +102,7 @@
 	}
 }
 
-func receive(ctx context.Context, stream deliverStream, sink bldeliver.Sink) bldeliver.Delivery {
+func (c *Client) receive(ctx context.Context, stream deliverStream, sink bldeliver.Sink) bldeliver.Delivery {
 	started := false
 	for {
 		frame, err := stream.Recv()
@@ -111,14 +112,14 @@
 		switch part := frame.GetPart().(type) {
 		case *blproto.DeliverReply_Head:
 			started = true
-			err = sink.Head(int(part.Head.GetStatus()), fieldsFromProto(part.Head.GetHeader()))
-			if err == nil && part.Head.GetWhole() {
-				return whole(part.Head, sink)
+			if part.Head.GetWhole() {
+				return c.whole(part.Head, sink)
 			}
+			err = sink.Head(int(part.Head.GetStatus()), c.names.fromProto(part.Head.GetHeader()))
 		case *blproto.DeliverReply_Body:
 			_, err = sink.Write(part.Body)
 		case *blproto.DeliverReply_Trailer:
-			err = sink.Trailer(fieldsFromProto(part.Trailer.GetFields()))
+			err = sink.Trailer(c.names.fromProto(part.Trailer.GetFields()))
 		case *blproto.DeliverReply_Refusal:
 			return deliveryFromProto(part.Refusal)
 		case *blproto.DeliverReply_Done:
@@ -131,7 +132,12 @@
 }
 
 // whole passes an answer on that came as one frame.
-func whole(head *blproto.AnswerHead, sink bldeliver.Sink) bldeliver.Delivery {
+func (c *Client) whole(head *blproto.AnswerHead, sink bldeliver.Sink) bldeliver.Delivery {
+	header := c.names.fromProto(head.GetHeader())
+	header[contentLengthField] = []string{strconv.Itoa(len(head.GetBody()))}
+	if err := sink.Head(int(head.GetStatus()), header); err != nil {
+		return callerGone(true)
+	}
 	if len(head.GetBody()) == 0 {
 		return bldeliver.Delivery{Started: true, Load: loadFromProto(head.GetLoad())}
 	}
--- a/io/blgrpc/order.go
+++ b/io/blgrpc/order.go
@@ -1,7 +1,9 @@
 package blgrpc
 
 import (
+	"encoding/hex"
 	"io"
+	"maps"
 	"strconv"
 
 	"bergamotlead/core/bldeliver"
@@ -13,31 +15,33 @@
 // frameBytes is the size of the pieces in which bodies cross between nodes.
 const frameBytes = 32 << 10
 
-func orderToProto(o bldeliver.Order) *blproto.OrderHead {
+const contentLengthField = "Content-Length"
+
+func (n Names) orderToProto(o bldeliver.Order) *blproto.OrderHead {
 	return &blproto.OrderHead{
 		Service: string(o.Request.Service), Key: string(o.Request.Key), Method: o.Request.Method, Uri: o.URI,
-		Account: string(o.Account), KeyDigest: o.Request.KeyDigest,
+		Account: string(o.Account), KeyDigest: digestToProto(o.Request.KeyDigest),
 		Upstream: string(o.Target.Upstream), Partition: uint32(o.Target.Partition), Exclusive: o.Target.Exclusive,
-		Idempotent: o.Idempotent, Open: o.Open, Rank: int32(o.Rank), GoalMs: milliseconds(o.Goal),
+		Idempotent: o.Idempotent, Open: o.Open, Rank: int32(o.Rank), GoalMs: milliseconds(o.Goal), Class: o.Class,
 		RequestId: o.RequestID, TraceParent: o.TraceParent, TimeoutMs: milliseconds(o.Timeout),
-		Header: fieldsToProto(o.Header), BodyLength: o.BodyLength,
+		Header: n.toProto(o.Header), BodyLength: o.BodyLength,
 	}
 }
 
-func orderFromProto(h *blproto.OrderHead, body io.Reader) bldeliver.Order {
+func (n Names) orderFromProto(h *blproto.OrderHead, body io.Reader) bldeliver.Order {
 	order := bldeliver.Order{
 		Request: blvalue.Request{
 			Service: blvalue.ServiceName(h.GetService()), Key: blvalue.Key(h.GetKey()), Method: h.GetMethod(),
-			KeyDigest: h.GetKeyDigest(), Timeout: duration(h.GetTimeoutMs()),
+			KeyDigest: hex.EncodeToString(h.GetKeyDigest()), Timeout: duration(h.GetTimeoutMs()),
 		},
 		Account: blvalue.AccountName(h.GetAccount()),
 		Target: blroute.Target{
 			Upstream: blvalue.UpstreamName(h.GetUpstream()), Service: blvalue.ServiceName(h.GetService()),
 			Partition: blvalue.Partition(h.GetPartition()), Exclusive: h.GetExclusive(),
 		},
-		Idempotent: h.GetIdempotent(), Open: h.GetOpen(), Rank: int(h.GetRank()), Goal: duration(h.GetGoalMs()),
+		Idempotent: h.GetIdempotent(), Open: h.GetOpen(), Rank: int(h.GetRank()), Goal: duration(h.GetGoalMs()), Class: h.GetClass(),
 		RequestID: h.GetRequestId(), URI: h.GetUri(), TraceParent: h.GetTraceParent(),
-		Header: fieldsFromProto(h.GetHeader()), BodyLength: h.GetBodyLength(), Timeout: duration(h.GetTimeoutMs()),
+		Header: n.fromProto(h.GetHeader()), BodyLength: h.GetBodyLength(), Timeout: duration(h.GetTimeoutMs()),
 	}
 	if order.BodyLength != 0 {
 		order.Body = body
@@ -85,24 +89,28 @@
 // frameSink sends an answer as frames of a stream. A small answer of known
 // length goes out as one frame, by finish.
 type frameSink struct {
-	send func(*blproto.DeliverReply) error
+	send  func(*blproto.DeliverReply) error
+	names Names
 	// held is the head of an answer whose body is still collected.
 	held *blproto.AnswerHead
 }
 
 // Head implements bldeliver.Sink.
 func (f *frameSink) Head(status int, header map[string][]string) error {
-	head := &blproto.AnswerHead{Status: int32(status), Header: fieldsToProto(header)}
 	length, known := contentLength(header)
 	if known && length <= frameBytes {
-		f.held = head
+		// The length of a whole answer is that of its frame.
+		header = maps.Clone(header)
+		delete(header, contentLengthField)
+		f.held = &blproto.AnswerHead{Status: int32(status), Header: f.names.toProto(header)}
 		return nil
 	}
+	head := &blproto.AnswerHead{Status: int32(status), Header: f.names.toProto(header)}
 	return f.sendHead(head)
 }
 
 func contentLength(header map[string][]string) (int, bool) {
-	values := header["Content-Length"]
+	values := header[contentLengthField]
 	if len(values) != 1 {
 		return 0, false
 	}
@@ -146,6 +154,6 @@
 		return nil
 	}
 	return f.send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Trailer{
-		Trailer: &blproto.Trailer{Fields: fieldsToProto(trailer)},
+		Trailer: &blproto.Trailer{Fields: f.names.toProto(trailer)},
 	}})
 }
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -55,6 +55,7 @@
 
 	node   Node
 	decode Decode
+	names  Names
 	server *grpc.Server
 }
 
@@ -65,8 +66,9 @@
 const largestMessage = 2 << 20
 
 // NewServer returns a server for node. Serve runs it.
-func NewServer(node Node, decode Decode) *Server {
-	s := &Server{node: node, decode: decode, server: grpc.NewServer(grpc.MaxRecvMsgSize(largestMessage))}
+func NewServer(node Node, decode Decode, names Names) *Server {
+	s := &Server{node: node, decode: decode, names: names, server: grpc.NewServer(
+		grpc.MaxRecvMsgSize(largestMessage), grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes))}
 	blproto.RegisterNodeServer(s.server, s)
 	return s
 }
@@ -124,7 +126,7 @@
 func (s *Server) AskStandby(ctx context.Context, r *blproto.AskStandbyRequest) (*blproto.AskStandbyReply, error) {
 	answer, err := s.node.AskStandby(ctx, bllead.StandbyAsked{
 		Term: r.GetTerm(), Lead: hostFromProto(r.GetLead()),
-		Standby: blvalue.Incarnation(r.GetStandbyIncarnation()), WantPromise: r.GetWantPromise(),
+		Standby: blvalue.Incarnation(r.GetStandbyIncarnation()), WantPromise: r.GetWantPromise(), Resigned: r.GetResigned(),
 	})
 	if err != nil {
 		return nil, unavailable(err)
@@ -175,10 +177,10 @@
 	if head == nil {
 		return status.Error(codes.InvalidArgument, "the first frame isn't the head of an order")
 	}
-	order := orderFromProto(head, bodyOf(head, stream))
+	order := s.names.orderFromProto(head, bodyOf(head, stream))
 	ctx, cancel := context.WithTimeout(stream.Context(), order.Timeout)
 	defer cancel()
-	sink := &frameSink{send: stream.Send}
+	sink := &frameSink{send: stream.Send, names: s.names}
 	delivery := s.node.Deliver(ctx, order, sink)
 	if delivery.Refusal == nil {
 		err = sink.finish(delivery.Load)
--- a/io/blhttp/forward.go
+++ b/io/blhttp/forward.go
@@ -85,8 +85,9 @@
 		return
 	}
 	f.metrics.Refused(j.account, delivery.Refusal)
-	f.logger.Debug("request refused", "request_id", j.call.RequestID, "account", string(j.account),
-		"outcome", string(delivery.Refusal.Outcome), "reason", string(delivery.Refusal.Reason))
+	f.logger.Info("request refused", "request_id", j.call.RequestID, "account", string(j.account),
+		"outcome", string(delivery.Refusal.Outcome), "reason", string(delivery.Refusal.Reason),
+		"detail", delivery.Refusal.Detail, "waited_ms", time.Since(j.startedAt).Milliseconds())
 	if delivery.Started {
 		panic(http.ErrAbortHandler)
 	}
@@ -185,7 +186,7 @@
 	}
 	return bldeliver.Order{
 		Goal: goal, Request: j.call.Request.WithService(answer.Target.Service), Account: answer.Account, Target: answer.Target,
-		Idempotent: answer.Route.Idempotent, Open: answer.Route.Open, Rank: answer.Route.Rank,
+		Idempotent: answer.Route.Idempotent, Open: answer.Route.Open, Rank: answer.Route.Rank, Class: answer.Route.Name,
 		RequestID: j.call.RequestID, URI: j.call.URI, Header: j.call.Header,
 		Body: j.call.Body.reader(), BodyLength: j.call.Body.length,
 		TraceParent: bltrace.Parent(ctx), Timeout: time.Until(deadline),
--- a/io/blnode/config_work.go
+++ b/io/blnode/config_work.go
@@ -63,6 +63,33 @@
 	return blconfig.NewAccepted(entry.Revision, document, stored.Document).WithGrantBound(stored.GrantBound()), nil
 }
 
+// reloadJob asks for the configuration that the store holds now.
+type reloadJob struct{}
+
+// configReload reads the configuration when a watch may have missed it.
+type configReload struct {
+	source ConfigSource
+	logger hclog.Logger
+	config func(blconfig.Accepted)
+	fresh  func(bool)
+	count  func(kind string)
+}
+
+func (r configReload) perform(reloadJob) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	r.count("get")
+	accepted, err := r.source.Load(ctx)
+	r.fresh(err == nil)
+	if err != nil {
+		r.logger.Debug("configuration not read", "error", err)
+		return
+	}
+	if accepted.Revision > 0 {
+		r.config(accepted)
+	}
+}
+
 // watchJob asks for the next configuration after a revision.
 type watchJob struct {
 	revision uint64
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -24,6 +24,9 @@
 // tickPeriod is the period of the duties' ticks.
 const tickPeriod = 50 * time.Millisecond
 
+// reloadPeriod is the period at which the lead reads the configuration.
+const reloadPeriod = 600 * time.Millisecond
+
 type (
 	placement = blassign.LeastMoves
 	choice    = blroute.NearFirst
@@ -96,6 +99,11 @@
 		func(bltimer.Tick) blmember.Message { return blmember.Tick{} })
 	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.assign.Ring(),
 		func(bltimer.Tick) blassign.Message { return blassign.Tick{} }, n.leads)
+	// A watch may miss changes when the store forgets its history, so that the
+	// lead reads the configuration from time to time.
+	bltimer.SubscribeWhile(n.timer, reloadPeriod, n.workers.reload.Ring(),
+		func(bltimer.Tick) reloadJob { return reloadJob{} },
+		func() bool { return n.platform.FollowsConfig && n.leads() })
 	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.hold.Ring(),
 		func(bltimer.Tick) blhold.Message { return blhold.Tick{} },
 		func() bool { return n.duties.hold.View().Busy() })
@@ -156,6 +164,8 @@
 		if !n.platform.FollowsConfig {
 			n.drop("watch", n.workers.watch.Put(watchJob{}))
 		}
+	case blassign.ReloadConfig:
+		n.reloadConfig()
 	case blassign.ConfigOffered:
 		n.configRead(e.Accepted)
 	case blassign.Nudge:
@@ -179,8 +189,14 @@
 		n.drop("grant", n.duties.grant.Put(e.Offered))
 	case blmember.ConfigChanged:
 		n.configChanged(e.Accepted)
+	case blmember.ReloadConfig:
+		n.reloadConfig()
 	case blmember.DirectoryChanged:
 		blduty.PutWaiting[blroute.Message](n.duties.route.Put, blroute.DirectoryChanged{Directory: e.Directory})
+	case blmember.NodesSeen:
+		if n.platform.FollowsConfig {
+			n.drop("admit", n.duties.admit.Put(bladmit.NodesSeen{Count: e.Count}))
+		}
 	case blmember.LeadHeard:
 		n.drop("lead", n.duties.lead.Put(bllead.LeadHeard{Term: e.Term}))
 		n.drop("admit", n.duties.admit.Put(bladmit.LeadHeard{SentAt: e.SentAt}))
@@ -204,6 +220,13 @@
 	}
 }
 
+// reloadConfig reads the configuration of the store again.
+func (n *Node) reloadConfig() {
+	if n.platform.FollowsConfig {
+		n.drop("reload", n.workers.reload.Put(reloadJob{}))
+	}
+}
+
 func (n *Node) partitionsOf(service blvalue.ServiceName) int {
 	return n.duties.admit.View().Config().Plan.Services[service].Partitions
 }
@@ -260,7 +283,7 @@
 			e.Find.Reply.Put(blroute.Answer{Refusal: blvalue.NotRun(blvalue.ReasonOverload, err.Error())})
 		}
 	case bladmit.Refuse:
-		e.Reply.Put(blroute.Answer{Refusal: e.Refusal, RetryAfter: e.RetryAfter})
+		e.Reply.Put(blroute.Answer{Refusal: e.Refusal, Account: e.Account, RetryAfter: e.RetryAfter})
 	case bladmit.AnswerRecheck:
 		e.Reply.Put(e.Refusal)
 	case bladmit.Borrow:
--- a/io/blnode/lead_work.go
+++ b/io/blnode/lead_work.go
@@ -39,7 +39,7 @@
 	case bllead.ReadRecord:
 		_ = w.put(w.readRecord())
 	case bllead.AcquireLease:
-		_ = w.put(w.acquire())
+		_ = w.put(w.acquire(e))
 	case bllead.RenewLease:
 		_ = w.put(w.renew(e))
 	case bllead.EndLease:
@@ -53,12 +53,12 @@
 	result := bllead.RecordRead{SentAt: w.clock.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	holder, err := w.readLease(ctx)
+	holder, revision, err := w.readLease(ctx)
 	if err != nil {
 		result.Failed = true
 		return result
 	}
-	result.LeaseHolder = holder
+	result.LeaseHolder, result.LeaseRevision = holder, revision
 	result.Stored, err = w.readStored(ctx)
 	if err != nil {
 		result.Failed = true
@@ -73,13 +73,13 @@
 	return result
 }
 
-func (w leadWork) readLease(ctx context.Context) (blvalue.Incarnation, error) {
+func (w leadWork) readLease(ctx context.Context) (blvalue.Incarnation, uint64, error) {
 	w.count("get")
 	entry, err := w.store.Get(ctx, w.keys.LeadLease())
 	if err != nil {
-		return "", fmt.Errorf("read lead lease: %w", err)
+		return "", 0, fmt.Errorf("read lead lease: %w", err)
 	}
-	return blvalue.Incarnation(entry.Value), nil
+	return blvalue.Incarnation(entry.Value), entry.Revision, nil
 }
 
 func (w leadWork) readStored(ctx context.Context) (bllead.Stored, error) {
@@ -97,7 +97,7 @@
 
 // acquire opens a lease, hangs the lead key on it and reads the record. A lease
 // whose key can't be set is given back.
-func (w leadWork) acquire() bllead.LeaseAcquired {
+func (w leadWork) acquire(e bllead.AcquireLease) bllead.LeaseAcquired {
 	result := bllead.LeaseAcquired{SentAt: w.clock.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
@@ -109,7 +109,7 @@
 	}
 	result.Lease = lease
 	w.count("swap")
-	_, err = w.store.CompareAndSwap(ctx, w.keys.LeadLease(), 0, []byte(w.self.Incarnation), lease)
+	_, err = w.store.CompareAndSwap(ctx, w.keys.LeadLease(), e.Revision, []byte(w.self.Incarnation), lease)
 	if err == nil {
 		result.Stored, err = w.readStored(ctx)
 	}
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -85,7 +85,7 @@
 		logger:  logger,
 		metrics: blmetric.New(),
 		tracer:  tracer,
-		client:  blgrpc.NewClient(platform.Config.Decode),
+		client:  blgrpc.NewClient(platform.Config.Decode, blgrpc.NewNames(platform.HeaderNames...)),
 		failed:  make(chan error, 1),
 	}
 	n.timer = bltimer.New(n.clock)
@@ -94,7 +94,7 @@
 	n.deliverer = blupstream.New(blupstream.Duties{
 		Deliver: n.duties.deliver.Put, Grant: n.duties.grant.Put, Admit: n.duties.admit.Put,
 	}, platform.Transport, platform.Upstreams, n.clock, tracer)
-	n.nodes = blgrpc.NewServer(n, platform.Config.Decode)
+	n.nodes = blgrpc.NewServer(n, platform.Config.Decode, blgrpc.NewNames(platform.HeaderNames...))
 	n.addGauges()
 	return n, nil
 }
--- a/io/blnode/node_work.go
+++ b/io/blnode/node_work.go
@@ -28,6 +28,8 @@
 	client *blgrpc.Client
 	grant  func(blgrant.Message) error
 	put    func(blmember.Message) error
+	// loads returns the work of the upstreams beside the node.
+	loads func() []blassign.UpstreamLoad
 }
 
 // perform adds the grants held to a heartbeat and sends it.
@@ -40,6 +42,7 @@
 		if held, err := reply.Await(ctx); err == nil {
 			heartbeat := effect.Heartbeat
 			heartbeat.Held = listed(held, effect.ListHeld)
+			heartbeat.Loads = w.loads()
 			answer.Reply, err = w.client.Heartbeat(ctx, effect.To.Address, heartbeat)
 			answer.Failed = err != nil
 		}
--- a/io/blnode/platform.go
+++ b/io/blnode/platform.go
@@ -47,6 +47,8 @@
 	FollowsConfig bool
 	Callers       blhttp.Dialect
 	Upstreams     blupstream.Dialect
+	// HeaderNames lists the header fields that most requests or answers carry.
+	HeaderNames []string
 	// Transport carries requests to upstreams. It must not repeat them.
 	Transport http.RoundTripper
 	// Orders is nil where no upstream keeps its grants itself.
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -36,6 +36,7 @@
 	nudge     *blduty.Worker[blassign.Nudge]
 	upstream  *blduty.Worker[grantJob]
 	hold      *blduty.Worker[blhold.Send]
+	reload    *blduty.Worker[reloadJob]
 }
 
 func (n *Node) newWorkers() {
@@ -60,7 +61,7 @@
 	}
 	heartbeat := heartbeatWork{
 		client: n.client, grant: func(m blgrant.Message) error { return n.duties.grant.Put(m) },
-		put: func(m blmember.Message) error { return n.duties.member.Put(m) },
+		put: func(m blmember.Message) error { return n.duties.member.Put(m) }, loads: n.upstreamLoads,
 	}
 	borrow := borrowWork{
 		client: n.client, clock: n.clock, self: n.self,
@@ -78,6 +79,10 @@
 		nudge:     blduty.NewWorker("nudge", shortQueue, nudgeWork{client: n.client}.perform),
 		upstream:  blduty.NewWorker("upstream", longQueue, newGrantWork(n.clock).perform),
 		hold:      blduty.NewWorker("hold", 1, n.sendOrders),
+		reload: blduty.NewWorker("reload", 1, configReload{
+			source: n.platform.Config, logger: n.logger, config: n.configSeen, fresh: n.sourceChanged,
+			count: n.metrics.StoreCall,
+		}.perform),
 	}
 }
 
@@ -92,6 +97,7 @@
 	w.nudge.Start()
 	w.upstream.Start()
 	w.hold.Start()
+	w.reload.Start()
 }
 
 // stop ends the workers. A watch of the store may wait for long, so nobody
@@ -106,6 +112,7 @@
 	w.nudge.Stop()
 	w.upstream.Stop()
 	w.hold.Stop()
+	w.reload.Stop()
 }
 
 func (n *Node) leaseTTL() time.Duration {
@@ -121,6 +128,15 @@
 	return n.duties.assign.View().Authority().Term != 0
 }
 
+// upstreamLoads returns the work of the upstreams beside this node.
+func (n *Node) upstreamLoads() []blassign.UpstreamLoad {
+	var loads []blassign.UpstreamLoad
+	for _, gate := range n.duties.deliver.View().Gates().All() {
+		loads = append(loads, blassign.UpstreamLoad{Incarnation: gate.Incarnation(), Load: gate.Load()})
+	}
+	return loads
+}
+
 // watchesConfig reports whether this process watches the configuration.
 func (n *Node) watchesConfig() bool {
 	return n.platform.FollowsConfig || n.leads()
--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -90,20 +91,26 @@
 	// Owners holds two bytes a partition, the lower one first: the position of
 	// its owner in Names, plus one; zero for none.
 	Owners []byte `json:"owners"`
+	// Previous holds earlier owners that may still use partitions, likewise.
+	Previous []byte `json:"previous,omitempty"`
 }
 
-func packOwners(owners []blvalue.UpstreamName) ([]blvalue.UpstreamName, []byte) {
-	var names []blvalue.UpstreamName
-	positions := map[blvalue.UpstreamName]uint16{"": 0}
+// nameTable numbers the names of owners as they are met.
+type nameTable struct {
+	names     []blvalue.UpstreamName
+	positions map[blvalue.UpstreamName]uint16
+}
+
+func (t *nameTable) pack(owners []blvalue.UpstreamName) []byte {
 	packed := make([]byte, 0, 2*len(owners))
 	for _, owner := range owners {
-		if _, ok := positions[owner]; !ok {
-			names = append(names, owner)
-			positions[owner] = uint16(len(names))
+		if _, ok := t.positions[owner]; !ok {
+			t.names = append(t.names, owner)
+			t.positions[owner] = uint16(len(t.names))
 		}
-		packed = binary.LittleEndian.AppendUint16(packed, positions[owner])
+		packed = binary.LittleEndian.AppendUint16(packed, t.positions[owner])
 	}
-	return names, packed
+	return packed
 }
 
 func unpackOwners(names []blvalue.UpstreamName, packed []byte) []blvalue.UpstreamName {
@@ -120,8 +127,13 @@
 
 // EncodeChunk writes a chunk of an assignment as JSON.
 func EncodeChunk(chunk blassign.Chunk) ([]byte, error) {
-	names, owners := packOwners(chunk.Owners)
-	body, err := json.Marshal(chunkBody{Term: chunk.Term, WriteID: chunk.WriteID, Names: names, Owners: owners})
+	table := &nameTable{positions: map[blvalue.UpstreamName]uint16{"": 0}}
+	packed := chunkBody{Term: chunk.Term, WriteID: chunk.WriteID, Owners: table.pack(chunk.Owners)}
+	if slices.ContainsFunc(chunk.Previous, func(name blvalue.UpstreamName) bool { return name != "" }) {
+		packed.Previous = table.pack(chunk.Previous)
+	}
+	packed.Names = table.names
+	body, err := json.Marshal(packed)
 	if err != nil {
 		return nil, fmt.Errorf("encode chunk: %w", err)
 	}
@@ -139,6 +151,7 @@
 	}
 	return blassign.Chunk{
 		Revision: entry.Revision, Term: body.Term, WriteID: body.WriteID, Owners: unpackOwners(body.Names, body.Owners),
+		Previous: unpackOwners(body.Names, body.Previous),
 	}, nil
 }
 
--- a/io/blupstream/attempt.go
+++ b/io/blupstream/attempt.go
@@ -54,7 +54,7 @@
 	}
 	defer a.end()
 	written := a.deliverer.clock.Now()
-	delivery, result := a.send(ctx, slot.Address)
+	delivery, result := a.send(ctx, slot)
 	delivery.Load = slot.Load
 	a.release(result, a.deliverer.clock.Now().Sub(written))
 	return delivery
@@ -68,7 +68,7 @@
 		goal = now.Add(a.order.Goal)
 	}
 	err := a.deliverer.duties.Deliver(bldeliver.Acquire{
-		Ticket: a.ticket, Upstream: a.order.Target.Upstream, Account: a.order.Account, Rank: a.order.Rank,
+		Ticket: a.ticket, Upstream: a.order.Target.Upstream, Account: a.order.Account, Rank: a.order.Rank, Class: a.order.Class,
 		Deadline: now.Add(a.order.Timeout), Goal: goal, Reply: reply,
 	})
 	if err != nil {
--- a/io/blupstream/dialect.go
+++ b/io/blupstream/dialect.go
@@ -27,9 +27,11 @@
 
 // Dialect is how upstreams speak.
 type Dialect interface {
-	// Prepare completes the header of a request that runs under permit and has
-	// so much time left.
-	Prepare(request *http.Request, order bldeliver.Order, permit blgrant.Permit, left time.Duration)
+	// Prepare completes the header of a request to a run of an upstream, which
+	// runs under permit and has so much time left.
+	Prepare(
+		request *http.Request, order bldeliver.Order, permit blgrant.Permit, upstream blvalue.Incarnation, left time.Duration,
+	)
 	// TurnedAway tells whether the upstream says that it did not run a request.
 	TurnedAway(response *http.Response) TurnedAway
 	// Answered returns the fields of an answer that the caller gets.
@@ -40,7 +42,9 @@
 type Own struct{}
 
 // Prepare implements Dialect.
-func (Own) Prepare(request *http.Request, order bldeliver.Order, permit blgrant.Permit, _ time.Duration) {
+func (Own) Prepare(
+	request *http.Request, order bldeliver.Order, permit blgrant.Permit, _ blvalue.Incarnation, _ time.Duration,
+) {
 	request.Header.Set(blheader.RequestID, order.RequestID)
 	if order.Account != "" {
 		request.Header.Set(blheader.Account, string(order.Account))
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -16,15 +16,15 @@
 )
 
 // send writes the request to the upstream and passes its answer on.
-func (a *attempt) send(ctx context.Context, address string) (bldeliver.Delivery, bldeliver.Result) {
+func (a *attempt) send(ctx context.Context, slot bldeliver.AcquireAnswer) (bldeliver.Delivery, bldeliver.Result) {
 	ctx, span := a.deliverer.tracer.Start(ctx, "upstream", "", a.order.RequestID)
-	delivery, result := a.exchange(ctx, address)
+	delivery, result := a.exchange(ctx, slot)
 	span.End(delivery.Refusal)
 	return delivery, result
 }
 
-func (a *attempt) exchange(ctx context.Context, address string) (bldeliver.Delivery, bldeliver.Result) {
-	request, err := a.newRequest(ctx, address)
+func (a *attempt) exchange(ctx context.Context, slot bldeliver.AcquireAnswer) (bldeliver.Delivery, bldeliver.Result) {
+	request, err := a.newRequest(ctx, slot)
 	if err != nil {
 		return refused(blvalue.NotRun(blvalue.ReasonMalformed, err.Error())), bldeliver.ResultUnused
 	}
@@ -69,11 +69,11 @@
 // Close implements io.Closer.
 func (o onceBody) Close() error { return nil }
 
-func (a *attempt) newRequest(ctx context.Context, address string) (*http.Request, error) {
+func (a *attempt) newRequest(ctx context.Context, slot bldeliver.AcquireAnswer) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { a.begun.Store(true) },
 	})
-	request, err := http.NewRequestWithContext(ctx, a.order.Request.Method, "http://"+address+a.order.URI, nil)
+	request, err := http.NewRequestWithContext(ctx, a.order.Request.Method, "http://"+slot.Address+a.order.URI, nil)
 	if err != nil {
 		return nil, err //nolint:wrapcheck // its text goes to the caller
 	}
@@ -90,7 +90,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		left = time.Until(deadline)
 	}
-	a.deliverer.dialect.Prepare(request, a.order, a.permit, left)
+	a.deliverer.dialect.Prepare(request, a.order, a.permit, slot.Incarnation, left)
 	if parent := bltrace.Parent(ctx); parent != "" {
 		request.Header.Set(blheader.TraceParent, parent)
 	}
