Send only the owners that changed; hand keys over late in a graceful end

Sheds below an upstream's slots no longer lower its limit, ranks of routes count within those of accounts, a new lead lends a little at once.

--- a/core/bladmit/check.go
+++ b/core/bladmit/check.go
@@ -108,15 +108,19 @@
 // accounts. They are calls of upstreams, on which work waits that has begun.
 const callRank = -1
 
+// ranksOfRoutes is the number of ranks of routes within one rank of accounts.
+const ranksOfRoutes = 64
+
 // ranked returns the route with the rank of the account, if it has its own.
+// Requests of equal accounts go by the rank of their route.
 func (s State) ranked(route blconfig.Route, account blvalue.AccountName) blconfig.Route {
 	if a := s.config.Plan.Accounts[account]; a.HasRank {
-		return route.WithRank(a.Rank)
+		return route.WithRank(a.Rank*ranksOfRoutes + min(route.Rank, ranksOfRoutes-1))
 	}
 	if account == "" && len(s.config.Plan.Accounts) > 0 {
 		return route.WithRank(callRank)
 	}
-	return route
+	return route.WithRank(route.Rank * ranksOfRoutes)
 }
 
 func (s State) recheck(m Recheck, now bltimer.Instant) *blvalue.Refusal {
--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -83,8 +83,16 @@
 	owners := make([]blvalue.UpstreamName, min(ChunkSize, ownership.partitions-id.Index*ChunkSize))
 	copy(owners, chunk.Owners)
 	chunk.Owners = owners
+	current, _ := ownership.chunks.Get(id.Index)
 	s.version++
-	return s.withService(id.Service, ownership.withChunk(id.Index, ownedChunk{Chunk: chunk, changed: s.version}))
+	next := ownedChunk{Chunk: chunk, changed: s.version, changes: make([]uint64, len(owners))}
+	for i, owner := range owners {
+		next.changes[i] = s.version
+		if i < len(current.changes) && current.Owners[i] == owner {
+			next.changes[i] = current.changes[i]
+		}
+	}
+	return s.withService(id.Service, ownership.withChunk(id.Index, next))
 }
 
 // chunkWritten learns what became of a write. While that is in doubt, the
--- a/core/blassign/directory.go
+++ b/core/blassign/directory.go
@@ -22,6 +22,8 @@
 	// First is the first partition of the run.
 	First  int
 	Owners []blvalue.UpstreamName
+	// Positions lists the partitions of Owners where these are no run.
+	Positions []int
 }
 
 // Directory is the list of changes that leads a node from one version to
@@ -33,6 +35,25 @@
 	Owners  []Owners
 }
 
+// ownersSince returns the owners that changed after a version, or all of them.
+func (c ownedChunk) ownersSince(service blvalue.ServiceName, index int, since uint64, full bool) Owners {
+	owners := Owners{Service: service, First: index * ChunkSize, Owners: c.Owners}
+	if full || len(c.changes) != len(c.Owners) {
+		return owners
+	}
+	changed := Owners{Service: service, First: owners.First}
+	for i, owner := range c.Owners {
+		if c.changes[i] > since {
+			changed.Owners = append(changed.Owners, owner)
+			changed.Positions = append(changed.Positions, owners.First+i)
+		}
+	}
+	if len(changed.Owners) > len(c.Owners)/2 {
+		return owners
+	}
+	return changed
+}
+
 // directorySince returns the changes since the version that a node has, or nil
 // when there are none.
 func (s State[P]) directorySince(have DirectoryVersion) *Directory {
@@ -53,10 +74,9 @@
 	}
 	for service, ownership := range s.services.All() {
 		for index, chunk := range ownership.chunks.All() {
-			if chunk.changed > since {
-				directory.Owners = append(directory.Owners, Owners{
-					Service: service, First: index * ChunkSize, Owners: chunk.Owners,
-				})
+			owners := chunk.ownersSince(service, index, since, full)
+			if chunk.changed > since && len(owners.Owners) > 0 {
+				directory.Owners = append(directory.Owners, owners)
 			}
 		}
 	}
--- a/core/blassign/ownership.go
+++ b/core/blassign/ownership.go
@@ -38,6 +38,8 @@
 	doubtful bool
 	// changed is the directory version at which the owners last changed.
 	changed uint64
+	// changes holds that version for each partition.
+	changes []uint64
 }
 
 // Ownership is the immutable assignment of one service.
--- a/core/blconfig/plan.go
+++ b/core/blconfig/plan.go
@@ -207,6 +207,9 @@
 	// RetryReserve is how many retries a node may save up, or zero for the
 	// usual number.
 	RetryReserve int64
+	// FirstTokens is the time for which a new lead lends at once at an account's
+	// rate, before its bucket has filled.
+	FirstTokens time.Duration
 }
 
 // Plan is a document in the form that decisions read. It is immutable.
--- a/core/bldeliver/limiter.go
+++ b/core/bldeliver/limiter.go
@@ -66,8 +66,13 @@
 	return l
 }
 
-// WithShed returns the limiter after the upstream shed a request.
+// WithShed returns the limiter after the upstream shed a request. Where the
+// expected service time is unknown, the upstream's own slots are the limit, and
+// what it sheds below them it sheds for another reason.
 func (l Limiter) WithShed() Limiter {
+	if l.expected == 0 {
+		return l
+	}
 	l.limit = max(l.limit*shedKeep/percent, thousand)
 	return l
 }
--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -12,6 +12,9 @@
 	standbySilence = time.Second
 	// followerReadEvery is how often a process without a lead reads the record.
 	followerReadEvery = 400 * time.Millisecond
+	// endedReadEvery is how often a process reads the record that knows that the
+	// lead has ended.
+	endedReadEvery = 100 * time.Millisecond
 	// standbyReadEvery is how often a standby without a lead reads the record.
 	standbyReadEvery = 50 * time.Millisecond
 	// acquireTimeout ends an attempt to take the lease that got no answer.
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -27,8 +27,11 @@
 }
 
 func (s State) readEvery() time.Duration {
-	if s.standsBy() {
+	switch {
+	case s.standsBy():
 		return standbyReadEvery
+	case s.hasEnded(s.stored.Record.Lead.Incarnation):
+		return endedReadEvery
 	}
 	return followerReadEvery
 }
--- a/core/blpurse/mint.go
+++ b/core/blpurse/mint.go
@@ -61,6 +61,12 @@
 	return Bucket{rate: account.Rate, burst: account.Burst, filledAt: now}
 }
 
+// WithFirst returns the bucket with what its rate brings in the given time.
+func (b Bucket) WithFirst(time time.Duration) Bucket {
+	b.level = min(b.level+int64(time)*b.rate, b.room())
+	return b
+}
+
 // Level returns the whole tokens in the bucket.
 func (b Bucket) Level() int64 {
 	return b.level / tokenUnit
--- a/core/blpurse/state.go
+++ b/core/blpurse/state.go
@@ -88,7 +88,7 @@
 	for name, account := range s.config.Plan.Accounts {
 		bucket, ok := s.buckets.Get(name)
 		if !ok {
-			bucket = NewBucket(account, max(now, s.settledAt()))
+			bucket = NewBucket(account, max(now, s.settledAt())).WithFirst(s.config.Plan.Limits.FirstTokens)
 		}
 		s.buckets = s.buckets.With(name, bucket.WithAccount(account, max(now, s.settledAt())))
 	}
--- a/core/blroute/directory.go
+++ b/core/blroute/directory.go
@@ -3,6 +3,8 @@
 package blroute
 
 import (
+	"slices"
+
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/bltable"
 	"bergamotlead/core/blvalue"
@@ -28,11 +30,27 @@
 	}
 	for _, run := range changes.Owners {
 		chunks, _ := d.owners.Get(run.Service)
-		d.owners = d.owners.With(run.Service, chunks.With(run.First/blassign.ChunkSize, run.Owners))
+		index := run.First / blassign.ChunkSize
+		owners, _ := chunks.Get(index)
+		d.owners = d.owners.With(run.Service, chunks.With(index, withRun(owners, run)))
 	}
 	return d
 }
 
+// withRun returns the owners of a chunk after a change.
+func withRun(owners []blvalue.UpstreamName, run blassign.Owners) []blvalue.UpstreamName {
+	if run.Positions == nil {
+		return run.Owners
+	}
+	owners = slices.Clone(owners)
+	for i, position := range run.Positions {
+		if at := position - run.First; at >= 0 && at < len(owners) {
+			owners[at] = run.Owners[i]
+		}
+	}
+	return owners
+}
+
 // Owner returns the entry of the owner of p and whether it is known.
 func (d Directory) Owner(service blvalue.ServiceName, p blvalue.Partition) (blassign.Entry, bool) {
 	chunks, _ := d.owners.Get(service)
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -206,6 +206,9 @@
 		}
 		owners.Owners = append(owners.Owners, positions[name])
 	}
+	for _, position := range run.Positions {
+		owners.Positions = append(owners.Positions, uint32(position))
+	}
 	return owners
 }
 
@@ -228,6 +231,9 @@
 			}
 			owners.Owners = append(owners.Owners, name)
 		}
+		for _, position := range run.GetPositions() {
+			owners.Positions = append(owners.Positions, int(position))
+		}
 		directory.Owners = append(directory.Owners, owners)
 	}
 	return directory
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -87,6 +87,18 @@
 	return n.duties.member.Put(blmember.Announced{Announcement: announcement})
 }
 
+// stay goes on owning keys until shortly before the platform has sent callers
+// elsewhere.
+func (n *Node) stay(ctx context.Context) {
+	if n.platform.LeaveAfter <= handOverTime {
+		return
+	}
+	select {
+	case <-time.After(n.platform.LeaveAfter - handOverTime):
+	case <-ctx.Done():
+	}
+}
+
 // leave hands partitions and the lead over. It waits until nothing is granted
 // here any more, or nobody takes it.
 func (n *Node) leave(ctx context.Context) {
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -60,6 +60,8 @@
 	// to find new owners.
 	handOverWait = 10 * time.Second
 	handOverPoll = 20 * time.Millisecond
+	// handOverTime is how long that usually takes.
+	handOverTime = 900 * time.Millisecond
 )
 
 // New returns a node. Start runs it.
@@ -229,6 +231,7 @@
 		server.SetKeepAlivesEnabled(false)
 	}
 	elsewhere := time.After(n.platform.LeaveAfter)
+	n.stay(ctx)
 	if grace := n.duties.admit.View().Config().Plan.Limits.ShutdownGrace; grace > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, grace)
