--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -131,13 +131,15 @@
 	}
 	for i, owner := range owners {
 		p := blvalue.Partition(id.Index*ChunkSize + i)
-		if i < len(chunk.Previous) && !s.unused(ownership, p, s.seenAt) {
-			pending.Previous[i] = chunk.Previous[i]
-		}
+		disputed := i < len(chunk.Previous) && chunk.Previous[i] != "" && !s.unused(ownership, p, s.seenAt)
 		if owner != chunk.Owners[i] {
 			s.moves++
 			pending.Previous[i] = chunk.Owners[i]
 		}
+		// The present owner has nothing yet while an earlier one may use p.
+		if disputed {
+			pending.Previous[i] = chunk.Previous[i]
+		}
 	}
 	chunk.pending = &pending
 	s = s.withService(id.Service, ownership.withChunk(id.Index, chunk))
