A restarted node vouches for nothing that an earlier run granted

The new run reported the fence of its first offer, which the lead took for the release of everything the earlier run had granted, and the earlier run ended while releases were under way. Now no fence is reported until a grant's time after the start, and a leaving node waits for releases.

Budgets are by service now (TestRetriesOfOneServiceDontSpendWhatAnotherEarned).

--- a/core/blgrant/grant.go
+++ b/core/blgrant/grant.go
@@ -63,7 +63,11 @@
 	// keeps tells that the upstream keeps the grant itself. It then covers only
 	// what the upstream has confirmed, and what is taken away is in use until
 	// the upstream has given it back.
-	keeps     bool
+	keeps bool
+	// since is when this node first saw the upstream, and ttl the longest time
+	// for which an earlier run of the node can have granted it anything.
+	since     bltimer.Instant
+	ttl       time.Duration
 	confirmed blvalue.PartitionSet
 	// taken holds what earlier owners gave back, for the upstream.
 	taken []Handover
@@ -107,6 +111,7 @@
 		g.taken = offer.Handovers
 	}
 	g.Until = max(g.Until, sentAt.Add(offer.TTL))
+	g.ttl = max(g.ttl, offer.TTL)
 	return g
 }
 
@@ -136,8 +141,16 @@
 	return g
 }
 
-// reportedFence returns the fence up to which everything older is released.
-func (g Grant) reportedFence() blvalue.Fence {
+// driftPart is the part of a grant that covers the drift of clocks over it.
+const driftPart = 8
+
+// reportedFence returns the fence up to which everything older is released. An
+// upstream that keeps its grants may still use what an earlier run of this node
+// granted it, until that has lapsed; no fence says so until then.
+func (g Grant) reportedFence(now bltimer.Instant) blvalue.Fence {
+	if g.keeps && now.Before(g.since.Add(g.ttl+g.ttl/driftPart)) {
+		return blvalue.Fence{}
+	}
 	if g.dropping.Len() > 0 {
 		return g.oldFence
 	}
--- a/core/blgrant/state.go
+++ b/core/blgrant/state.go
@@ -66,7 +66,7 @@
 	case Offered:
 		return s.offered(m)
 	case UpstreamsSeen:
-		return s.upstreamsSeen(m)
+		return s.upstreamsSeen(m, now)
 	case Kept:
 		return s.kept(m, now)
 	case Begin:
@@ -116,7 +116,7 @@
 
 // upstreamsSeen keeps a grant for each upstream beside this node. The grant of
 // an upstream that is gone, or was started anew, ends with its requests.
-func (s State) upstreamsSeen(m UpstreamsSeen) (State, []Effect) {
+func (s State) upstreamsSeen(m UpstreamsSeen, now bltimer.Instant) (State, []Effect) {
 	var effects []Effect
 	for name, grant := range s.grants.All() {
 		if blvalue.HasIncarnation(m.Upstreams, grant.Incarnation) {
@@ -133,7 +133,7 @@
 	for _, upstream := range m.Upstreams {
 		if _, ok := s.grants.Get(upstream.Name); !ok {
 			s.grants = s.grants.With(upstream.Name, Grant{
-				Upstream: upstream.Name, Incarnation: upstream.Incarnation, Service: upstream.Service, keeps: upstream.KeepsGrants,
+				Upstream: upstream.Name, Incarnation: upstream.Incarnation, Service: upstream.Service, keeps: upstream.KeepsGrants, since: now,
 			})
 		}
 	}
@@ -217,7 +217,7 @@
 	held := make([]Held, 0, s.grants.Len())
 	for _, grant := range s.grants.All() {
 		report := Held{
-			Upstream: grant.Upstream, Incarnation: grant.Incarnation, Service: grant.Service, Fence: grant.reportedFence(),
+			Upstream: grant.Upstream, Incarnation: grant.Incarnation, Service: grant.Service, Fence: grant.reportedFence(now),
 			HasSet: true, Handovers: grant.given,
 		}
 		if now.Before(grant.Until) {
--- /dev/null
+++ b/core/blhold/state_test.go
@@ -0,0 +1,178 @@
+package blhold_test
+
+import (
+	"testing"
+	"time"
+
+	"bergamotlead/core/blgrant"
+	"bergamotlead/core/blhold"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+const (
+	ttl    = 3 * time.Second
+	margin = 100 * time.Millisecond
+	// started is when the node first sees the upstream.
+	started = time.Minute
+	// settled is when nothing of an earlier run of the node can be under way.
+	settled = started + ttl
+)
+
+// node drives the decision of the duty and plays the upstream.
+type node struct {
+	t      *testing.T
+	state  blhold.State
+	grant  blgrant.Grant
+	orders []blhold.Order
+	kept   blgrant.Kept
+	ended  bool
+}
+
+func newNode(t *testing.T) *node {
+	t.Helper()
+	n := &node{t: t, state: blhold.New(blhold.Timing{GrantTTL: ttl, Margin: margin})}
+	n.grant = blgrant.Grant{Upstream: "pot_1", Incarnation: "run_1", Service: "pot"}
+	n.see("run_1", started)
+	return n
+}
+
+func (n *node) see(run blvalue.Incarnation, now time.Duration) {
+	n.send(blhold.UpstreamSeen{
+		Upstream: blvalue.Upstream{Name: "pot_1", Incarnation: run}, Address: "here", Partitions: 16,
+	}, now)
+}
+
+func (n *node) send(message blhold.Message, now time.Duration) {
+	var effects []blhold.Effect
+	n.state, effects = blhold.Decide(n.state, message, bltimer.Instant(now))
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case blhold.Send:
+			n.orders = e.Orders
+		case blhold.Kept:
+			n.kept = e.Kept
+		case blhold.Ended:
+			n.ended = true
+		}
+	}
+}
+
+// offer changes the grant of the upstream.
+func (n *node) offer(sequence uint64, now time.Duration, partitions ...blvalue.Partition) {
+	n.grant = n.grant.WithOffer(blgrant.Offer{
+		Fence: blvalue.Fence{Term: 1, Sequence: sequence}, TTL: ttl, HasSet: true, Set: blvalue.NewPartitionSet(partitions...),
+	}, bltimer.Instant(now))
+	n.send(blhold.GrantChanged{Grant: n.grant}, now)
+}
+
+// answer gives every order under way the same result.
+func (n *node) answer(result blhold.Result, now time.Duration) {
+	n.t.Helper()
+	if len(n.orders) == 0 {
+		n.t.Fatal("orders: got none, want some")
+	}
+	orders := n.orders
+	n.orders = nil
+	answers := make([]blhold.Answer, 0, len(orders))
+	for _, order := range orders {
+		answers = append(answers, blhold.Answer{Order: order, Result: result, SentAt: bltimer.Instant(now), Handover: "token"})
+	}
+	n.send(blhold.Sent{Incarnation: "run_1", Answers: answers}, now)
+}
+
+func TestOrdersThatGoWrong(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(t *testing.T, n *node)
+	}{
+		{"a grant is confirmed once it is answered", func(t *testing.T, n *node) {
+			n.offer(1, settled, 3)
+			if got := n.kept.Confirmed.Has(3); got {
+				t.Error("confirmed before the answer: got true, want false")
+			}
+			n.answer(blhold.ResultDone, settled)
+			if got := n.kept.Confirmed.Has(3); !got {
+				t.Error("confirmed: got false, want true")
+			}
+		}},
+		{"a partition is given back when the release is answered", func(t *testing.T, n *node) {
+			n.offer(1, settled, 3)
+			n.answer(blhold.ResultDone, settled)
+			n.offer(2, settled+time.Second)
+			n.answer(blhold.ResultDone, settled+time.Second)
+			if got := n.kept.Released.Has(3); !got {
+				t.Error("released: got false, want true")
+			}
+			if got := len(n.kept.Handovers); got != 1 {
+				t.Errorf("handovers: got %d, want 1", got)
+			}
+		}},
+		{"a grant without an answer may come late: its partition isn't released before it lapsed", func(t *testing.T, n *node) {
+			n.offer(1, settled, 3)
+			n.answer(blhold.ResultUnknown, settled)
+			n.offer(2, settled+time.Second)
+			// The grant that was sent again is answered, the release follows.
+			n.answer(blhold.ResultDone, settled+time.Second)
+			if len(n.orders) > 0 {
+				n.answer(blhold.ResultDone, settled+time.Second)
+			}
+			if got := n.kept.Released.Has(3); got {
+				t.Error("released while the order may come: got true, want false")
+			}
+			n.send(blhold.Tick{}, settled+ttl+2*margin+time.Second)
+			if got := n.kept.Released.Has(3); !got {
+				t.Error("released after it lapsed: got false, want true")
+			}
+		}},
+		{"orders of an earlier run of the node may come until a grant's time has passed", func(t *testing.T, n *node) {
+			n.offer(1, started, 3)
+			n.answer(blhold.ResultDone, started)
+			n.offer(2, started+time.Second)
+			n.answer(blhold.ResultDone, started+time.Second)
+			if got := n.kept.Released.Has(3); got {
+				t.Error("released at once: got true, want false")
+			}
+			n.send(blhold.Tick{}, settled+time.Millisecond)
+			if got := n.kept.Released.Has(3); !got {
+				t.Error("released later: got false, want true")
+			}
+		}},
+		{"a refused grant is sent again under the latest fence", func(t *testing.T, n *node) {
+			n.offer(1, settled, 3)
+			n.offer(2, settled, 3, 4)
+			n.answer(blhold.ResultRefused, settled)
+			for _, order := range n.orders {
+				if order.Partition == 3 && order.Fence.Sequence != 2 {
+					t.Errorf("fence: got %s, want the latest", order.Fence)
+				}
+			}
+		}},
+		{"an upstream that is gone ends at once", func(t *testing.T, n *node) {
+			n.offer(1, settled, 3)
+			n.answer(blhold.ResultEnded, settled)
+			if !n.ended {
+				t.Error("ended: got false, want true")
+			}
+		}},
+		{"a new run of the upstream holds nothing", func(t *testing.T, n *node) {
+			n.offer(1, settled, 3)
+			n.answer(blhold.ResultDone, settled)
+			n.see("run_2", settled+time.Second)
+			if n.state.Busy() {
+				t.Error("busy: got true, want false")
+			}
+		}},
+		{"nothing is granted after the node's own grant has lapsed", func(t *testing.T, n *node) {
+			n.offer(1, settled, 3)
+			n.answer(blhold.ResultDone, settled)
+			n.send(blhold.Tick{}, settled+ttl)
+			if got := len(n.orders); got != 0 {
+				t.Errorf("orders: got %d, want 0", got)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.run(t, newNode(t)) })
+	}
+}
--- a/core/blroute/route_test.go
+++ b/core/blroute/route_test.go
@@ -200,3 +200,23 @@
 		t.Errorf("requests to the slow upstream of three: got %d of 300, want at most %d", got, want)
 	}
 }
+
+func TestRetriesOfOneServiceDontSpendWhatAnotherEarned(t *testing.T) {
+	s := newState()
+	for range 1000 {
+		s, _ = find(s, "pot", "awa", 0)
+	}
+	allowed := 0
+	for range 200 {
+		var effects []blroute.Effect
+		s, effects = blroute.Decide(s, blroute.Find{
+			Request: blvalue.Request{Service: "wishlist"}, Spend: true, Reply: blring.NewReply[blroute.Answer](),
+		}, 0)
+		if effects[0].Answer.Refusal == nil {
+			allowed++
+		}
+	}
+	if got, want := allowed, 20; got != want {
+		t.Errorf("retries at the wishlist: got %d, want the reserve of %d", got, want)
+	}
+}
--- a/core/blroute/state.go
+++ b/core/blroute/state.go
@@ -5,6 +5,7 @@
 
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
+	"bergamotlead/core/bltable"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 )
@@ -15,14 +16,16 @@
 	config    blconfig.Accepted
 	directory Directory
 	healths   Healths
-	retries   Budget
-	hedges    Budget
-	draw      uint64
+	// retries holds the budget of each service: what its requests earn is spent
+	// there alone.
+	retries bltable.Table[blvalue.ServiceName, Budget]
+	hedges  Budget
+	draw    uint64
 }
 
 // New returns the state of a node that knows no upstream.
 func New[C Chooser](chooser C) State[C] {
-	return State[C]{chooser: chooser, retries: NewBudget(), hedges: NewBudget()}
+	return State[C]{chooser: chooser, hedges: NewBudget()}
 }
 
 // Directory returns the known upstreams and owners.
@@ -78,13 +81,20 @@
 func (s State[C]) spendBudget(m Find) (State[C], *blvalue.Refusal) {
 	limits := s.config.Plan.Limits
 	allowed := true
+	service := m.Request.Service
+	retries, ok := s.retries.Get(service)
+	if !ok {
+		retries = NewBudget()
+	}
+	retries = retries.WithReserve(limits.RetryReserve)
 	switch {
 	case m.Hedge:
 		s.hedges, allowed = s.hedges.WithExtra()
 	case m.Spend:
-		s.retries, allowed = s.retries.WithExtra()
+		retries, allowed = retries.WithExtra()
+		s.retries = s.retries.With(service, retries)
 	case m.First:
-		s.retries = s.retries.WithReserve(limits.RetryReserve).WithRequest(limits.RetryPercent)
+		s.retries = s.retries.With(service, retries.WithRequest(limits.RetryPercent))
 		s.hedges = s.hedges.WithRequest(limits.HedgePercent)
 	}
 	if !allowed {
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -115,7 +115,7 @@
 
 func (n *Node) grantsPartitions() bool {
 	for _, grant := range n.duties.grant.View().Grants() {
-		if grant.Set.Len() > 0 && n.clock.Now().Before(grant.Until) {
+		if grant.Set.Len()+grant.Dropping().Len() > 0 && n.clock.Now().Before(grant.Until) {
 			return true
 		}
 	}
