--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -72,7 +72,8 @@
 		return s, effects
 	}
 	s.announced = authority
-	return s, append(effects, AuthorityChanged{Authority: authority})
+	// Other duties hear of it before anybody else does.
+	return s, append([]Effect{AuthorityChanged{Authority: authority}}, effects...)
 }
 
 func tick(s State, now bltimer.Instant) (State, []Effect) {
--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -95,11 +95,16 @@
 	if s.Role() == RoleFollower {
 		return s, nil
 	}
+	return callStandby(s)
+}
+
+// callStandby gives the lead up and asks the standby to take over.
+func callStandby(s State) (State, []Effect) {
 	standby, ok := s.standby()
-	tell := AskStandby{Term: s.stored.Record.Term, Standby: standby, Resigned: true}
+	call := AskStandby{Term: s.stored.Record.Term, Standby: standby, Resigned: true}
 	s, effects := stepDown(s)
 	if ok {
-		effects = append(effects, tell)
+		effects = append(effects, call)
 	}
 	return s, effects
 }
--- a/core/bllead/messages.go
+++ b/core/bllead/messages.go
@@ -79,6 +79,8 @@
 	Promised bool
 	// Refusal says why it gave no promise.
 	Refusal string
+	// StoreAnswers tells that the standby reaches the store.
+	StoreAnswers bool
 }
 
 // StandbyAnswered carries the standby's answer back to the lead.
--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -9,16 +9,25 @@
 // the lease has missed a renewal.
 func askStandby(s State, effects []Effect, now bltimer.Instant) (State, []Effect) {
 	standby, ok := s.standby()
-	if !ok || now.Sub(s.askedAt) < s.timing.renewEvery() {
+	missed := s.missesStore(now)
+	every := s.timing.renewEvery()
+	if missed {
+		every /= renewals
+	}
+	if !ok || now.Sub(s.askedAt) < every {
 		return s, effects
 	}
 	s.askedAt = now
-	missed := s.leaseUntil.Sub(now) < s.timing.Lease-2*s.timing.renewEvery()
 	return s, append(effects, AskStandby{
 		Term: s.stored.Record.Term, Standby: standby, WantPromise: missed && s.writing == nil,
 	})
 }
 
+// missesStore reports whether the lease has missed a renewal.
+func (s State) missesStore(now bltimer.Instant) bool {
+	return s.leaseUntil.Sub(now) < s.timing.Lease-2*s.timing.renewEvery()
+}
+
 // nameStandby writes a record with another standby when there is none that
 // answers. It needs the store.
 func nameStandby(s State, effects []Effect, now bltimer.Instant) (State, []Effect) {
@@ -39,29 +48,37 @@
 	return s, append(effects, write)
 }
 
-// chooseStandby returns a peer in another failure domain, or else any peer.
+// chooseStandby returns the peer with the most capacity in another failure
+// domain, or else any peer.
 func (s State) chooseStandby(silent blvalue.Incarnation) blvalue.Host {
 	var found blvalue.Host
 	for _, peer := range s.peers {
 		if peer.Incarnation == s.self.Incarnation || peer.Incarnation == silent || s.hasEnded(peer.Incarnation) {
 			continue
 		}
-		if peer.Domain != s.self.Domain {
-			return peer
-		}
-		if found.IsZero() {
+		if found.IsZero() || s.prefers(peer, found) {
 			found = peer
 		}
 	}
 	return found
 }
 
+// prefers reports whether a is the better standby: in another failure domain,
+// then with more capacity.
+func (s State) prefers(a, b blvalue.Host) bool {
+	if apart := a.Domain != s.self.Domain; apart != (b.Domain != s.self.Domain) {
+		return apart
+	}
+	return a.Capacity > b.Capacity
+}
+
 func standbyAsked(s State, m StandbyAsked, now bltimer.Instant) (State, []Effect) {
 	answer := StandbyAnswer{Incarnation: s.self.Incarnation}
 	if m.Resigned {
 		return standbyCalled(s, m, answer)
 	}
 	answer.Refusal = s.refusesPromise(m, now)
+	answer.StoreAnswers = s.reachesStore(now)
 	if answer.Refusal == "" && m.WantPromise {
 		answer.Promised = true
 		s.promisedUntil = max(s.promisedUntil, now.Add(s.timing.Lease+s.timing.Margin))
@@ -75,12 +92,15 @@
 	return s, effects
 }
 
-// standbyCalled takes the lead's word that it gives up.
+// standbyCalled takes the lead's word that it gives up: neither its lease nor a
+// promise to it binds any more.
 func standbyCalled(s State, m StandbyAsked, answer StandbyAnswer) (State, []Effect) {
 	if m.Standby == s.self.Incarnation && s.Role() == RoleFollower && m.Term >= s.stored.Record.Term {
 		s.leadHeard = 0
 		s.storeSent = 0
+		s.promisedUntil = 0
 		s.askedTerm = m.Term
+		s.resigned = m.Lead.Incarnation
 	}
 	return s, []Effect{AnswerStandby{Reply: m.Reply, Answer: answer}}
 }
@@ -108,12 +128,17 @@
 		return "a later term is known"
 	case s.leaving:
 		return "leaving"
-	case s.storeHeard != 0 && now.Sub(s.storeHeard) < s.timing.Lease/2:
+	case s.reachesStore(now):
 		return "the store answers here"
 	}
 	return ""
 }
 
+// reachesStore reports whether the store has answered this process of late.
+func (s State) reachesStore(now bltimer.Instant) bool {
+	return s.storeHeard != 0 && now.Sub(s.storeHeard) < s.timing.Lease/2
+}
+
 func standbyAnswered(s State, m StandbyAnswered, now bltimer.Instant) (State, []Effect) {
 	standby := s.stored.Record.Standby
 	if m.Failed || m.Asked != standby.Incarnation {
@@ -123,6 +148,9 @@
 		return s.withEnded(standby.Incarnation), nil
 	}
 	s.standbyHeard = now
+	if m.Answer.StoreAnswers && s.leads() && s.missesStore(now) && s.writing == nil {
+		return callStandby(s)
+	}
 	if m.Answer.Promised && s.leads() && s.writing == nil {
 		s.promiseUntil = max(s.promiseUntil, m.SentAt.Add(s.timing.Lease-s.timing.Margin))
 	}
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -62,9 +62,13 @@
 	// askedTerm is the term of the lead that last called this process its
 	// standby. The record read last may be older than that.
 	askedTerm uint64
+	// startedAt is when this process first asked the store.
+	startedAt bltimer.Instant
 	// absentSince is when the store first showed no lease, and showed none ever
 	// since.
 	absentSince bltimer.Instant
+	// resigned is the lead that has called this process to take over.
+	resigned blvalue.Incarnation
 	// lapsedAt is when the earlier lead is known to have had no authority.
 	lapsedAt bltimer.Instant
 	leaving  bool
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -61,6 +61,9 @@
 		return s, nil
 	}
 	s.storeHeard = now
+	if s.startedAt == 0 {
+		s.startedAt = max(m.SentAt, 1)
+	}
 	s = s.withStored(m.Stored).withAbsence(m.LeaseHolder == "", m.SentAt)
 	for _, lost := range m.Lost {
 		s = s.withEnded(lost)
@@ -69,7 +72,7 @@
 	if s.Role() != RoleFollower || s.leaving {
 		return s, nil
 	}
-	if m.LeaseHolder != "" && !s.hasEnded(m.LeaseHolder) || !s.mayTakeOver(now) {
+	if m.LeaseHolder != "" && !s.hasEnded(m.LeaseHolder) && m.LeaseHolder != s.resigned || !s.mayTakeOver(now) {
 		return s, nil
 	}
 	s = s.withEvent(eventAcquire)
@@ -92,7 +95,7 @@
 // record, or both that are have ended, or there is no record; and no promise
 // of its own runs.
 func (s State) mayTakeOver(now bltimer.Instant) bool {
-	if now.Before(s.promisedUntil) || s.writing != nil || !s.missesLead(now) {
+	if now.Before(s.promisedUntil) || s.writing != nil || !s.missesLead(now) || now.Before(s.eagerAt()) {
 		return false
 	}
 	return s.mayLead(now)
@@ -114,6 +117,22 @@
 	return limit > 0 && s.absentSince != 0 && now.Sub(s.absentSince) > limit+s.timing.Lease+s.timing.Margin
 }
 
+// capacityDelay is how long a process without any capacity waits before it takes
+// over where all others may as well.
+const capacityDelay = 300 * time.Millisecond
+
+// eagerAt returns when this process may take over. One that the record doesn't
+// name waits the longer the less capacity its host has.
+func (s State) eagerAt() bltimer.Instant {
+	if s.self.Capacity == 0 || s.stored.Record.Names(s.self.Incarnation) {
+		return 0
+	}
+	return s.startedAt.Add(capacityDelay * time.Duration(max(fullCapacity-s.self.Capacity, 0)) / fullCapacity)
+}
+
+// fullCapacity is a whole core.
+const fullCapacity = 100
+
 func (s State) mayLead(now bltimer.Instant) bool {
 	if s.stored.Revision == 0 || s.stored.Record.Names(s.self.Incarnation) || s.holdIsOver(now) {
 		return true
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -190,6 +190,17 @@
 	return s, append([]Effect{seen}, sent...)
 }
 
+// nodeShare is the part of the period between heartbeats for each node of the
+// directory, so that the lead's work stays bounded in a large fleet.
+const nodeShare = 12 * time.Millisecond
+
+// period returns the time between heartbeats: longer in a large fleet, as far as
+// a grant allows.
+func (s State) period() time.Duration {
+	longest := max(s.config.Plan.Timing.GrantTTL/blconfig.HeartbeatsPerGrant, s.heartbeat)
+	return min(max(s.heartbeat, time.Duration(len(s.nodes))*nodeShare), longest)
+}
+
 // report sends a heartbeat when it is time and none is under way.
 func (s State) report(now bltimer.Instant) (State, []Effect) {
 	if s.inFlight && now.Sub(s.sentAt) > 2*answerTimeout {
@@ -202,7 +213,7 @@
 	s.inFlight = true
 	s.sentAt = now
 	s.sequence++
-	s.nextAt = now.Add(s.heartbeat)
+	s.nextAt = now.Add(s.period())
 	heartbeat := blassign.Heartbeat{
 		Node: s.self, Sequence: s.sequence, ConfigRevision: s.config.Revision, ConfigDigest: s.config.Digest, Directory: s.directory, Leaving: s.leaving,
 		WantsConfig: !s.fresh,
--- a/core/blplatform/store.go
+++ b/core/blplatform/store.go
@@ -43,6 +43,12 @@
 	Watch(ctx context.Context, key string, revision uint64) (Entry, error)
 }
 
+// Lister is a store that reads several keys at once.
+type Lister interface {
+	// List returns the entries whose keys begin with prefix.
+	List(ctx context.Context, prefix string) ([]Entry, error)
+}
+
 // ConflictError reports that a key was not at the expected revision.
 type ConflictError struct {
 	Current Entry
--- a/core/blpurse/state.go
+++ b/core/blpurse/state.go
@@ -32,6 +32,9 @@
 	// Term is zero when this process may not lend.
 	Term  uint64
 	Loans []Loan
+	// Settling tells that this lead lends nothing yet to anybody, since tokens of
+	// an earlier one may be in use.
+	Settling bool
 }
 
 func (AuthorityChanged) purseMessage() {}
@@ -108,9 +111,12 @@
 // borrow lends tokens. Until every purse of an older term has lapsed, the
 // lead lends nothing.
 func (s State) borrow(m Borrow, now bltimer.Instant) (State, []Effect) {
-	if !s.authority.Holds(now) || now.Before(s.settledAt()) || s.config.Revision == 0 {
+	if !s.authority.Holds(now) || s.config.Revision == 0 {
 		return s, []Effect{{Reply: m.Reply}}
 	}
+	if now.Before(s.settledAt()) {
+		return s, []Effect{{Reply: m.Reply, Answer: BorrowAnswer{Settling: true}}}
+	}
 	answer := BorrowAnswer{Term: s.authority.Term}
 	expires := now.Add(s.lasts())
 	for _, need := range m.Needs {
--- a/core/blvalue/identity.go
+++ b/core/blvalue/identity.go
@@ -28,6 +28,9 @@
 	Domain      DomainName
 	// Address is the IP address and port at which other nodes reach it.
 	Address string
+	// Capacity is the processor time that the host gives the node, in percent of
+	// a core, or zero where it is unknown.
+	Capacity int
 }
 
 // IsZero reports whether the host is unset.
--- a/io/blgrpc/client.go
+++ b/io/blgrpc/client.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return blpurse.BorrowAnswer{}, fmt.Errorf("borrow from %s: %w", address, err)
 	}
-	return blpurse.BorrowAnswer{Term: answer.GetTerm(), Loans: loansFromProto(answer.GetLoans())}, nil
+	return blpurse.BorrowAnswer{Term: answer.GetTerm(), Loans: loansFromProto(answer.GetLoans()), Settling: answer.GetSettling()}, nil
 }
 
 // AskStandby calls the standby.
@@ -143,7 +143,7 @@
 	}
 	return bllead.StandbyAnswer{
 		Incarnation: blvalue.Incarnation(answer.GetIncarnation()),
-		Promised:    answer.GetPromised(), Refusal: answer.GetRefusal(),
+		Promised:    answer.GetPromised(), Refusal: answer.GetRefusal(), StoreAnswers: answer.GetStoreAnswers(),
 	}, nil
 }
 
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -17,13 +17,14 @@
 	}
 	return &blproto.Host{
 		Name: string(h.Name), Incarnation: string(h.Incarnation), Domain: string(h.Domain), Address: h.Address,
+		Capacity: uint32(h.Capacity),
 	}
 }
 
 func hostFromProto(h *blproto.Host) blvalue.Host {
 	return blvalue.Host{
 		Name: blvalue.HostName(h.GetName()), Incarnation: blvalue.Incarnation(h.GetIncarnation()),
-		Domain: blvalue.DomainName(h.GetDomain()), Address: h.GetAddress(),
+		Domain: blvalue.DomainName(h.GetDomain()), Address: h.GetAddress(), Capacity: int(h.GetCapacity()),
 	}
 }
 
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	return &blproto.BorrowReply{Term: answer.Term, Loans: loansToProto(answer.Loans)}, nil
+	return &blproto.BorrowReply{Term: answer.Term, Loans: loansToProto(answer.Loans), Settling: answer.Settling}, nil
 }
 
 // AskStandby implements the Node service.
@@ -133,6 +133,7 @@
 	}
 	return &blproto.AskStandbyReply{
 		Incarnation: string(answer.Incarnation), Promised: answer.Promised, Refusal: answer.Refusal,
+		StoreAnswers: answer.StoreAnswers,
 	}, nil
 }
 
--- a/io/blnode/lead_work.go
+++ b/io/blnode/lead_work.go
@@ -53,33 +53,43 @@
 	result := bllead.RecordRead{SentAt: w.clock.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	holder, revision, err := w.readLease(ctx)
-	if err != nil {
-		result.Failed = true
-		return result
-	}
-	result.LeaseHolder, result.LeaseRevision = holder, revision
-	result.Stored, err = w.readStored(ctx)
-	if err != nil {
-		result.Failed = true
-		return result
+	entries, err := w.readLead(ctx)
+	if err == nil {
+		lease := entries[w.keys.LeadLease()]
+		result.LeaseHolder, result.LeaseRevision = blvalue.Incarnation(lease.Value), lease.Revision
+		result.Stored, err = blstore.DecodeRecord(entries[w.keys.LeadRecord()])
 	}
-	w.count("get")
-	lost, err := w.store.Get(ctx, w.keys.LostHosts())
 	if err == nil {
-		result.Lost, err = blstore.DecodeLost(lost)
+		result.Lost, err = blstore.DecodeLost(entries[w.keys.LostHosts()])
 	}
 	result.Failed = err != nil
 	return result
 }
 
-func (w leadWork) readLease(ctx context.Context) (blvalue.Incarnation, uint64, error) {
-	w.count("get")
-	entry, err := w.store.Get(ctx, w.keys.LeadLease())
-	if err != nil {
-		return "", 0, fmt.Errorf("read lead lease: %w", err)
+// readLead returns the entries of the lead by key, at once where the store can.
+// The lease is read before the record.
+func (w leadWork) readLead(ctx context.Context) (map[string]blplatform.Entry, error) {
+	found := map[string]blplatform.Entry{}
+	if lister, ok := w.store.(blplatform.Lister); ok {
+		w.count("list")
+		entries, err := lister.List(ctx, w.keys.Lead())
+		if err != nil {
+			return nil, fmt.Errorf("read lead: %w", err)
+		}
+		for _, entry := range entries {
+			found[entry.Key] = entry
+		}
+		return found, nil
+	}
+	for _, key := range []string{w.keys.LeadLease(), w.keys.LeadRecord(), w.keys.LostHosts()} {
+		w.count("get")
+		entry, err := w.store.Get(ctx, key)
+		if err != nil {
+			return nil, fmt.Errorf("read lead: %w", err)
+		}
+		found[key] = entry
 	}
-	return blvalue.Incarnation(entry.Value), entry.Revision, nil
+	return found, nil
 }
 
 func (w leadWork) readStored(ctx context.Context) (bllead.Stored, error) {
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -59,6 +59,7 @@
 	// handOverWait is how long a leaving node waits at most for its partitions
 	// to find new owners.
 	handOverWait = 10 * time.Second
+	percent      = 100
 	handOverPoll = 20 * time.Millisecond
 	// handOverTime is how long that usually takes.
 	handOverTime = 900 * time.Millisecond
@@ -79,7 +80,7 @@
 		platform: platform,
 		self: blvalue.Host{
 			Name: settings.Host, Incarnation: blvalue.Incarnation(uuid.NewString()),
-			Domain: settings.Domain, Address: settings.NodeListen,
+			Domain: settings.Domain, Address: settings.NodeListen, Capacity: int(settings.Capacity * percent),
 		},
 		store:   platform.Store,
 		keys:    blstore.NewKeys(settings.Region),
--- a/io/blsettings/process.go
+++ b/io/blsettings/process.go
@@ -36,6 +36,9 @@
 	// ReadyListen is where the platform asks whether the node takes work, or
 	// empty where it doesn't ask.
 	ReadyListen string `toml:"ready_listen"`
+	// Capacity is the processor time that the host gives the process, in
+	// cores, or zero where it is unknown. Hosts with more lead first.
+	Capacity float64 `toml:"capacity"`
 	// Platform is set where the node runs on the users' platform.
 	Platform *Platform `toml:"platform"`
 	// Store is the address of the platform's store.
--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -34,7 +34,10 @@
 func (k Keys) LeadLease() string { return k.region + ".lead_lease" }
 
 // LostHosts is the key of the incarnations that operators declared lost.
-func (k Keys) LostHosts() string { return k.region + ".lost_hosts" }
+func (k Keys) LostHosts() string { return k.region + ".lead_lost_hosts" }
+
+// Lead begins the keys of the lead: its record, its lease and the lost hosts.
+func (k Keys) Lead() string { return k.region + ".lead_" }
 
 // Chunk is the key of one chunk of an assignment.
 func (k Keys) Chunk(id blassign.ChunkID) string {
@@ -46,6 +49,7 @@
 	Incarnation blvalue.Incarnation `json:"incarnation"`
 	Domain      blvalue.DomainName  `json:"failure_domain"`
 	Address     string              `json:"address"`
+	Capacity    int                 `json:"capacity,omitempty"`
 }
 
 type recordBody struct {
