Hand the lead over when the store turns it away

Now the standby says that the store answers it, the lead gives up and names the claim of its lease, and the standby replaces just that lease.

--- a/core/bllead/decide_test.go
+++ b/core/bllead/decide_test.go
@@ -30,6 +30,8 @@
 	state   bllead.State
 	now     time.Duration
 	effects []bllead.Effect
+	// claim is that of the latest attempt at the lease.
+	claim bllead.Claim
 }
 
 func newProcess(t *testing.T) *process {
@@ -44,6 +46,9 @@
 
 func (p *process) send(message bllead.Message) {
 	p.state, p.effects = bllead.Decide(p.state, message, p.instant())
+	if acquire, ok := effect[bllead.AcquireLease](p); ok {
+		p.claim = acquire.Claim
+	}
 }
 
 func effect[E bllead.Effect](p *process) (E, bool) {
@@ -72,7 +77,7 @@
 	if _, ok := effect[bllead.AcquireLease](p); !ok {
 		p.t.Fatalf("effects: got %v, want AcquireLease", p.effects)
 	}
-	p.send(bllead.LeaseAcquired{SentAt: p.instant(), Lease: "lease_1"})
+	p.send(bllead.LeaseAcquired{SentAt: p.instant(), Claim: p.claim, Lease: "lease_1"})
 	write, ok := effect[bllead.WriteRecord](p)
 	if !ok {
 		p.t.Fatalf("effects: got %v, want WriteRecord", p.effects)
@@ -208,7 +213,7 @@
 			promise(p, "b", true)
 			p.now += 300 * time.Millisecond
 			p.send(bllead.Tick{})
-			p.send(bllead.LeaseAcquired{SentAt: p.instant(), Lease: "lease_2", Stored: p.stored()})
+			p.send(bllead.LeaseAcquired{SentAt: p.instant(), Claim: p.claim, Lease: "lease_2", Stored: p.stored()})
 			p.send(bllead.LeaseAcquired{SentAt: p.instant(), Failed: true})
 			p.send(bllead.Tick{})
 		}, true, true},
@@ -254,7 +259,7 @@
 func TestDoubtfulWriteIsSentAgainAndNotForgotten(t *testing.T) {
 	p := newProcess(t)
 	p.send(bllead.RecordRead{})
-	p.send(bllead.LeaseAcquired{SentAt: p.instant(), Lease: "lease_1"})
+	p.send(bllead.LeaseAcquired{SentAt: p.instant(), Claim: p.claim, Lease: "lease_1"})
 	write, _ := effect[bllead.WriteRecord](p)
 	p.send(bllead.RecordWritten{WriteID: write.Record.WriteID, Outcome: blplatform.Unresolved})
 	p.send(bllead.RecordWritten{WriteID: write.Record.WriteID, Outcome: blplatform.NotSent})
@@ -291,7 +296,7 @@
 		}, bllead.StandbyAsked{Term: 3, Standby: "a_run", WantPromise: true}, false},
 		{"with an unresolved takeover", func(p *process) {
 			p.send(bllead.RecordRead{Stored: record(3, "x", "a")})
-			p.send(bllead.LeaseAcquired{SentAt: p.instant(), Lease: "lease_1", Stored: record(3, "x", "a")})
+			p.send(bllead.LeaseAcquired{SentAt: p.instant(), Claim: p.claim, Lease: "lease_1", Stored: record(3, "x", "a")})
 			write, _ := effect[bllead.WriteRecord](p)
 			p.send(bllead.RecordWritten{WriteID: write.Record.WriteID, Outcome: blplatform.Unresolved})
 			p.now += 2 * time.Second
@@ -339,3 +344,56 @@
 		t.Errorf("settled at: got %v, want %v", got, want)
 	}
 }
+
+func TestLeadThatTheStoreTurnsAwayCallsItsStandby(t *testing.T) {
+	answered := bllead.StandbyAnswer{Incarnation: host("b").Incarnation, StoreAnswers: true}
+	cases := []struct {
+		name   string
+		silent time.Duration
+		want   bool
+	}{
+		{"the store answers the lead as well", 0, false},
+		{"the store has not answered the lead", lease * 3 / 4, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.lead()
+			p.now += c.silent
+			p.send(bllead.StandbyAnswered{SentAt: p.instant(), Asked: host("b").Incarnation, Answer: answered})
+			call, ok := effect[bllead.AskStandby](p)
+			if got := ok && call.Resigned == p.claim; got != c.want {
+				t.Errorf("calls the standby: got %t, want %t", got, c.want)
+			}
+			if got := p.holds(); got == c.want {
+				t.Errorf("holds: got %t, want %t", got, !c.want)
+			}
+		})
+	}
+}
+
+func TestStandbyReplacesOnlyTheLeaseThatWasGivenUp(t *testing.T) {
+	cases := []struct {
+		name string
+		read bllead.RecordRead
+		want bool
+	}{
+		{"the lease that was given up", bllead.RecordRead{LeaseHolder: "x_run", LeaseClaim: "x_run#1"}, true},
+		{"a later lease of the same process", bllead.RecordRead{LeaseHolder: "x_run", LeaseClaim: "x_run#2"}, false},
+		{"a lease of another process", bllead.RecordRead{LeaseHolder: "y_run", LeaseClaim: "y_run#1"}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.send(bllead.StandbyAsked{
+				Term: 3, Lead: host("x"), Standby: "a_run", Resigned: "x_run#1", Reply: blring.NewReply[bllead.StandbyAnswer](),
+			})
+			c.read.Stored, c.read.LeaseRevision = record(3, "x", "a"), 7
+			p.send(c.read)
+			acquire, got := effect[bllead.AcquireLease](p)
+			if got != c.want || got && acquire.Revision != 7 {
+				t.Errorf("takes the lease: got %t at %d, want %t", got, acquire.Revision, c.want)
+			}
+		})
+	}
+}
--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -51,7 +51,8 @@
 	}
 	s.renewedAt = now
 	if s.lease == "" {
-		return s, append(effects, AcquireLease{})
+		s = s.withClaim()
+		return s, append(effects, AcquireLease{Claim: s.claim})
 	}
 	return s, append(effects, RenewLease{Lease: s.lease})
 }
@@ -59,6 +60,9 @@
 // leaseRegained ends a hold: the store answers again and the record stands as
 // this lead wrote it.
 func leaseRegained(s State, m LeaseAcquired) (State, []Effect) {
+	if m.Claim != s.claim {
+		return answeredLate(s, m)
+	}
 	if m.Failed {
 		return s, nil
 	}
@@ -101,7 +105,7 @@
 // callStandby gives the lead up and asks the standby to take over.
 func callStandby(s State) (State, []Effect) {
 	standby, ok := s.standby()
-	call := AskStandby{Term: s.stored.Record.Term, Standby: standby, Resigned: true}
+	call := AskStandby{Term: s.stored.Record.Term, Standby: standby, Resigned: s.claim}
 	s, effects := stepDown(s)
 	if ok {
 		effects = append(effects, call)
--- a/core/bllead/messages.go
+++ b/core/bllead/messages.go
@@ -1,6 +1,8 @@
 package bllead
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"bergamotlead/core/blplatform"
@@ -22,7 +24,9 @@
 	Stored Stored
 	// LeaseHolder is the incarnation that holds the lead lease, or empty.
 	LeaseHolder blvalue.Incarnation
-	// LeaseRevision is the revision of the lease's key.
+	// LeaseClaim is the claim under which it does, and LeaseRevision the revision
+	// of the lease's key.
+	LeaseClaim    Claim
 	LeaseRevision uint64
 	// Lost lists the incarnations that an operator declared lost.
 	Lost []blvalue.Incarnation
@@ -33,6 +37,7 @@
 // LeaseAcquired answers AcquireLease.
 type LeaseAcquired struct {
 	SentAt bltimer.Instant
+	Claim  Claim
 	Lease  blplatform.LeaseID
 	// Stored is the record as it was read after the lease was held.
 	Stored Stored
@@ -66,8 +71,9 @@
 	Standby blvalue.Incarnation
 	// WantPromise asks the standby not to take over for a while.
 	WantPromise bool
-	// Resigned tells that the lead gives up: the standby is to take over.
-	Resigned bool
+	// Resigned is set when the lead gives up the lease that it held under this
+	// claim: the standby is to take over.
+	Resigned Claim
 	Reply    blring.Reply[StandbyAnswer]
 }
 
@@ -136,9 +142,29 @@
 // ReadRecord reads the lead record, the lead lease and the lost hosts.
 type ReadRecord struct{}
 
-// AcquireLease takes the lead lease if its key is still at the revision that
-// was read, then reads the record. Zero means that nobody holds it.
-type AcquireLease struct{ Revision uint64 }
+// Claim names one attempt at the lead lease. It stands in the lease's key.
+type Claim string
+
+// claimMark parts the incarnation from the number of its attempt.
+const claimMark = "#"
+
+func newClaim(holder blvalue.Incarnation, number uint64) Claim {
+	return Claim(string(holder) + claimMark + strconv.FormatUint(number, 10))
+}
+
+// Holder returns the incarnation that made the claim.
+func (c Claim) Holder() blvalue.Incarnation {
+	holder, _, _ := strings.Cut(string(c), claimMark)
+	return blvalue.Incarnation(holder)
+}
+
+// AcquireLease takes the lead lease under a claim if its key is still at the
+// revision that was read, then reads the record. Zero means that nobody holds
+// it.
+type AcquireLease struct {
+	Revision uint64
+	Claim    Claim
+}
 
 // RenewLease extends the lead lease.
 type RenewLease struct{ Lease blplatform.LeaseID }
@@ -157,8 +183,8 @@
 	Term        uint64
 	Standby     blvalue.Host
 	WantPromise bool
-	// Resigned tells that this lead gives up.
-	Resigned bool
+	// Resigned is the claim of the lease that this lead gives up, or empty.
+	Resigned Claim
 }
 
 // AnswerStandby answers StandbyAsked.
--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -74,7 +74,7 @@
 
 func standbyAsked(s State, m StandbyAsked, now bltimer.Instant) (State, []Effect) {
 	answer := StandbyAnswer{Incarnation: s.self.Incarnation}
-	if m.Resigned {
+	if m.Resigned != "" {
 		return standbyCalled(s, m, answer)
 	}
 	answer.Refusal = s.refusesPromise(m, now)
@@ -100,7 +100,7 @@
 		s.storeSent = 0
 		s.promisedUntil = 0
 		s.askedTerm = m.Term
-		s.resigned = m.Lead.Incarnation
+		s.resigned = m.Resigned
 	}
 	return s, []Effect{AnswerStandby{Reply: m.Reply, Answer: answer}}
 }
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -40,7 +40,10 @@
 	writeSeq uint64
 
 	// As lead.
-	lease        blplatform.LeaseID
+	lease blplatform.LeaseID
+	// claim names the latest attempt at the lease, the claims-th one.
+	claim        Claim
+	claims       uint64
 	leaseUntil   bltimer.Instant
 	promiseUntil bltimer.Instant
 	standbyHeard bltimer.Instant
@@ -67,8 +70,9 @@
 	// absentSince is when the store first showed no lease, and showed none ever
 	// since.
 	absentSince bltimer.Instant
-	// resigned is the lead that has called this process to take over.
-	resigned blvalue.Incarnation
+	// resigned is the claim of the lead that has called this process to take
+	// over.
+	resigned Claim
 	// lapsedAt is when the earlier lead is known to have had no authority.
 	lapsedAt bltimer.Instant
 	leaving  bool
@@ -79,6 +83,13 @@
 	return State{self: self, timing: timing, lifecycle: roles().Start(RoleFollower)}
 }
 
+// withClaim returns the state with another attempt at the lease.
+func (s State) withClaim() State {
+	s.claims++
+	s.claim = newClaim(s.self.Incarnation, s.claims)
+	return s
+}
+
 // Role returns the current role.
 func (s State) Role() Role {
 	return s.lifecycle.State()
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -72,13 +72,15 @@
 	if s.Role() != RoleFollower || s.leaving {
 		return s, nil
 	}
-	if m.LeaseHolder != "" && !s.hasEnded(m.LeaseHolder) && m.LeaseHolder != s.resigned || !s.mayTakeOver(now) {
+	free := m.LeaseHolder == "" || s.hasEnded(m.LeaseHolder) || m.LeaseClaim != "" && m.LeaseClaim == s.resigned
+	if !free || !s.mayTakeOver(now) {
 		return s, nil
 	}
 	s = s.withEvent(eventAcquire)
 	s.acquiringAt = now
 	s.lapsedAt = now
-	return s, []Effect{AcquireLease{Revision: m.LeaseRevision}}
+	s = s.withClaim()
+	return s, []Effect{AcquireLease{Revision: m.LeaseRevision, Claim: s.claim}}
 }
 
 // withOwnPast records that earlier runs of this host have ended.
@@ -146,7 +148,7 @@
 	if s.Role() == RoleHolding {
 		return leaseRegained(s, m)
 	}
-	if s.Role() != RoleAcquiring {
+	if s.Role() != RoleAcquiring || m.Claim != s.claim {
 		return answeredLate(s, m)
 	}
 	if m.Failed {
--- a/core/blproof/directed_test.go
+++ b/core/blproof/directed_test.go
@@ -61,8 +61,10 @@
 	return outcome
 }
 
+// alwaysPromised is a standby that promises and hides that it reaches the store.
 func alwaysPromised(answer bllead.StandbyAnswer) bllead.StandbyAnswer {
 	answer.Promised = true
+	answer.StoreAnswers = false
 	return answer
 }
 
--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -97,18 +97,18 @@
 	switch e := effect.(type) {
 	case bllead.ReadRecord:
 		n.atStore(false, func() func() {
-			read := bllead.RecordRead{SentAt: sentAt, LeaseHolder: w.store.holder(w.now), Stored: w.store.record}
+			read := bllead.RecordRead{SentAt: sentAt, LeaseHolder: w.store.holder(w.now), LeaseClaim: w.store.leaseClaim,
+				LeaseRevision: w.store.leaseRevision(w.now), Stored: w.store.record}
 			return func() { n.tellLead(read) }
 		}, func(bool) { n.tellLead(bllead.RecordRead{SentAt: sentAt, Failed: true}) })
 	case bllead.AcquireLease:
-		holder := n.host.Incarnation
 		n.atStore(true, func() func() {
-			id, ok := w.store.acquire(holder, lease, w.now)
+			id, ok := w.store.acquire(e.Claim, e.Revision, lease, w.now)
 			result := bllead.LeaseAcquired{
-				SentAt: sentAt, Lease: blplatform.LeaseID(strconv.Itoa(id)), Stored: w.store.record, Failed: !ok,
+				SentAt: sentAt, Claim: e.Claim, Lease: blplatform.LeaseID(strconv.Itoa(id)), Stored: w.store.record, Failed: !ok,
 			}
 			return func() { n.tellLead(result) }
-		}, func(bool) { n.tellLead(bllead.LeaseAcquired{SentAt: sentAt, Failed: true}) })
+		}, func(bool) { n.tellLead(bllead.LeaseAcquired{SentAt: sentAt, Claim: e.Claim, Failed: true}) })
 	case bllead.RenewLease:
 		id, _ := strconv.Atoi(string(e.Lease))
 		n.atStore(true, func() func() {
@@ -191,7 +191,8 @@
 	n.toNode(e.Standby.Address, func(other *node) {
 		reply := blring.NewReply[bllead.StandbyAnswer]()
 		asked := bllead.StandbyAsked{
-			Term: e.Term, Lead: n.host, Standby: e.Standby.Incarnation, WantPromise: e.WantPromise, Reply: reply,
+			Term: e.Term, Lead: n.host, Standby: e.Standby.Incarnation, WantPromise: e.WantPromise, Resigned: e.Resigned,
+			Reply: reply,
 		}
 		var effects []bllead.Effect
 		other.lead, effects = bllead.Decide(other.lead, asked, other.clock())
--- a/core/blproof/store_test.go
+++ b/core/blproof/store_test.go
@@ -12,6 +12,7 @@
 // the world's time.
 type memoryStore struct {
 	leaseHolder blvalue.Incarnation
+	leaseClaim  bllead.Claim
 	leaseID     int
 	leaseUntil  time.Duration
 	record      bllead.Stored
@@ -30,12 +31,23 @@
 	return s.leaseHolder
 }
 
-func (s *memoryStore) acquire(holder blvalue.Incarnation, ttl, now time.Duration) (int, bool) {
-	if s.holder(now) != "" {
+// leaseRevision is the revision of the lease's key, or zero when there is none.
+func (s *memoryStore) leaseRevision(now time.Duration) uint64 {
+	if s.holder(now) == "" {
+		return 0
+	}
+	return uint64(s.leaseID)
+}
+
+// acquire takes the lease if its key is still at revision.
+func (s *memoryStore) acquire(
+	claim bllead.Claim, revision uint64, ttl, now time.Duration,
+) (int, bool) {
+	if s.leaseRevision(now) != revision {
 		return 0, false
 	}
 	s.leaseID++
-	s.leaseHolder = holder
+	s.leaseHolder, s.leaseClaim = claim.Holder(), claim
 	s.leaseUntil = now + ttl
 	return s.leaseID, true
 }
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -126,7 +126,7 @@
 func (s *Server) AskStandby(ctx context.Context, r *blproto.AskStandbyRequest) (*blproto.AskStandbyReply, error) {
 	answer, err := s.node.AskStandby(ctx, bllead.StandbyAsked{
 		Term: r.GetTerm(), Lead: hostFromProto(r.GetLead()),
-		Standby: blvalue.Incarnation(r.GetStandbyIncarnation()), WantPromise: r.GetWantPromise(), Resigned: r.GetResigned(),
+		Standby: blvalue.Incarnation(r.GetStandbyIncarnation()), WantPromise: r.GetWantPromise(), Resigned: bllead.Claim(r.GetResigned()),
 	})
 	if err != nil {
 		return nil, unavailable(err)
--- a/io/blnode/lead_work.go
+++ b/io/blnode/lead_work.go
@@ -56,7 +56,8 @@
 	entries, err := w.readLead(ctx)
 	if err == nil {
 		lease := entries[w.keys.LeadLease()]
-		result.LeaseHolder, result.LeaseRevision = blvalue.Incarnation(lease.Value), lease.Revision
+		result.LeaseClaim, result.LeaseRevision = bllead.Claim(lease.Value), lease.Revision
+		result.LeaseHolder = result.LeaseClaim.Holder()
 		result.Stored, err = blstore.DecodeRecord(entries[w.keys.LeadRecord()])
 	}
 	if err == nil {
@@ -108,7 +109,7 @@
 // acquire opens a lease, hangs the lead key on it and reads the record. A lease
 // whose key can't be set is given back.
 func (w leadWork) acquire(e bllead.AcquireLease) bllead.LeaseAcquired {
-	result := bllead.LeaseAcquired{SentAt: w.clock.Now()}
+	result := bllead.LeaseAcquired{SentAt: w.clock.Now(), Claim: e.Claim}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	w.count("open_lease")
@@ -119,7 +120,7 @@
 	}
 	result.Lease = lease
 	w.count("swap")
-	_, err = w.store.CompareAndSwap(ctx, w.keys.LeadLease(), e.Revision, []byte(w.self.Incarnation), lease)
+	_, err = w.store.CompareAndSwap(ctx, w.keys.LeadLease(), e.Revision, []byte(e.Claim), lease)
 	if err == nil {
 		result.Stored, err = w.readStored(ctx)
 	}
