A lead that hears nobody gives up; lines about requests and beliefs

Nodes without a lead read the configuration themselves. Model: TestOwnershipWhereAnybodyMayTakeOver.

Logs go to standard output through a bounded writer that never blocks; lines about requests are bounded by kind and second, with a count of those left out.

--- a/cmd/bergamotlead/main.go
+++ b/cmd/bergamotlead/main.go
@@ -39,7 +39,10 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", args.Settings, err)
 	}
-	logger := bllog.New(settings.Host, settings.LogLevel, os.Stderr)
+	output := bllog.NewWriter(os.Stdout)
+	output.Start()
+	defer output.Stop()
+	logger := bllog.New(settings.Host, settings.LogLevel, output)
 	clock := bltimer.NewSystem()
 	platform := blnode.OwnPlatform
 	if settings.Platform != nil {
--- a/core/blassign/messages.go
+++ b/core/blassign/messages.go
@@ -140,7 +140,13 @@
 }
 
 // PeersSeen tells the lead duty which nodes are up.
-type PeersSeen struct{ Peers []blvalue.Host }
+type PeersSeen struct {
+	Peers []blvalue.Host
+	// Known counts the other nodes that reported in the last while, and Heard
+	// those of them that did so just now.
+	Known int
+	Heard int
+}
 
 // Nudge asks nodes to report at once, since partitions have come to them or
 // left an owner that is lost.
--- a/core/blassign/place.go
+++ b/core/blassign/place.go
@@ -59,12 +59,35 @@
 
 // tellPeers tells the lead duty which nodes are up when their number changed.
 func (s State[P]) tellPeers(now bltimer.Instant) (State[P], []Effect) {
-	peers := s.peers(now)
-	if len(peers) == s.peerCount {
+	seen := PeersSeen{Peers: s.peers(now)}
+	for _, member := range s.members.All() {
+		silence := now.Sub(member.HeardAt)
+		if member.Leaving || silence > rememberPeers || member.Host.Incarnation == s.self {
+			continue
+		}
+		seen.Known++
+		if silence <= hearPeers {
+			seen.Heard++
+		}
+	}
+	count := peerCount{peers: len(seen.Peers), known: seen.Known, heard: seen.Heard}
+	if count == s.peerCount {
 		return s, nil
 	}
-	s.peerCount = len(peers)
-	return s, []Effect{PeersSeen{Peers: peers}}
+	s.peerCount = count
+	return s, []Effect{seen}
+}
+
+const (
+	// rememberPeers is how long a node counts as known that has fallen silent.
+	rememberPeers = 20 * time.Second
+	// hearPeers is how long a node counts as heard after its last report.
+	hearPeers = 1500 * time.Millisecond
+)
+
+// peerCount is what was last told to the lead duty.
+type peerCount struct {
+	peers, known, heard int
 }
 
 // withoutGone takes the partitions of nodes whose grants have lapsed for free.
--- a/core/blassign/state.go
+++ b/core/blassign/state.go
@@ -63,8 +63,10 @@
 	moves    uint64
 	// placedFor is the directory version for which nothing was left to move.
 	placedFor uint64
-	// peerCount is the number of nodes that were last told to the lead duty.
-	peerCount int
+	// peerCount is what was last told to the lead duty of other nodes.
+	peerCount peerCount
+	// self is this process, or empty where it doesn't matter.
+	self blvalue.Incarnation
 }
 
 // New returns the state of a process that isn't lead.
@@ -72,6 +74,12 @@
 	return State[P]{policy: policy}
 }
 
+// WithSelf returns the state of the given process, which is no peer of itself.
+func (s State[P]) WithSelf(self blvalue.Incarnation) State[P] {
+	s.self = self
+	return s
+}
+
 // Authority returns what the process may do as lead.
 func (s State[P]) Authority() bllead.Authority {
 	return s.authority
@@ -145,7 +153,7 @@
 // withoutMemory returns the state of a lead whose term has just begun: it
 // knows nothing but what it reads from the store.
 func (s State[P]) withoutMemory() State[P] {
-	return State[P]{policy: s.policy, authority: s.authority}
+	return State[P]{policy: s.policy, authority: s.authority, self: s.self}
 }
 
 func (s State[P]) withService(name blvalue.ServiceName, ownership Ownership) State[P] {
--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -55,7 +55,7 @@
 	case LeadHeard:
 		return leadHeard(s, m, now), nil
 	case PeersSeen:
-		s.peers = m.Peers
+		s.peers, s.known, s.heard = m.Peers, m.Known, m.Heard
 		return s, nil
 	case TimingChanged:
 		return s.WithTiming(m.Timing), nil
--- a/core/bllead/decide_test.go
+++ b/core/bllead/decide_test.go
@@ -397,3 +397,56 @@
 		})
 	}
 }
+
+func TestLeadThatHearsNobodyGivesUp(t *testing.T) {
+	cases := []struct {
+		name         string
+		limit        time.Duration
+		known, heard int
+		standby      bool
+		want         bool
+	}{
+		{"it hears nobody", time.Minute, 6, 0, false, true},
+		{"it hears one in six", time.Minute, 6, 1, false, true},
+		{"it hears one in three", time.Minute, 6, 2, false, false},
+		{"it hears its standby", time.Minute, 6, 0, true, false},
+		{"it knows but one other", time.Minute, 1, 0, false, false},
+		{"nobody else could take over", 0, 6, 0, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.state = p.state.WithTiming(bllead.Timing{Lease: lease, GrantTTL: ttl, Margin: margin, HoldLimit: c.limit})
+			p.lead()
+			vacated := false
+			for end := p.now + 4*ttl; p.now < end; p.now += 50 * time.Millisecond {
+				p.send(bllead.LeaseRenewed{SentAt: p.instant(), Lease: "lease_1"})
+				p.send(bllead.PeersSeen{Peers: []blvalue.Host{host("a"), host("b")}, Known: c.known, Heard: c.heard})
+				if c.standby {
+					p.send(bllead.StandbyAnswered{
+						SentAt: p.instant(), Asked: host("b").Incarnation, Answer: bllead.StandbyAnswer{Incarnation: host("b").Incarnation},
+					})
+				}
+				p.send(bllead.Tick{})
+				if write, ok := effect[bllead.WriteRecord](p); ok && write.Record.Lead.IsZero() {
+					vacated = true
+					break
+				}
+			}
+			if vacated != c.want {
+				t.Errorf("gives up: got %t, want %t", vacated, c.want)
+			}
+			if got := p.holds(); got == vacated {
+				t.Errorf("holds: got %t, want %t", got, !vacated)
+			}
+		})
+	}
+}
+
+func TestAnybodyTakesAVacantLead(t *testing.T) {
+	p := newProcess(t)
+	p.send(bllead.RecordRead{Stored: bllead.Stored{Revision: 30, Record: bllead.Record{Term: 3}}})
+	if _, got := effect[bllead.AcquireLease](p); !got {
+		t.Error("takes over: got false, want true")
+	}
+}
--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -20,6 +20,9 @@
 
 func leadTick(s State, now bltimer.Instant) (State, []Effect) {
 	var effects []Effect
+	if s = s.withHush(now); s.unheard(now) {
+		return vacate(s, now)
+	}
 	s, effects = renew(s, effects, now)
 	s, effects = askStandby(s, effects, now)
 	return nameStandby(s, effects, now)
--- a/core/bllead/messages.go
+++ b/core/bllead/messages.go
@@ -113,6 +113,10 @@
 // PeersSeen tells which other nodes are up, for the choice of a standby.
 type PeersSeen struct {
 	Peers []blvalue.Host
+	// Known counts the other nodes that reported in the last while, and Heard
+	// those of them that did so just now.
+	Known int
+	Heard int
 }
 
 // TimingChanged carries the intervals of an accepted configuration.
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -34,8 +34,11 @@
 	timing    Timing
 	lifecycle bllifecycle.Lifecycle[Role, roleEvent]
 
-	stored   Stored
-	peers    []blvalue.Host
+	stored Stored
+	peers  []blvalue.Host
+	// known and heard count the other nodes, as PeersSeen tells.
+	known    int
+	heard    int
 	ended    bltable.Table[blvalue.Incarnation, bool]
 	writeSeq uint64
 
@@ -55,6 +58,14 @@
 	renewedAt bltimer.Instant
 	askedAt   bltimer.Instant
 	announced Authority
+	// gainedAt is when this process became lead, and hushedAt since when it has
+	// heard too few others, or zero.
+	gainedAt bltimer.Instant
+	hushedAt bltimer.Instant
+	// shyUntil keeps a lead that gave up unheard from leading again before others
+	// had a chance. If none took it, the process leads however few it hears.
+	shyUntil bltimer.Instant
+	vacated  uint64
 
 	// As standby or follower.
 	promisedUntil bltimer.Instant
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -41,6 +41,9 @@
 // grant for others, which hear of it by their heartbeats.
 func (s State) missesLead(now bltimer.Instant) bool {
 	patience := s.timing.GrantTTL
+	if s.timing.HoldLimit > 0 {
+		patience /= 2
+	}
 	if s.standsBy() {
 		patience = s.timing.Lease / 2
 	}
@@ -97,7 +100,7 @@
 // record, or both that are have ended, or there is no record; and no promise
 // of its own runs.
 func (s State) mayTakeOver(now bltimer.Instant) bool {
-	if now.Before(s.promisedUntil) || s.writing != nil || !s.missesLead(now) || now.Before(s.eagerAt()) {
+	if now.Before(s.promisedUntil) || s.writing != nil || !s.missesLead(now) || now.Before(max(s.eagerAt(), s.shyUntil)) {
 		return false
 	}
 	return s.mayLead(now)
@@ -136,7 +139,7 @@
 const fullCapacity = 100
 
 func (s State) mayLead(now bltimer.Instant) bool {
-	if s.stored.Revision == 0 || s.stored.Record.Names(s.self.Incarnation) || s.holdIsOver(now) {
+	if s.stored.Revision == 0 || s.stored.Record.Lead.IsZero() || s.stored.Record.Names(s.self.Incarnation) || s.holdIsOver(now) {
 		return true
 	}
 	record := s.stored.Record
--- a/core/bllead/write.go
+++ b/core/bllead/write.go
@@ -71,6 +71,7 @@
 	}
 	s = s.withEvent(eventGain)
 	s.renewedAt = now
+	s.gainedAt = now
 	return s, nil
 }
 
--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -253,7 +253,7 @@
 			n.toNode(host.Address, func(other *node) { other.tellMember(blmember.ReportSoon{}) })
 		}
 	case blassign.PeersSeen:
-		n.tellLead(bllead.PeersSeen{Peers: e.Peers})
+		n.tellLead(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Heard: e.Heard})
 	case blassign.Answer:
 		e.Reply.Put(e.HeartbeatReply)
 	}
--- a/core/blproof/ownership_test.go
+++ b/core/blproof/ownership_test.go
@@ -160,7 +160,13 @@
 
 // runSchedule draws a schedule, runs it and returns the world at its end.
 func runSchedule(t *rapid.T, s sabotage) *world {
-	w := newWorld(rapid.Uint64().Draw(t, "seed"), worldNodes, s)
+	return runLimited(t, s, 0)
+}
+
+// runLimited is runSchedule where a lead goes on without the store for no
+// longer than limit, unless that is zero.
+func runLimited(t *rapid.T, s sabotage, limit time.Duration) *world {
+	w := newLimitedWorld(rapid.Uint64().Draw(t, "seed"), worldNodes, s, limit)
 	w.loseAnswers = rapid.SampledFrom([]int{0, 5, 100}).Draw(t, "lost answers in a thousand")
 	w.slowMessages = 20
 	w.lateWrites = rapid.SampledFrom([]int{0, 20, 200}).Draw(t, "late writes in a thousand")
@@ -190,6 +196,18 @@
 	t.Logf("requests served %d, refused %d", served, refused)
 }
 
+// TestOwnershipWhereAnybodyMayTakeOver is the same where leads give up that hear
+// nobody, and where any node takes over once none can go on without the store.
+func TestOwnershipWhereAnybodyMayTakeOver(t *testing.T) {
+	const limit = 3 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		w := runLimited(t, sabotage{}, limit)
+		for _, broken := range w.broken {
+			t.Errorf("broken: %s", broken)
+		}
+	})
+}
+
 // TestModelNoticesEachRuleThatIsOff switches one rule off at a time. The model
 // has to find a schedule that breaks.
 func TestModelNoticesEachRuleThatIsOff(t *testing.T) {
--- a/core/blproof/world_test.go
+++ b/core/blproof/world_test.go
@@ -84,7 +84,10 @@
 	cut       map[[2]int]bool
 	storeCut  map[int]bool
 	// loseAnswers, lateWrites and slowMessages are chances in a thousand.
-	loseAnswers  int
+	loseAnswers int
+	// holdLimit bounds the time for which a lead goes on without the store; zero
+	// is no bound.
+	holdLimit    time.Duration
 	lateWrites   int
 	slowMessages int
 	// loseRecords is the number of record writes whose answers are lost next.
@@ -121,8 +124,13 @@
 }
 
 func newWorld(seed uint64, count int, s sabotage) *world {
+	return newLimitedWorld(seed, count, s, 0)
+}
+
+func newLimitedWorld(seed uint64, count int, s sabotage, limit time.Duration) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 1)), store: newMemoryStore(),
+		holdLimit: limit,
+		random:    rand.New(rand.NewPCG(seed, 1)), store: newMemoryStore(),
 		cut: map[[2]int]bool{}, storeCut: map[int]bool{}, sabotage: s,
 		fences: map[blvalue.Partition]fenceSeen{},
 	}
@@ -186,8 +194,8 @@
 		Incarnation: blvalue.Incarnation(fmt.Sprintf("%d.%d", n.index, n.run)),
 		Domain:      blvalue.DomainName([]string{"a", "b", "c"}[n.index%3]),
 	}
-	n.lead = bllead.New(n.host, bllead.Timing{Lease: lease, GrantTTL: ttl, Margin: margin})
-	n.assign = blassign.New(placement{})
+	n.lead = bllead.New(n.host, bllead.Timing{Lease: lease, GrantTTL: ttl, Margin: margin, HoldLimit: n.world.holdLimit})
+	n.assign = blassign.New(placement{}).WithSelf(n.host.Incarnation)
 	n.member = blmember.New(n.host)
 	n.grant = blgrant.New()
 }
--- a/io/blhttp/forward.go
+++ b/io/blhttp/forward.go
@@ -14,6 +14,7 @@
 	"bergamotlead/core/blroute"
 	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blheader"
+	"bergamotlead/io/bllog"
 	"bergamotlead/io/blmetric"
 	"bergamotlead/io/bltrace"
 )
@@ -37,6 +38,7 @@
 	tracer  *bltrace.Tracer
 	metrics *blmetric.Set
 	logger  hclog.Logger
+	lines   *bllog.Budget
 }
 
 // New returns a front end that puts its messages on the given duties.
@@ -46,7 +48,7 @@
 ) *Front {
 	return &Front{
 		dialect: dialect, admit: admit, route: route, deliver: deliver, limits: limits,
-		tracer: tracer, metrics: metrics, logger: logger,
+		tracer: tracer, metrics: metrics, logger: logger, lines: bllog.NewBudget(linesPerSecond),
 	}
 }
 
@@ -85,15 +87,31 @@
 		return
 	}
 	f.metrics.Refused(j.account, delivery.Refusal)
-	f.logger.Info("request refused", "request_id", j.call.RequestID, "account", string(j.account),
-		"outcome", string(delivery.Refusal.Outcome), "reason", string(delivery.Refusal.Reason),
-		"detail", delivery.Refusal.Detail, "waited_ms", time.Since(j.startedAt).Milliseconds())
+	f.logRefusal(j, delivery)
 	if delivery.Started {
 		panic(http.ErrAbortHandler)
 	}
 	f.dialect.Refuse(w, j.call.RequestID, delivery.Refusal, retryAfter)
 }
 
+// linesPerSecond bounds the lines about requests, of each kind.
+const linesPerSecond = 50
+
+// logRefusal writes why a request was refused, what decided it and how old that
+// was.
+func (f *Front) logRefusal(j *journey, delivery bldeliver.Delivery) {
+	allowed, leftOut := f.lines.Allow(string(delivery.Refusal.Reason), time.Now())
+	if !allowed {
+		return
+	}
+	f.logger.Info("request refused", "request_id", j.call.RequestID, "account", string(j.account),
+		"outcome", string(delivery.Refusal.Outcome), "reason", string(delivery.Refusal.Reason),
+		"detail", delivery.Refusal.Detail, "waited_ms", time.Since(j.startedAt).Milliseconds(),
+		"route", j.last.Route.Name, "upstream", string(j.last.Target.Upstream), "node", string(j.last.Target.Node.Name),
+		"attempts", j.attempts, "upstream_running", delivery.Load.Running, "upstream_waiting", delivery.Load.Waiting,
+		"upstream_limit", delivery.Load.Limit, "service_ms", delivery.Load.Service.Milliseconds(), "left_out", leftOut)
+}
+
 // journey is one caller's request through as many attempts as it takes.
 type journey struct {
 	front     *Front
@@ -101,6 +119,9 @@
 	sink      bldeliver.Sink
 	account   blvalue.AccountName
 	startedAt time.Time
+	// last is what routing answered last, and attempts counts the attempts.
+	last     blroute.Answer
+	attempts int
 }
 
 func (j *journey) run(ctx context.Context) (bldeliver.Delivery, time.Duration) {
@@ -116,6 +137,7 @@
 	}
 	sent := 1
 	for attempt := 1; ; attempt++ {
+		j.last, j.attempts = answer, attempt
 		delivery := j.attempt(ctx, answer)
 		if delivery.Refusal == nil || answer.Route.Name == "" {
 			return delivery, answer.RetryAfter
@@ -133,6 +155,7 @@
 			sent++
 		}
 		j.front.metrics.Retried(delivery.Refusal.Reason)
+		j.logRetry(step, delivery)
 		next, err := j.find(ctx, answer, blroute.Find{Spend: step == blroute.StepSpend})
 		if err != nil || next.Refusal != nil && step == blroute.StepSpend {
 			return delivery, delivery.RetryAfter
@@ -141,6 +164,16 @@
 	}
 }
 
+// logRetry writes why a request is tried again.
+func (j *journey) logRetry(step blroute.Step, delivery bldeliver.Delivery) {
+	kind := "retry " + string(delivery.Refusal.Reason)
+	if allowed, leftOut := j.front.lines.Allow(kind, time.Now()); allowed {
+		j.front.logger.Info("request tried again", "request_id", j.call.RequestID, "step", string(step),
+			"reason", string(delivery.Refusal.Reason), "outcome", string(delivery.Refusal.Outcome),
+			"upstream", string(j.last.Target.Upstream), "attempt", j.attempts, "left_out", leftOut)
+	}
+}
+
 // attempt delivers the order once, unless routing refused it.
 func (j *journey) attempt(ctx context.Context, answer blroute.Answer) bldeliver.Delivery {
 	if answer.Refusal != nil {
--- /dev/null
+++ b/io/bllog/log_test.go
@@ -0,0 +1,55 @@
+package bllog_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotlead/io/bllog"
+)
+
+func ExampleBudget() {
+	budget := bllog.NewBudget(2)
+	now := time.Unix(100, 0)
+	for range 5 {
+		fmt.Print(budget.Allow("refused", now))
+		fmt.Print(" ")
+	}
+	fmt.Println(budget.Allow("refused", now.Add(time.Second)))
+	// Output: true 0 true 0 false 0 false 0 false 0 true 3
+}
+
+// slowOutput takes nothing until it is released.
+type slowOutput struct {
+	bytes.Buffer
+
+	release chan struct{}
+}
+
+func (s *slowOutput) Write(line []byte) (int, error) {
+	<-s.release
+	return s.Buffer.Write(line)
+}
+
+func TestWriterNeverBlocks(t *testing.T) {
+	const lines = 5000
+	output := &slowOutput{release: make(chan struct{})}
+	writer := bllog.NewWriter(output)
+	writer.Start()
+	started := time.Now()
+	for range lines {
+		if _, err := writer.Write([]byte("line\n")); err != nil {
+			t.Fatalf("Write: got %v, want nil", err)
+		}
+	}
+	if got := time.Since(started); got > time.Second {
+		t.Errorf("time to write: got %v, want under 1 s", got)
+	}
+	close(output.release)
+	writer.Stop()
+	if got := output.String(); !strings.Contains(got, "lines lost") {
+		t.Error("output: got no word of lost lines, want one")
+	}
+}
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -68,7 +68,25 @@
 
 // Deliver hands an order of another node to an upstream beside this one.
 func (n *Node) Deliver(ctx context.Context, order bldeliver.Order, sink bldeliver.Sink) bldeliver.Delivery {
-	return n.deliverer.Deliver(ctx, order, sink)
+	delivery := n.deliverer.Deliver(ctx, order, sink)
+	n.logDelivery(order, delivery)
+	return delivery
+}
+
+// logDelivery writes why an order of another node was not carried out here.
+func (n *Node) logDelivery(order bldeliver.Order, delivery bldeliver.Delivery) {
+	if delivery.Refusal == nil {
+		return
+	}
+	allowed, leftOut := n.lines.Allow(string(delivery.Refusal.Reason), time.Now())
+	if !allowed {
+		return
+	}
+	n.logger.Info("order refused", "request_id", order.RequestID, "upstream", string(order.Target.Upstream),
+		"partition", int(order.Target.Partition), "reason", string(delivery.Refusal.Reason),
+		"outcome", string(delivery.Refusal.Outcome), "detail", delivery.Refusal.Detail,
+		"timeout_ms", order.Timeout.Milliseconds(), "running", delivery.Load.Running, "waiting", delivery.Load.Waiting,
+		"left_out", leftOut)
 }
 
 // deliver hands a caller's order to the node of its target, which may be this
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -49,7 +49,7 @@
 	n.duties = duties{
 		lead: blduty.New("lead", ringCapacity, bllead.New(n.self, n.platform.Timing),
 			bllead.Decide, n.performLead, n.clock),
-		assign: blduty.New("assign", ringCapacity, blassign.New(placement{}),
+		assign: blduty.New("assign", ringCapacity, blassign.New(placement{}).WithSelf(n.self.Incarnation),
 			blassign.Decide[placement], n.performAssign, n.clock),
 		purse: blduty.New("purse", ringCapacity, blpurse.New(), blpurse.Decide, n.performPurse, n.clock),
 		member: blduty.New("member", ringCapacity, blmember.New(n.self).WithPatience(n.platform.Patience),
@@ -100,10 +100,11 @@
 	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.assign.Ring(),
 		func(bltimer.Tick) blassign.Message { return blassign.Tick{} }, n.leads)
 	// A watch may miss changes when the store forgets its history, so that the
-	// lead reads the configuration from time to time.
+	// lead reads the configuration from time to time, and so does a node that
+	// hears no lead.
 	bltimer.SubscribeWhile(n.timer, reloadPeriod, n.workers.reload.Ring(),
 		func(bltimer.Tick) reloadJob { return reloadJob{} },
-		func() bool { return n.platform.FollowsConfig && n.leads() })
+		func() bool { return n.platform.FollowsConfig && (n.leads() || n.missesLead()) })
 	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.hold.Ring(),
 		func(bltimer.Tick) blhold.Message { return blhold.Tick{} },
 		func() bool { return n.duties.hold.View().Busy() })
@@ -158,7 +159,7 @@
 	case blassign.Answer:
 		e.Reply.Put(e.HeartbeatReply)
 	case blassign.PeersSeen:
-		n.drop("lead", n.duties.lead.Put(bllead.PeersSeen{Peers: e.Peers}))
+		n.drop("lead", n.duties.lead.Put(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Heard: e.Heard}))
 	case blassign.LoadConfig:
 		n.drop("assign", n.workers.assign.Put(e))
 		if !n.platform.FollowsConfig {
@@ -198,12 +199,14 @@
 			n.drop("admit", n.duties.admit.Put(bladmit.NodesSeen{Count: e.Count}))
 		}
 	case blmember.LeadHeard:
+		n.beliefs.lead(e.Lead, e.Term)
 		n.drop("lead", n.duties.lead.Put(bllead.LeadHeard{Term: e.Term}))
 		n.drop("admit", n.duties.admit.Put(bladmit.LeadHeard{SentAt: e.SentAt}))
 	}
 }
 
 func (n *Node) upstreamsSeen(e blmember.UpstreamsSeen) {
+	n.beliefs.upstreams(e.Announcements)
 	upstreams := make([]blvalue.Upstream, 0, len(e.Announcements))
 	for _, a := range e.Announcements {
 		upstreams = append(upstreams, a.Upstream)
@@ -241,7 +244,8 @@
 		Lease: timing.LeadLease, GrantTTL: timing.GrantTTL, Margin: timing.Margin,
 		HoldLimit: n.platform.Timing.HoldLimit,
 	}})
-	n.logger.Info("configuration in force", "revision", accepted.Revision)
+	n.logger.Info("configuration in force", "revision", accepted.Revision, "routes", len(accepted.Plan.Routes),
+		"accounts", len(accepted.Plan.Accounts))
 }
 
 func (n *Node) performGrant(effect blgrant.Effect) {
@@ -253,6 +257,7 @@
 	case blgrant.CancelRequest:
 		e.Cancel()
 	case blgrant.GrantChanged:
+		n.beliefs.grant(e.Grant)
 		if e.Grant.Keeps() {
 			blduty.PutWaiting[blhold.Message](n.duties.hold.Put, blhold.GrantChanged{Grant: e.Grant})
 			return
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -21,6 +21,7 @@
 	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blgrpc"
 	"bergamotlead/io/blhttp"
+	"bergamotlead/io/bllog"
 	"bergamotlead/io/blmetric"
 	"bergamotlead/io/bloperator"
 	"bergamotlead/io/blsettings"
@@ -50,6 +51,8 @@
 	servers   []*http.Server
 	failed    chan error
 	leaving   atomic.Bool
+	lines     *bllog.Budget
+	beliefs   *beliefs
 }
 
 const (
@@ -60,7 +63,9 @@
 	// to find new owners.
 	handOverWait = 10 * time.Second
 	percent      = 100
-	handOverPoll = 20 * time.Millisecond
+	// linesPerSecond bounds the lines about orders of other nodes, of each kind.
+	linesPerSecond = 20
+	handOverPoll   = 20 * time.Millisecond
 	// handOverTime is how long that usually takes.
 	handOverTime = 900 * time.Millisecond
 )
@@ -90,6 +95,8 @@
 		tracer:  tracer,
 		client:  blgrpc.NewClient(platform.Config.Decode, blgrpc.NewNames(platform.HeaderNames...)),
 		failed:  make(chan error, 1),
+		lines:   bllog.NewBudget(linesPerSecond),
+		beliefs: newBeliefs(logger),
 	}
 	n.timer = bltimer.New(n.clock)
 	n.newWorkers()
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -137,6 +137,11 @@
 	return loads
 }
 
+// missesLead reports whether no lead has answered this node for a while.
+func (n *Node) missesLead() bool {
+	return n.clock.Now().Sub(n.duties.member.View().HeardAt()) > leadPatience
+}
+
 // watchesConfig reports whether this process watches the configuration.
 func (n *Node) watchesConfig() bool {
 	return n.platform.FollowsConfig || n.leads()
