Hand the lead over wherever it can't act; a leaving lead lets anybody take over

The lead now probes a node that reads the configuration itself, and calls it. Tests for both in core/bllead.

--- a/core/blassign/heartbeat.go
+++ b/core/blassign/heartbeat.go
@@ -21,7 +21,7 @@
 	s = s.withReleases(m, now)
 	s = s.withHandovers(m)
 	s = s.withMember(m, now).withLoads(m)
-	reply := HeartbeatReply{Term: s.authority.Term, Standby: s.authority.Standby}
+	reply := HeartbeatReply{Term: s.authority.Term, Standby: s.authority.Standby, StoreLost: !s.authority.MayChange}
 	reply = s.withConfig(reply, m, now)
 	for _, upstream := range m.Upstreams {
 		if s.needsHeld(m, upstream, now) {
@@ -175,6 +175,7 @@
 func (s State[P]) withMember(m Heartbeat, now bltimer.Instant) State[P] {
 	s.members = s.members.With(m.Node.Name, Member{
 		Host: m.Node, HeardAt: now, Sequence: m.Sequence, ConfigRevision: m.ConfigRevision, Leaving: m.Leaving, Upstreams: m.Upstreams,
+		Fresh: !m.WantsConfig,
 	})
 	for _, upstream := range m.Upstreams {
 		if s.mayAnswerTo(m.Node, upstream) {
--- a/core/blassign/messages.go
+++ b/core/blassign/messages.go
@@ -91,6 +91,8 @@
 	// NeedConfig asks for the node's configuration, which is later than the
 	// lead's.
 	NeedConfig bool
+	// StoreLost tells that the lead doesn't reach the store.
+	StoreLost bool
 	// Lead is the lead that a node knows which isn't lead itself.
 	Lead blvalue.Host
 	// Soon tells the node to report again without waiting for its period.
@@ -146,6 +148,9 @@
 	// those of them that did so just now.
 	Known int
 	Heard int
+	// Fresh is the node that is fittest to lead of those that read the
+	// configuration themselves, or zero.
+	Fresh blvalue.Host
 }
 
 // Nudge asks nodes to report at once, since partitions have come to them or
--- a/core/blassign/place.go
+++ b/core/blassign/place.go
@@ -66,11 +66,15 @@
 			continue
 		}
 		seen.Known++
-		if silence <= hearPeers {
-			seen.Heard++
+		if silence > hearPeers {
+			continue
+		}
+		seen.Heard++
+		if member.Fresh && member.Host.Capacity >= seen.Fresh.Capacity {
+			seen.Fresh = member.Host
 		}
 	}
-	count := peerCount{peers: len(seen.Peers), known: seen.Known, heard: seen.Heard}
+	count := peerCount{peers: len(seen.Peers), known: seen.Known, heard: seen.Heard, fresh: seen.Fresh.Incarnation}
 	if count == s.peerCount {
 		return s, nil
 	}
@@ -88,6 +92,7 @@
 // peerCount is what was last told to the lead duty.
 type peerCount struct {
 	peers, known, heard int
+	fresh               blvalue.Incarnation
 }
 
 // withoutGone takes the partitions of nodes whose grants have lapsed for free.
--- a/core/blassign/state.go
+++ b/core/blassign/state.go
@@ -20,7 +20,9 @@
 	Sequence       uint64
 	ConfigRevision uint64
 	Leaving        bool
-	Upstreams      []blvalue.Upstream
+	// Fresh tells that the node reads the configuration itself.
+	Fresh     bool
+	Upstreams []blvalue.Upstream
 }
 
 // directoryEntry is an entry and the directory version at which it changed.
--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -55,12 +55,12 @@
 	case LeadHeard:
 		return leadHeard(s, m, now), nil
 	case PeersSeen:
-		s.peers, s.known, s.heard = m.Peers, m.Known, m.Heard
+		s.peers, s.known, s.heard, s.fresh = m.Peers, m.Known, m.Heard, m.Fresh
 		return s, nil
 	case TimingChanged:
 		return s.WithTiming(m.Timing), nil
 	case Resign:
-		return resign(s)
+		return resign(s, now)
 	}
 	return s, nil
 }
--- a/core/bllead/decide_test.go
+++ b/core/bllead/decide_test.go
@@ -450,3 +450,85 @@
 		t.Error("takes over: got false, want true")
 	}
 }
+
+func TestLeadWithoutTheStoreCallsANodeThatReachesIt(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer bllead.StandbyAnswer
+		want   bool
+	}{
+		{"the node reaches the store", bllead.StandbyAnswer{Incarnation: "c_run", StoreAnswers: true}, true},
+		{"the node doesn't either", bllead.StandbyAnswer{Incarnation: "c_run"}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.state = p.state.WithTiming(bllead.Timing{Lease: lease, GrantTTL: ttl, Margin: margin, HoldLimit: time.Minute})
+			p.lead()
+			p.send(bllead.PeersSeen{Peers: []blvalue.Host{host("b"), host("c")}, Known: 2, Heard: 2, Fresh: host("c")})
+			p.send(bllead.StandbyAnswered{
+				SentAt: p.instant() + bltimer.Instant(lease/2), Asked: "b_run",
+				Answer: bllead.StandbyAnswer{Incarnation: "b_run", Promised: true},
+			})
+			p.now += lease
+			p.send(bllead.Tick{})
+			if got, want := p.state.Role(), bllead.RoleHolding; got != want {
+				t.Fatalf("role: got %s, want %s", got, want)
+			}
+			probed := false
+			for _, e := range p.effects {
+				ask, ok := e.(bllead.AskStandby)
+				probed = probed || ok && ask.Probe && ask.Standby == host("c")
+			}
+			if !probed {
+				t.Fatalf("effects: got %v, want a probe of c", p.effects)
+			}
+			p.send(bllead.StandbyAnswered{SentAt: p.instant(), Asked: "c_run", Answer: c.answer})
+			call, ok := effect[bllead.AskStandby](p)
+			if got := ok && call.Resigned == p.claim && call.Standby == host("c"); got != c.want {
+				t.Errorf("calls the node: got %t, want %t", got, c.want)
+			}
+			if got := p.holds(); got == c.want {
+				t.Errorf("holds: got %t, want %t", got, !c.want)
+			}
+		})
+	}
+}
+
+func TestCalledProcessTakesOverThoughTheRecordDoesNotNameIt(t *testing.T) {
+	cases := []struct {
+		name string
+		term uint64
+		want bool
+	}{{"the term of the lead that called", 3, true}, {"a later term", 4, false}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.send(bllead.StandbyAsked{
+				Term: 3, Lead: host("x"), Standby: "a_run", Resigned: "x_run#1", Reply: blring.NewReply[bllead.StandbyAnswer](),
+			})
+			p.send(bllead.RecordRead{Stored: record(c.term, "x", "y")})
+			if _, got := effect[bllead.AcquireLease](p); got != c.want {
+				t.Errorf("takes over: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+func TestLeavingLeadLetsAnybodyTakeOver(t *testing.T) {
+	p := newProcess(t)
+	p.state = p.state.WithTiming(bllead.Timing{Lease: lease, GrantTTL: ttl, Margin: margin, HoldLimit: time.Minute})
+	p.lead()
+	p.send(bllead.Resign{})
+	write, ok := effect[bllead.WriteRecord](p)
+	if !ok || !write.Record.Lead.IsZero() || !write.Record.Standby.IsZero() {
+		t.Errorf("record: got %+v, want one that names nobody", write.Record)
+	}
+	call, ok := effect[bllead.AskStandby](p)
+	if !ok || call.Resigned == "" || call.Standby != host("b") {
+		t.Errorf("call: got %+v, want one to the standby", call)
+	}
+	if p.holds() {
+		t.Error("holds: got true, want false")
+	}
+}
--- a/core/bllead/isolation.go
+++ b/core/bllead/isolation.go
@@ -52,3 +52,15 @@
 	s, effects := stepDown(s)
 	return s, append([]Effect{write}, effects...)
 }
+
+// vacateTo lets any process take over, and calls the standby to do so at once.
+// Neither may be there for long: hosts are taken away for good.
+func vacateTo(s State, now bltimer.Instant) (State, []Effect) {
+	standby, ok := s.standby()
+	call := AskStandby{Term: s.stored.Record.Term, Standby: standby, Resigned: s.claim}
+	s, effects := vacate(s, now)
+	if ok {
+		effects = append(effects, call)
+	}
+	return s, effects
+}
--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -2,6 +2,7 @@
 
 import (
 	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
 )
 
 // lapse ends a lease, or a role, that has run out.
@@ -25,6 +26,7 @@
 	}
 	s, effects = renew(s, effects, now)
 	s, effects = askStandby(s, effects, now)
+	s, effects = probeFresh(s, effects, now)
 	return nameStandby(s, effects, now)
 }
 
@@ -97,21 +99,31 @@
 }
 
 // resign gives the lead up, so that the standby takes over at once.
-func resign(s State) (State, []Effect) {
+func resign(s State, now bltimer.Instant) (State, []Effect) {
 	s.leaving = true
 	if s.Role() == RoleFollower {
 		return s, nil
 	}
+	if s.Role() == RoleLeading && s.writing == nil && s.timing.HoldLimit > 0 {
+		return vacateTo(s, now)
+	}
 	return callStandby(s)
 }
 
 // callStandby gives the lead up and asks the standby to take over.
 func callStandby(s State) (State, []Effect) {
 	standby, ok := s.standby()
-	call := AskStandby{Term: s.stored.Record.Term, Standby: standby, Resigned: s.claim}
-	s, effects := stepDown(s)
-	if ok {
-		effects = append(effects, call)
+	if !ok {
+		return stepDown(s)
 	}
-	return s, effects
+	return callSuccessor(s, standby)
+}
+
+// callSuccessor gives the lead up and asks another process to take over. Nobody
+// can go on without the store once this lead has given up, so that any process
+// may.
+func callSuccessor(s State, successor blvalue.Host) (State, []Effect) {
+	call := AskStandby{Term: s.stored.Record.Term, Standby: successor, Resigned: s.claim}
+	s, effects := stepDown(s)
+	return s, append(effects, call)
 }
--- a/core/bllead/messages.go
+++ b/core/bllead/messages.go
@@ -71,6 +71,8 @@
 	Standby blvalue.Incarnation
 	// WantPromise asks the standby not to take over for a while.
 	WantPromise bool
+	// Probe asks whether the process reaches the store, be it standby or not.
+	Probe bool
 	// Resigned is set when the lead gives up the lease that it held under this
 	// claim: the standby is to take over.
 	Resigned Claim
@@ -117,6 +119,9 @@
 	// those of them that did so just now.
 	Known int
 	Heard int
+	// Fresh is the node that is fittest to lead of those that reach the store, as
+	// far as they have said, or zero.
+	Fresh blvalue.Host
 }
 
 // TimingChanged carries the intervals of an accepted configuration.
@@ -187,6 +192,8 @@
 	Term        uint64
 	Standby     blvalue.Host
 	WantPromise bool
+	// Probe asks whether the process reaches the store.
+	Probe bool
 	// Resigned is the claim of the lease that this lead gives up, or empty.
 	Resigned Claim
 }
--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -1,6 +1,8 @@
 package bllead
 
 import (
+	"time"
+
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 )
@@ -84,6 +86,9 @@
 		s.promisedUntil = max(s.promisedUntil, now.Add(s.timing.Lease+s.timing.Margin))
 	}
 	effects := []Effect{AnswerStandby{Reply: m.Reply, Answer: answer}}
+	if m.Probe {
+		return probeStore(s, effects, true, now)
+	}
 	if m.Standby == s.self.Incarnation && s.Role() == RoleFollower && m.Term >= s.stored.Record.Term {
 		s.leadHeard = now
 		s.askedTerm = m.Term
@@ -92,10 +97,29 @@
 	return s, effects
 }
 
+// probeEvery is how often a lead without the store asks a node that may reach
+// it.
+const probeEvery = 250 * time.Millisecond
+
+// probeFresh asks a node that may reach the store, while this lead doesn't,
+// whether it does.
+func probeFresh(s State, effects []Effect, now bltimer.Instant) (State, []Effect) {
+	standby, _ := s.standby()
+	if s.timing.HoldLimit == 0 || s.Role() != RoleHolding || s.fresh.IsZero() || s.fresh == standby {
+		return s, effects
+	}
+	if now.Sub(s.probedAt) < probeEvery {
+		return s, effects
+	}
+	s.probedAt = now
+	return s, append(effects, AskStandby{Term: s.stored.Record.Term, Standby: s.fresh, Probe: true})
+}
+
 // standbyCalled takes the lead's word that it gives up: neither its lease nor a
 // promise to it binds any more.
 func standbyCalled(s State, m StandbyAsked, answer StandbyAnswer) (State, []Effect) {
 	if m.Standby == s.self.Incarnation && s.Role() == RoleFollower && m.Term >= s.stored.Record.Term {
+		s.resignedTerm = m.Term
 		s.leadHeard = 0
 		s.storeSent = 0
 		s.promisedUntil = 0
@@ -141,6 +165,9 @@
 
 func standbyAnswered(s State, m StandbyAnswered, now bltimer.Instant) (State, []Effect) {
 	standby := s.stored.Record.Standby
+	if !m.Failed && m.Answer.StoreAnswers && s.Role() == RoleHolding && m.Asked == s.fresh.Incarnation && s.writing == nil {
+		return callSuccessor(s, s.fresh)
+	}
 	if m.Failed || m.Asked != standby.Incarnation {
 		return s, nil
 	}
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -37,8 +37,11 @@
 	stored Stored
 	peers  []blvalue.Host
 	// known and heard count the other nodes, as PeersSeen tells.
-	known    int
-	heard    int
+	known int
+	heard int
+	// fresh is a node that may reach the store, and probedAt when it was asked.
+	fresh    blvalue.Host
+	probedAt bltimer.Instant
 	ended    bltable.Table[blvalue.Incarnation, bool]
 	writeSeq uint64
 
@@ -84,6 +87,8 @@
 	// resigned is the claim of the lead that has called this process to take
 	// over.
 	resigned Claim
+	// resignedTerm is the term of that lead.
+	resignedTerm uint64
 	// lapsedAt is when the earlier lead is known to have had no authority.
 	lapsedAt bltimer.Instant
 	leaving  bool
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -139,7 +139,9 @@
 const fullCapacity = 100
 
 func (s State) mayLead(now bltimer.Instant) bool {
-	if s.stored.Revision == 0 || s.stored.Record.Lead.IsZero() || s.stored.Record.Names(s.self.Incarnation) || s.holdIsOver(now) {
+	called := s.resigned != "" && s.resignedTerm == s.stored.Record.Term &&
+		s.resigned.Holder() == s.stored.Record.Lead.Incarnation
+	if called || s.stored.Revision == 0 || s.stored.Record.Lead.IsZero() || s.stored.Record.Names(s.self.Incarnation) || s.holdIsOver(now) {
 		return true
 	}
 	record := s.stored.Record
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -63,6 +63,8 @@
 	heardAt bltimer.Instant
 	// tries counts the reports in a row that no lead answered.
 	tries int
+	// leadBlind tells that the lead doesn't reach the store.
+	leadBlind bool
 	// hint is the lead that another node named.
 	hint blvalue.Host
 	// nodes are the other nodes of the directory.
@@ -107,6 +109,9 @@
 // HeardAt returns when the latest heartbeat was sent that a lead answered.
 func (s State) HeardAt() bltimer.Instant { return s.heardAt }
 
+// LeadBlind reports whether the lead said last that it doesn't reach the store.
+func (s State) LeadBlind() bool { return s.leadBlind }
+
 // Revision returns the revision of the configuration in force here.
 func (s State) Revision() uint64 { return s.config.Revision }
 
@@ -271,6 +276,7 @@
 	s.record.Standby = m.Reply.Standby
 	s.tries = 0
 	s.hint = blvalue.Host{}
+	s.leadBlind = m.Reply.StoreLost
 	s.sendConfig = m.Reply.NeedConfig
 	s.listHeld = m.Reply.NeedHeld
 	if m.Reply.NeedHeld {
--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -191,7 +191,7 @@
 	n.toNode(e.Standby.Address, func(other *node) {
 		reply := blring.NewReply[bllead.StandbyAnswer]()
 		asked := bllead.StandbyAsked{
-			Term: e.Term, Lead: n.host, Standby: e.Standby.Incarnation, WantPromise: e.WantPromise, Resigned: e.Resigned,
+			Term: e.Term, Lead: n.host, Standby: e.Standby.Incarnation, WantPromise: e.WantPromise, Resigned: e.Resigned, Probe: e.Probe,
 			Reply: reply,
 		}
 		var effects []bllead.Effect
@@ -253,7 +253,7 @@
 			n.toNode(host.Address, func(other *node) { other.tellMember(blmember.ReportSoon{}) })
 		}
 	case blassign.PeersSeen:
-		n.tellLead(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Heard: e.Heard})
+		n.tellLead(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Heard: e.Heard, Fresh: e.Fresh})
 	case blassign.Answer:
 		e.Reply.Put(e.HeartbeatReply)
 	}
--- a/io/blgrpc/client.go
+++ b/io/blgrpc/client.go
@@ -137,6 +137,7 @@
 	answer, err := node.AskStandby(ctx, &blproto.AskStandbyRequest{
 		Term: asked.Term, Lead: hostToProto(self),
 		StandbyIncarnation: string(asked.Standby.Incarnation), WantPromise: asked.WantPromise, Resigned: string(asked.Resigned),
+		Probe: asked.Probe,
 	})
 	if err != nil {
 		return bllead.StandbyAnswer{}, fmt.Errorf("ask standby at %s: %w", asked.Standby.Address, err)
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -104,7 +104,7 @@
 func replyToProto(r blassign.HeartbeatReply) *blproto.HeartbeatReply {
 	reply := &blproto.HeartbeatReply{
 		Term: r.Term, Standby: hostToProto(r.Standby), SoonMs: milliseconds(r.Soon), NeedHeld: r.NeedHeld,
-		NeedConfig: r.NeedConfig, Lead: hostToProto(r.Lead), Config: configToProto(r.Config), ConfigRevision: r.ConfigRevision,
+		NeedConfig: r.NeedConfig, Lead: hostToProto(r.Lead), Config: configToProto(r.Config), ConfigRevision: r.ConfigRevision, StoreLost: r.StoreLost,
 	}
 	for _, offer := range r.Offers {
 		reply.Offers = append(reply.Offers, &blproto.Offer{
@@ -124,6 +124,7 @@
 	reply := blassign.HeartbeatReply{
 		Term: r.GetTerm(), Standby: hostFromProto(r.GetStandby()), Soon: duration(r.GetSoonMs()), NeedHeld: r.GetNeedHeld(),
 		NeedConfig: r.GetNeedConfig(), Lead: hostFromProto(r.GetLead()), ConfigRevision: r.GetConfigRevision(),
+		StoreLost: r.GetStoreLost(),
 	}
 	for _, offer := range r.GetOffers() {
 		reply.Offers = append(reply.Offers, blgrant.Offer{
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -127,6 +127,7 @@
 	answer, err := s.node.AskStandby(ctx, bllead.StandbyAsked{
 		Term: r.GetTerm(), Lead: hostFromProto(r.GetLead()),
 		Standby: blvalue.Incarnation(r.GetStandbyIncarnation()), WantPromise: r.GetWantPromise(), Resigned: bllead.Claim(r.GetResigned()),
+		Probe: r.GetProbe(),
 	})
 	if err != nil {
 		return nil, unavailable(err)
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -159,7 +159,7 @@
 	case blassign.Answer:
 		e.Reply.Put(e.HeartbeatReply)
 	case blassign.PeersSeen:
-		n.drop("lead", n.duties.lead.Put(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Heard: e.Heard}))
+		n.drop("lead", n.duties.lead.Put(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Heard: e.Heard, Fresh: e.Fresh}))
 	case blassign.LoadConfig:
 		n.drop("assign", n.workers.assign.Put(e))
 		if !n.platform.FollowsConfig {
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -137,9 +137,11 @@
 	return loads
 }
 
-// missesLead reports whether no lead has answered this node for a while.
+// missesLead reports whether no lead has answered this node for a while, or
+// none that reaches the store.
 func (n *Node) missesLead() bool {
-	return n.clock.Now().Sub(n.duties.member.View().HeardAt()) > leadPatience
+	member := n.duties.member.View()
+	return member.LeadBlind() || n.clock.Now().Sub(member.HeardAt()) > leadPatience
 }
 
 // watchesConfig reports whether this process watches the configuration.
