--- a/cmd/bergamotctl/main.go
+++ b/cmd/bergamotctl/main.go
@@ -20,6 +20,8 @@
 	Domain     domainCommands    `cmd:"" help:"Take a failure domain out and back."`
 	Upstream   upstreamCommands  `cmd:"" help:"Drain an upstream and take it back."`
 	Host       hostCommands      `cmd:"" help:"Tell that a host will not come back."`
+
+	ExplainRequest requestCommand `cmd:"" help:"Put what the nodes' logs say of a request in order."`
 }
 
 func main() {
