Follow an ended lead though its standby may live; count more urgent work

Only the lead ever goes on without the store, so where the hold is bounded its end is enough (TestWhoMayFollowAnEndedLead; the model's schedules with a bound hold).

Requests are refused by the wait that more urgent work will cause as well.

--- a/core/bldeliver/deliver_test.go
+++ b/core/bldeliver/deliver_test.go
@@ -1,7 +1,6 @@
 package bldeliver_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -109,10 +108,8 @@
 
 // answered reports whether the request of the ticket has got an answer.
 func (n *node) answered(ticket bldeliver.Ticket) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
-	defer cancel()
-	_, err := n.replies[ticket].Await(ctx)
-	return err == nil
+	_, ok := n.replies[ticket].Peek()
+	return ok
 }
 
 func (n *node) running() int {
--- a/core/bldeliver/gate.go
+++ b/core/bldeliver/gate.go
@@ -20,6 +20,8 @@
 	busy bltable.Table[blvalue.AccountName, int]
 	// paces holds how long requests of each class take, as a moving average.
 	paces bltable.Table[string, time.Duration]
+	// offered is the work that comes here.
+	offered Offered
 	// closesAt is when a leaving upstream gets no more work, or zero.
 	closesAt bltimer.Instant
 }
--- a/core/bldeliver/prospect.go
+++ b/core/bldeliver/prospect.go
@@ -27,7 +27,7 @@
 }
 
 // wait returns how long a request would wait for a slot: until those that go
-// before it have been answered.
+// before it have been answered, and the more urgent ones that come meanwhile.
 func (g Gate) wait(a Acquire, now bltimer.Instant) time.Duration {
 	load := g.Load()
 	load.Waiting = 0
@@ -36,7 +36,7 @@
 			load.Waiting++
 		}
 	}
-	wait := load.Wait()
+	wait := time.Duration(float64(load.Wait()) / (1 - g.offered.Share(a.Rank, load.Limit)))
 	if g.cold(now) && g.pacer.paces() {
 		perRequest := time.Duration(float64(time.Second) / g.pacer.perSecond)
 		wait = max(wait, perRequest*time.Duration(load.Waiting+1))
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -87,7 +87,9 @@
 	if gate.closed(now) {
 		return s, []Effect{refuse(m, blvalue.ReasonLeaving, "the upstream is leaving")}
 	}
+	gate.offered = gate.offered.WithWork(m.Rank, gate.classPace(m.Class), now)
 	if wait := gate.wait(m, now); gate.hopeless(m, wait, now) {
+		s.gates = s.gates.With(m.Upstream, gate)
 		refusal := refuse(m, blvalue.ReasonOverload, "the upstream can't answer in time")
 		refusal.Answer.RetryAfter = max(wait, shortestRetry)
 		refusal.Answer.Load = gate.Load()
--- a/core/bllead/decide_test.go
+++ b/core/bllead/decide_test.go
@@ -532,3 +532,27 @@
 		t.Error("holds: got true, want false")
 	}
 }
+
+func TestWhoMayFollowAnEndedLead(t *testing.T) {
+	lost := []blvalue.Incarnation{"x_run"}
+	cases := []struct {
+		name  string
+		limit time.Duration
+		lost  []blvalue.Incarnation
+		want  bool
+	}{
+		{"anybody, where the hold is bounded", time.Minute, lost, true},
+		{"nobody but the standby, where it is not", 0, lost, false},
+		{"nobody while the lead may live", time.Minute, []blvalue.Incarnation{"y_run"}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.state = p.state.WithTiming(bllead.Timing{Lease: lease, GrantTTL: ttl, Margin: margin, HoldLimit: c.limit})
+			p.send(bllead.RecordRead{Stored: record(3, "x", "y"), Lost: c.lost})
+			if _, got := effect[bllead.AcquireLease](p); got != c.want {
+				t.Errorf("takes over: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -145,8 +145,11 @@
 		return true
 	}
 	record := s.stored.Record
-	standbyEnded := record.Standby.IsZero() || s.hasEnded(record.Standby.Incarnation)
-	return s.hasEnded(record.Lead.Incarnation) && standbyEnded
+	if !s.hasEnded(record.Lead.Incarnation) {
+		return false
+	}
+	// Only a lead goes on without the store, never its standby.
+	return s.timing.HoldLimit > 0 || record.Standby.IsZero() || s.hasEnded(record.Standby.Incarnation)
 }
 
 func leaseAcquired(s State, m LeaseAcquired, now bltimer.Instant) (State, []Effect) {
--- a/core/blring/reply.go
+++ b/core/blring/reply.go
@@ -34,3 +34,14 @@
 		return zero, fmt.Errorf("await reply: %w", ctx.Err())
 	}
 }
+
+// Peek returns the answer without waiting, if it has come.
+func (r Reply[T]) Peek() (T, bool) {
+	select {
+	case answer := <-r.slot:
+		return answer, true
+	default:
+		var zero T
+		return zero, false
+	}
+}
