--- a/cmd/bergamotctl/request.go
+++ b/cmd/bergamotctl/request.go
@@ -23,7 +23,7 @@
 func (c requestCommand) Run(_ *client) error {
 	var lines []logLine
 	for _, name := range c.Files {
-		file, err := os.Open(name)
+		file, err := os.Open(name) //nolint:gosec // the operator names the file
 		if err != nil {
 			return fmt.Errorf("open log: %w", err)
 		}
--- a/core/blconfig/plan.go
+++ b/core/blconfig/plan.go
@@ -189,9 +189,9 @@
 }
 
 const (
-	// DefaultPurseTTL and DefaultPurseAhead hold where the document names no
-	// other.
-	DefaultPurseTTL   = 400 * time.Millisecond
+	// DefaultPurseTTL holds where the document names no other.
+	DefaultPurseTTL = 400 * time.Millisecond
+	// DefaultPurseAhead holds where the document names no other.
 	DefaultPurseAhead = 100 * time.Millisecond
 )
 
--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -163,19 +163,28 @@
 	return s.storeHeard != 0 && now.Sub(s.storeHeard) < s.timing.Lease/2
 }
 
+// freshAnswered hands the lead over to a node that reaches the store while this
+// lead doesn't.
+func freshAnswered(s State, m StandbyAnswered) (State, []Effect) {
+	if m.Asked != s.fresh.Incarnation || !m.Answer.StoreAnswers || s.Role() != RoleHolding || s.writing != nil {
+		return s, nil
+	}
+	return callSuccessor(s, s.fresh)
+}
+
 func standbyAnswered(s State, m StandbyAnswered, now bltimer.Instant) (State, []Effect) {
 	standby := s.stored.Record.Standby
-	if !m.Failed && m.Answer.StoreAnswers && s.Role() == RoleHolding && m.Asked == s.fresh.Incarnation && s.writing == nil {
-		return callSuccessor(s, s.fresh)
-	}
-	if m.Failed || m.Asked != standby.Incarnation {
+	if m.Failed {
 		return s, nil
 	}
+	if m.Asked != standby.Incarnation {
+		return freshAnswered(s, m)
+	}
 	if m.Answer.Incarnation != standby.Incarnation {
 		return s.withEnded(standby.Incarnation), nil
 	}
 	s.standbyHeard = now
-	if m.Answer.StoreAnswers && s.leads() && s.missesStore(now) && s.writing == nil {
+	if s.leads() && s.writing == nil && m.Answer.StoreAnswers && s.missesStore(now) {
 		return callStandby(s)
 	}
 	if m.Answer.Promised && s.leads() && s.writing == nil {
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -34,10 +34,15 @@
 	Gone time.Duration
 }
 
+const (
+	defaultSilent = 600 * time.Millisecond
+	defaultGone   = 2500 * time.Millisecond
+)
+
 // DefaultPatience is for upstreams that announce themselves a few times a
 // second.
 func DefaultPatience() Patience {
-	return Patience{Silent: 600 * time.Millisecond, Gone: 2500 * time.Millisecond}
+	return Patience{Silent: defaultSilent, Gone: defaultGone}
 }
 
 // announced is an announcement and when it came.
--- a/core/blroute/retry.go
+++ b/core/blroute/retry.go
@@ -72,32 +72,40 @@
 	notRun := f.Refusal.Outcome == blvalue.OutcomeNotRun
 	switch f.Refusal.Reason {
 	case blvalue.ReasonNoOwner, blvalue.ReasonNoUpstream, blvalue.ReasonNotOwner:
-		if notRun && f.impatient() {
-			return StepGiveUp
-		}
 		if notRun {
-			return StepWait
+			return f.afterNoOwner()
 		}
 	case blvalue.ReasonMalformed, blvalue.ReasonUnknownRoute, blvalue.ReasonUnknownKey, blvalue.ReasonOverRate,
 		blvalue.ReasonStale, blvalue.ReasonTimeout, blvalue.ReasonCancelled:
 		return StepGiveUp
-	case blvalue.ReasonOverload:
-		if f.Repeatable && (f.Exclusive || f.Attempt >= mostElsewhere) {
-			return StepGiveUp
-		}
-	case blvalue.ReasonLeaving, blvalue.ReasonUnreachable, blvalue.ReasonUpstreamBroke,
+	case blvalue.ReasonOverload, blvalue.ReasonLeaving, blvalue.ReasonUnreachable, blvalue.ReasonUpstreamBroke,
 		blvalue.ReasonGrantLapsed:
 	}
-	if notRun && f.Repeatable && !f.impatient() {
-		return StepWait
+	if notRun && f.Repeatable {
+		return f.afterNothingSpent()
 	}
-	if f.exhausted() || notRun && f.Repeatable {
+	if f.exhausted() || !notRun && !f.Idempotent {
 		return StepGiveUp
 	}
-	if notRun || f.Idempotent {
-		return StepSpend
+	return StepSpend
+}
+
+// afterNoOwner returns the step after an attempt that found no owner.
+func (f Failure) afterNoOwner() Step {
+	if f.impatient() {
+		return StepGiveUp
+	}
+	return StepWait
+}
+
+// afterNothingSpent returns the step after an attempt that cost no upstream
+// anything.
+func (f Failure) afterNothingSpent() Step {
+	busy := f.Refusal.Reason == blvalue.ReasonOverload && (f.Exclusive || f.Attempt >= mostElsewhere)
+	if busy || f.impatient() {
+		return StepGiveUp
 	}
-	return StepGiveUp
+	return StepWait
 }
 
 const (
--- a/core/blroute/route_test.go
+++ b/core/blroute/route_test.go
@@ -220,3 +220,33 @@
 		t.Errorf("retries at the wishlist: got %d, want the reserve of %d", got, want)
 	}
 }
+
+func TestStepWhereUpstreamsAreBusy(t *testing.T) {
+	busy := blvalue.NotRun(blvalue.ReasonOverload, "busy")
+	moving := blvalue.NotRun(blvalue.ReasonNotOwner, "moving")
+	broke := blvalue.Unknown(blvalue.ReasonUpstreamBroke, "broke")
+	goal := 400 * time.Millisecond
+	cases := []struct {
+		name    string
+		failure blroute.Failure
+		want    blroute.Step
+	}{
+		{"another upstream may have room", blroute.Failure{Refusal: busy, Repeatable: true, Attempt: 1}, blroute.StepWait},
+		{"no other upstream may run it", blroute.Failure{Refusal: busy, Repeatable: true, Attempt: 1, Exclusive: true}, blroute.StepGiveUp},
+		{"it was tried elsewhere often enough", blroute.Failure{Refusal: busy, Repeatable: true, Attempt: 3}, blroute.StepGiveUp},
+		{"the upstream itself shed it", blroute.Failure{Refusal: busy, Attempt: 1, Sent: 1, MaxAttempts: 2}, blroute.StepSpend},
+		{"it was sent as often as it may", blroute.Failure{Refusal: busy, Attempt: 2, Sent: 2, MaxAttempts: 2}, blroute.StepGiveUp},
+		{"the owner is changing", blroute.Failure{Refusal: moving, Goal: goal, Waited: goal / 8}, blroute.StepWait},
+		{"the owner has been changing for too long", blroute.Failure{Refusal: moving, Goal: goal, Waited: goal / 2}, blroute.StepGiveUp},
+		{"it may have run and does harm twice", blroute.Failure{Refusal: broke, Sent: 1, MaxAttempts: 3}, blroute.StepGiveUp},
+		{"it may have run and does no harm twice", blroute.Failure{Refusal: broke, Idempotent: true, Sent: 1, MaxAttempts: 3}, blroute.StepSpend},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.failure.Replayable = true
+			if got := blroute.AfterFailure(c.failure); got != c.want {
+				t.Errorf("step: got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -145,7 +146,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
-		c.limit.N = 1 << 62
+		c.limit.N = math.MaxInt64
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
