--- a/core/blhold/state.go
+++ b/core/blhold/state.go
@@ -103,11 +103,17 @@
 	}
 	for p := range s.grant.Set.All() {
 		known, ok := s.places.Get(p)
-		if ok && !known.leaving {
+		// What has lapsed may have been another upstream's meanwhile: it comes back
+		// under the latest fence.
+		if ok && !known.leaving && now.Before(known.heldUntil) {
 			continue
 		}
+		handover := handovers[p]
+		if handover == "" && !known.leaving {
+			handover = known.handover
+		}
 		known = place{
-			fence: s.grant.Fence, handover: handovers[p],
+			fence: s.grant.Fence, handover: handover,
 			usedUntil: max(known.usedUntil, s.startedAt.Add(s.timing.GrantTTL)), doubtUntil: known.doubtUntil, sending: known.sending,
 		}
 		s.places = s.places.With(p, known)
--- a/core/blhold/state_test.go
+++ b/core/blhold/state_test.go
@@ -176,3 +176,21 @@
 		t.Run(c.name, func(t *testing.T) { c.run(t, newNode(t)) })
 	}
 }
+
+func TestLapsedPartitionComesBackUnderALaterFence(t *testing.T) {
+	n := newNode(t)
+	n.offer(1, settled, 3, 4)
+	n.answer(blhold.ResultDone, settled)
+	// No lead is heard for longer than a grant. Another upstream may have had the
+	// partition meanwhile.
+	later := settled + 2*ttl
+	n.offer(5, later, 3, 4)
+	if len(n.orders) != 2 {
+		t.Fatalf("orders: got %d, want 2", len(n.orders))
+	}
+	for _, order := range n.orders {
+		if got, want := order.Fence.Sequence, uint64(5); got != want {
+			t.Errorf("fence of partition %d: got %d, want %d", order.Partition, got, want)
+		}
+	}
+}
