Share one path for accepted configurations, spent tokens and changed chunks

Cause: reading the whole diff. NewAccepted repeated NewAcceptedPlan; admit had one block twice; directorySince collected owners of chunks that had not changed; the comment of NewLimiter said that sheds lower an unknown limit. Change: one copy of each, the check before the work, the comment corrected. Behaviour is the same.

--- a/core/bladmit/check.go
+++ b/core/bladmit/check.go
@@ -25,13 +25,11 @@
 	}
 	purse, _ := s.purses.Get(find.Find.Account)
 	purse = purse.withArrival(s.ahead(), now)
-	var spent bool
-	if purse, spent = purse.withSpent(now); spent {
-		s.purses = s.purses.With(find.Find.Account, purse)
-		s, effects := s.borrow(now)
-		return s, append(effects, find)
+	purse, spent := purse.withSpent(now)
+	if !spent {
+		purse, spent = s.withOwnToken(purse, s.config.Plan.Accounts[find.Find.Account].Rate, now)
 	}
-	if purse, spent = s.withOwnToken(purse, s.config.Plan.Accounts[find.Find.Account].Rate, now); spent {
+	if spent {
 		s.purses = s.purses.With(find.Find.Account, purse)
 		s, effects := s.borrow(now)
 		return s, append(effects, find)
--- a/core/blassign/directory.go
+++ b/core/blassign/directory.go
@@ -74,8 +74,10 @@
 	}
 	for service, ownership := range s.services.All() {
 		for index, chunk := range ownership.chunks.All() {
-			owners := chunk.ownersSince(service, index, since, full)
-			if chunk.changed > since && len(owners.Owners) > 0 {
+			if chunk.changed <= since {
+				continue
+			}
+			if owners := chunk.ownersSince(service, index, since, full); len(owners.Owners) > 0 {
 				directory.Owners = append(directory.Owners, owners)
 			}
 		}
--- a/core/blconfig/document.go
+++ b/core/blconfig/document.go
@@ -151,8 +151,7 @@
 
 // NewAccepted returns the accepted form of document.
 func NewAccepted(revision uint64, document Document, source string) Accepted {
-	accepted := Accepted{
-		Revision: revision, Document: document, Source: source, Plan: NewPlan(document), Digest: xxhash.Sum64String(source),
-	}
-	return accepted.WithGrantBound(0)
+	accepted := NewAcceptedPlan(revision, NewPlan(document), source)
+	accepted.Document = document
+	return accepted
 }
--- a/core/bldeliver/limiter.go
+++ b/core/bldeliver/limiter.go
@@ -35,7 +35,7 @@
 
 // NewLimiter returns the limiter of an upstream in cold start. The expected
 // service time tells answers in time from slow ones. Where it is unknown, the
-// limiter starts with all slots and falls only when the upstream sheds.
+// limit is all slots, and neither a cold start nor a shed request lowers it.
 func NewLimiter(coldStartLimit, slots int, expected time.Duration) Limiter {
 	floor := max(coldStartLimit, 1)
 	if expected == 0 {
