Lend at the rate from a new lead's first moment; reload settings on SIGHUP

Found by the log: 1,000 refusals each half second, 'no lead lent tokens in time'. Ruled out: a slow election (0.3 s) and slow grants (0.5 s). Change: an account has an overdraft, the part of the platform's excess and slack that its burst leaves free. A settling lead lends that much at a time beside what older purses may still hold; without one it waits as before. The word 'settling' between nodes is gone, and with it its test case in bladmit; the new tests in blpurse hold every window against rate, burst and overdraft while older purses are spent at the worst moment.

--- a/cmd/bergamotlead/main.go
+++ b/cmd/bergamotlead/main.go
@@ -35,6 +35,9 @@
 }
 
 func run(args arguments) error {
+	ends, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reloads, syscall.SIGHUP)
 	settings, err := blsettings.ReadProcess(args.Settings)
 	if err != nil {
 		return fmt.Errorf("%s: %w", args.Settings, err)
@@ -55,12 +58,7 @@
 	if err := node.Start(context.Background()); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	select {
-	case <-signals:
-	case err = <-node.Failed():
-	}
+	err = wait(node, args.Settings, ends, reloads)
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	if stopped := node.Stop(ctx); err == nil {
@@ -68,3 +66,17 @@
 	}
 	return err
 }
+
+// wait returns when the process is told to end, or what broke it.
+func wait(node *blnode.Node, path string, ends, reloads <-chan os.Signal) error {
+	for {
+		select {
+		case <-ends:
+			return nil
+		case <-reloads:
+			node.Reload(blsettings.ReadProcess(path))
+		case err := <-node.Failed():
+			return fmt.Errorf("run: %w", err)
+		}
+	}
+}
--- a/core/bladmit/borrow.go
+++ b/core/bladmit/borrow.go
@@ -60,9 +60,6 @@
 // is over its account's rate.
 func (s State) lent(m Lent, now bltimer.Instant) (State, []Effect) {
 	s.borrowing = false
-	if m.Settling {
-		s.settlingAt = now
-	}
 	if m.Failed {
 		return s, nil
 	}
--- a/core/bladmit/messages.go
+++ b/core/bladmit/messages.go
@@ -51,8 +51,6 @@
 	Loans []blpurse.Loan
 	// Failed tells that no lead lent anything.
 	Failed bool
-	// Settling tells that the lead answered and lends to nobody yet.
-	Settling bool
 }
 
 // NodesSeen tells how many nodes share the rates while no lead lends.
--- a/core/bladmit/share.go
+++ b/core/bladmit/share.go
@@ -18,9 +18,6 @@
 	// then likely to be cut off from a lead that lends to others.
 	longShareParts = 10
 	longShareAfter = 4 * time.Second
-	// settlingFor is how long a lead's word holds that it lends to nobody yet. The
-	// nodes then have the whole rate to themselves.
-	settlingFor = 700 * time.Millisecond
 	// shareBurst is the time for which a node's own share may add up.
 	shareBurst = time.Second
 )
@@ -52,10 +49,7 @@
 		return purse, false
 	}
 	parts := shareParts
-	switch {
-	case s.settlingAt > 0 && now.Sub(s.settlingAt) < settlingFor:
-		parts = 1
-	case silent > longShareAfter:
+	if silent > longShareAfter {
 		parts = longShareParts
 	}
 	var spent bool
--- a/core/bladmit/state.go
+++ b/core/bladmit/state.go
@@ -35,8 +35,6 @@
 	// lentAt is when a lead lent last, and startedAt when this state began.
 	lentAt    bltimer.Instant
 	startedAt bltimer.Instant
-	// settlingAt is when a lead answered last that lends to nobody yet.
-	settlingAt bltimer.Instant
 	// nodes is the number of nodes that share a rate while no lead lends, or
 	// zero where they wait for a lead.
 	nodes int
--- a/core/blconfig/plan.go
+++ b/core/blconfig/plan.go
@@ -34,9 +34,6 @@
 	// ColdPerSecond bounds the requests a second to an upstream in cold start,
 	// or is zero where ColdStartLimit alone does.
 	ColdPerSecond float64
-	// MaxConnections is the number of connections that an upstream accepts, or
-	// zero where it is unknown.
-	MaxConnections int
 }
 
 // PartitionOf returns the partition of a request's key.
@@ -53,7 +50,11 @@
 	// Rate is in requests a second, summed over all hosts.
 	Rate int64
 	// Burst is in requests.
-	Burst      int64
+	Burst int64
+	// Overdraft is the number of requests beyond rate and burst that may be
+	// lent around a change of lead, while purses of an earlier one may be in
+	// use. Where it is zero, a new lead waits until those have lapsed.
+	Overdraft  int64
 	KeyDigests []string
 	Services   []blvalue.ServiceName
 	// AnyService tells that the account may call every service.
@@ -207,9 +208,9 @@
 	// RetryReserve is how many retries a node may save up, or zero for the
 	// usual number.
 	RetryReserve int64
-	// FirstTokens is the time for which a new lead lends at once at an account's
-	// rate, before its bucket has filled.
-	FirstTokens time.Duration
+	// FleetRetryReserve bounds what all nodes together may save up, or is zero
+	// for no bound.
+	FleetRetryReserve int64
 }
 
 // Plan is a document in the form that decisions read. It is immutable.
--- a/core/blpurse/mint.go
+++ b/core/blpurse/mint.go
@@ -61,12 +61,6 @@
 	return Bucket{rate: account.Rate, burst: account.Burst, filledAt: now}
 }
 
-// WithFirst returns the bucket with what its rate brings in the given time.
-func (b Bucket) WithFirst(time time.Duration) Bucket {
-	b.level = min(b.level+int64(time)*b.rate, b.room())
-	return b
-}
-
 // Level returns the whole tokens in the bucket.
 func (b Bucket) Level() int64 {
 	return b.level / tokenUnit
@@ -79,9 +73,16 @@
 
 // WithAccount returns the bucket under a changed rate and burst.
 func (b Bucket) WithAccount(account blconfig.Account, now bltimer.Instant) Bucket {
-	b = b.WithTime(now)
+	b = b.WithBurst(account.Burst, now)
 	b.rate = account.Rate
-	b.burst = account.Burst
+	return b
+}
+
+// WithBurst returns the bucket that holds another burst from the given moment
+// on.
+func (b Bucket) WithBurst(burst int64, at bltimer.Instant) Bucket {
+	b = b.WithTime(at)
+	b.burst = burst
 	b.level = min(b.level, b.room())
 	return b
 }
--- a/core/blpurse/state.go
+++ b/core/blpurse/state.go
@@ -32,9 +32,6 @@
 	// Term is zero when this process may not lend.
 	Term  uint64
 	Loans []Loan
-	// Settling tells that this lead lends nothing yet to anybody, since tokens of
-	// an earlier one may be in use.
-	Settling bool
 }
 
 func (AuthorityChanged) purseMessage() {}
@@ -87,17 +84,44 @@
 	if m.Accepted.Revision <= s.config.Revision {
 		return s
 	}
+	for name, bucket := range s.buckets.All() {
+		if account, ok := s.config.Plan.Accounts[name]; ok {
+			s.buckets = s.buckets.With(name, s.filled(bucket, account, now))
+		}
+	}
 	s.config = m.Accepted
 	for name, account := range s.config.Plan.Accounts {
 		bucket, ok := s.buckets.Get(name)
 		if !ok {
-			bucket = NewBucket(account, max(now, s.settledAt())).WithFirst(s.config.Plan.Limits.FirstTokens)
+			bucket = NewBucket(account, now).WithBurst(s.burst(account, now), now)
 		}
-		s.buckets = s.buckets.With(name, bucket.WithAccount(account, max(now, s.settledAt())))
+		s.buckets = s.buckets.With(name, bucket.WithAccount(account, now).WithBurst(s.burst(account, now), now))
 	}
 	return s
 }
 
+// settling reports whether purses of an older term may still be in use.
+func (s State) settling(now bltimer.Instant) bool {
+	return now.Before(s.settledAt())
+}
+
+// burst returns what this lead may lend of the account at once. While purses of
+// an older term may be in use, they are taken to hold the whole burst, and only
+// the overdraft is lent beside them.
+func (s State) burst(account blconfig.Account, now bltimer.Instant) int64 {
+	if !s.settling(now) {
+		return account.Burst
+	}
+	return min(account.Burst, account.Overdraft)
+}
+
+// filled returns the bucket of an account at now. The whole burst is its bound
+// from the moment on at which the lead settled.
+func (s State) filled(bucket Bucket, account blconfig.Account, now bltimer.Instant) Bucket {
+	changedAt := min(now, s.settledAt())
+	return bucket.WithBurst(s.burst(account, now), changedAt).WithTime(now)
+}
+
 // lasts returns for how long a purse may be spent after it was lent.
 func (s State) lasts() time.Duration {
 	return s.config.Plan.Timing.PurseTTL + s.config.Plan.Timing.Margin
@@ -108,23 +132,20 @@
 	return s.authority.SettledAt(s.lasts())
 }
 
-// borrow lends tokens. Until every purse of an older term has lapsed, the
-// lead lends nothing.
+// borrow lends tokens.
 func (s State) borrow(m Borrow, now bltimer.Instant) (State, []Effect) {
 	if !s.authority.Holds(now) || s.config.Revision == 0 {
 		return s, []Effect{{Reply: m.Reply}}
 	}
-	if now.Before(s.settledAt()) {
-		return s, []Effect{{Reply: m.Reply, Answer: BorrowAnswer{Settling: true}}}
-	}
 	answer := BorrowAnswer{Term: s.authority.Term}
 	expires := now.Add(s.lasts())
 	for _, need := range m.Needs {
+		account, known := s.config.Plan.Accounts[need.Account]
 		bucket, ok := s.buckets.Get(need.Account)
-		if _, known := s.config.Plan.Accounts[need.Account]; !ok || !known {
+		if !ok || !known || s.settling(now) && account.Overdraft == 0 {
 			continue
 		}
-		bucket = bucket.WithTime(now).WithReport(m.Node, need)
+		bucket = s.filled(bucket, account, now).WithReport(m.Node, need)
 		loan := Loan{Account: need.Account}
 		bucket, loan.Tokens = bucket.WithLoan(m.Node, need.Wanted, expires)
 		if loan.Tokens < need.Wanted {
@@ -133,5 +154,8 @@
 		s.buckets = s.buckets.With(need.Account, bucket)
 		answer.Loans = append(answer.Loans, loan)
 	}
+	if s.settling(now) && len(answer.Loans) == 0 {
+		return s, []Effect{{Reply: m.Reply}}
+	}
 	return s, []Effect{{Reply: m.Reply, Answer: answer}}
 }
--- a/core/blpurse/state_test.go
+++ b/core/blpurse/state_test.go
@@ -16,6 +16,8 @@
 const (
 	rate  = 100
 	burst = 40
+	// overdraft is what a settling lead may lend.
+	overdraft = 20
 )
 
 func ExampleBucket_WithLoan() {
@@ -154,3 +156,67 @@
 		}
 	}
 }
+
+// settlingLead returns a lead that took over at the given moment and may lend
+// for a while beyond what an earlier lead has lent.
+func settlingLead(lapsedAt bltimer.Instant) blpurse.State {
+	state, _ := blpurse.Decide(blpurse.New(), blpurse.AuthorityChanged{Authority: bllead.Authority{
+		Term: 2, Until: bltimer.Instant(time.Hour), LapsedAt: lapsedAt,
+	}}, lapsedAt)
+	state, _ = blpurse.Decide(state, blpurse.ConfigSeen{Accepted: blconfig.Accepted{Revision: 1, Plan: blconfig.Plan{
+		Accounts: map[blvalue.AccountName]blconfig.Account{"kiosk": {Name: "kiosk", Rate: rate, Burst: burst, Overdraft: overdraft}},
+		Timing:   blconfig.Timing{PurseTTL: blconfig.DefaultPurseTTL},
+	}}}, lapsedAt)
+	return state
+}
+
+// TestANewLeadLendsTheRateAtOnce holds a lead that has just taken over to the
+// rate from its first moment on: no restart of a fleet refuses callers within
+// their rate for the life of a purse.
+func TestANewLeadLendsTheRateAtOnce(t *testing.T) {
+	state := settlingLead(0)
+	lent := int64(0)
+	for now := 50 * time.Millisecond; now <= blconfig.DefaultPurseTTL; now += 50 * time.Millisecond {
+		var answer blpurse.BorrowAnswer
+		state, answer = borrow(state, "a", blpurse.Need{Spent: 5, Wanted: 5}, now)
+		if answer.Term == 0 {
+			t.Fatalf("term at %v: got 0, want 2", now)
+		}
+		lent += answer.Loans[0].Tokens
+	}
+	if got, want := lent, int64(rate*blconfig.DefaultPurseTTL.Seconds()); got != want {
+		t.Errorf("lent while older purses last: got %d, want %d", got, want)
+	}
+}
+
+// TestOlderPursesAndANewLeadTogether lets holders of the earlier lead's purses
+// spend all of its burst at the worst moment, beside a new lead that is asked
+// for all it has.
+func TestOlderPursesAndANewLeadTogether(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		state := settlingLead(0)
+		old := int64(burst)
+		var spentAt []time.Duration
+		for now := time.Duration(0); now < 3*blconfig.DefaultPurseTTL; now += time.Duration(1+random.IntN(90)) * time.Millisecond {
+			if now >= blconfig.DefaultPurseTTL {
+				old = 0
+			}
+			spent := min(old, int64(random.IntN(burst)))
+			old -= spent
+			var answer blpurse.BorrowAnswer
+			state, answer = borrow(state, fmt.Sprint(random.IntN(4)), blpurse.Need{Spent: burst, Wanted: burst}, now)
+			for range spent + answer.Loans[0].Tokens {
+				spentAt = append(spentAt, now)
+			}
+		}
+		for i := range spentAt {
+			for j := i; j < len(spentAt); j++ {
+				allowed := burst + overdraft + rate*(spentAt[j]-spentAt[i]).Seconds()
+				if got := float64(j - i + 1); got > allowed+1e-6 {
+					t.Fatalf("seed %d: got %v spent from %v to %v, want at most %v", seed, got, spentAt[i], spentAt[j], allowed)
+				}
+			}
+		}
+	}
+}
--- a/core/blroute/state.go
+++ b/core/blroute/state.go
@@ -86,7 +86,7 @@
 	if !ok {
 		retries = NewBudget()
 	}
-	retries = retries.WithReserve(limits.RetryReserve)
+	retries = retries.WithReserve(s.reserve(limits))
 	switch {
 	case m.Hedge:
 		s.hedges, allowed = s.hedges.WithExtra()
@@ -103,6 +103,16 @@
 	return s, nil
 }
 
+// reserve returns how many retries this node may save up: its part of what all
+// nodes together may, or one.
+func (s State[C]) reserve(limits blconfig.Limits) int64 {
+	nodes := int64(s.directory.entries.Len())
+	if limits.FleetRetryReserve == 0 || nodes == 0 {
+		return limits.RetryReserve
+	}
+	return max(min(limits.RetryReserve, limits.FleetRetryReserve/nodes), 1)
+}
+
 func (s State[C]) target(m Find, now bltimer.Instant) (State[C], Target, *blvalue.Refusal) {
 	service := s.config.Plan.Services[m.Request.Service]
 	if service.Kind == blconfig.ServiceExclusive {
--- a/core/blvalue/request.go
+++ b/core/blvalue/request.go
@@ -8,11 +8,9 @@
 	Key     Key
 	// Host is the authority that the caller named, where routes go by it.
 	Host string
-	// Shard is the caller's place in the key space of a ranged service, if
-	// Sharded is set.
-	Shard   uint16
-	Sharded bool
-	Method  string
+	// Shard is the caller's place in the key space of a ranged service, or zero.
+	Shard  uint16
+	Method string
 	// KeyDigest is the SHA-256 digest of the client key, in hexadecimal, or
 	// empty when the caller gave none.
 	KeyDigest string
--- a/io/blgrpc/client.go
+++ b/io/blgrpc/client.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return blpurse.BorrowAnswer{}, fmt.Errorf("borrow from %s: %w", address, err)
 	}
-	return blpurse.BorrowAnswer{Term: answer.GetTerm(), Loans: loansFromProto(answer.GetLoans()), Settling: answer.GetSettling()}, nil
+	return blpurse.BorrowAnswer{Term: answer.GetTerm(), Loans: loansFromProto(answer.GetLoans())}, nil
 }
 
 // AskStandby calls the standby.
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	return &blproto.BorrowReply{Term: answer.Term, Loans: loansToProto(answer.Loans), Settling: answer.Settling}, nil
+	return &blproto.BorrowReply{Term: answer.Term, Loans: loansToProto(answer.Loans)}, nil
 }
 
 // AskStandby implements the Node service.
--- a/io/blnode/node_work.go
+++ b/io/blnode/node_work.go
@@ -119,7 +119,6 @@
 		answer, err := w.client.Borrow(ctx, lead.Address, w.self.Incarnation, effect.Needs)
 		lent.Failed = err != nil || answer.Term == 0
 		lent.Term = answer.Term
-		lent.Settling = answer.Settling
 		lent.Loans = answer.Loans
 	}
 	_ = w.put(lent)
--- a/io/blsettings/process.go
+++ b/io/blsettings/process.go
@@ -72,9 +72,12 @@
 	// over all nodes, beside RetryReserve in all.
 	RetryRatio   float64 `toml:"retry_ratio"`
 	RetryReserve int64   `toml:"retry_reserve"`
-	// QuotaSlack is the number of requests that an account may exceed its rate
-	// and burst by, over all nodes.
-	QuotaSlack float64 `toml:"quota_slack"`
+	// QuotaExcess is the share by which an account may exceed its rate and burst
+	// in each QuotaWindow, and QuotaSlack the number of requests beside it, over
+	// all nodes.
+	QuotaExcess float64  `toml:"quota_excess"`
+	QuotaWindow Duration `toml:"quota_window"`
+	QuotaSlack  float64  `toml:"quota_slack"`
 }
 
 // Duration is a time as text, such as 1500ms or 2.5s.
--- a/tools/blfleet/fleet.go
+++ b/tools/blfleet/fleet.go
@@ -55,7 +55,8 @@
 	LogFile   string
 	Node      *Process
 	Upstreams []*RunningUpstream
-	settings  string
+	// Settings is the path of the node's settings file.
+	Settings string
 }
 
 // RunningUpstream is a running upstream stand-in.
@@ -169,9 +170,9 @@
 		host.TraceFile = filepath.Join(f.options.Folder, host.Spec.Name+".spans")
 		lines = append(lines, fmt.Sprintf("trace_file = %q", host.TraceFile))
 	}
-	host.settings = filepath.Join(f.options.Folder, host.Spec.Name+".toml")
+	host.Settings = filepath.Join(f.options.Folder, host.Spec.Name+".toml")
 	text := strings.Join(lines, "\n") + "\n"
-	if err := os.WriteFile(host.settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(host.Settings, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
 	return nil
@@ -179,7 +180,7 @@
 
 // StartNode runs the node of a host, again after it ended.
 func (f *Fleet) StartNode(host *Host) error {
-	process, err := f.run("bergamotlead", host.Spec.Name, host.settings)
+	process, err := f.run("bergamotlead", host.Spec.Name, host.Settings)
 	host.Node = process
 	return err
 }
