Share traffic and the checks of owners between tests and tools; log work to files

Groundwork of the fault soak: a node may be reached at another address than it listens at (node_address), upstream stand-ins log accepted work to a file that outlasts them, and the checks of owners and runs moved from tests/ into tools/blfleet, unchanged in what they hold.

--- a/io/blnode/config_work.go
+++ b/io/blnode/config_work.go
@@ -93,13 +93,28 @@
 // watchJob asks for the next configuration after a revision.
 type watchJob struct {
 	revision uint64
+	// failures counts the attempts in a row that the source did not answer.
+	failures int
 }
 
 const (
-	watchPause   = 200 * time.Millisecond
 	watchTimeout = time.Minute
+	// shortestPause and longestPause bound the time between attempts that fail.
+	// A node that can't read configurations gets them from the lead meanwhile.
+	shortestPause = 200 * time.Millisecond
+	longestPause  = 1600 * time.Millisecond
 )
 
+// pause returns how long to wait after so many attempts that failed: twice as
+// long after each.
+func (j watchJob) pause() time.Duration {
+	pause := shortestPause
+	for range j.failures - 1 {
+		pause = min(2*pause, longestPause)
+	}
+	return pause
+}
+
 // configWatch waits for configurations, on the lead's behalf or on the node's
 // own.
 type configWatch struct {
@@ -130,10 +145,12 @@
 		if !w.failing.Swap(true) {
 			w.logger.Warn("configuration not watched", "revision", job.revision, "error", err)
 		}
-		time.Sleep(watchPause)
+		job.failures++
+		time.Sleep(job.pause())
 		w.again(job)
 		return
 	}
+	job.failures = 0
 	if w.failing.Swap(false) {
 		w.logger.Info("configuration watched again", "revision", accepted.Revision)
 	}
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -85,7 +85,7 @@
 		platform: platform,
 		self: blvalue.Host{
 			Name: settings.Host, Incarnation: blvalue.Incarnation(uuid.NewString()),
-			Domain: settings.Domain, Address: settings.NodeListen, Capacity: int(settings.Capacity * percent),
+			Domain: settings.Domain, Address: settings.ReachedAt(), Capacity: int(settings.Capacity * percent),
 		},
 		store:   platform.Store,
 		keys:    blstore.NewKeys(settings.Region),
--- a/io/blsettings/process.go
+++ b/io/blsettings/process.go
@@ -26,6 +26,9 @@
 	CallerListen string `toml:"caller_listen"`
 	// NodeListen takes other nodes' calls.
 	NodeListen string `toml:"node_listen"`
+	// NodeAddress is where other nodes reach NodeListen, or empty where it is the
+	// same.
+	NodeAddress string `toml:"node_address"`
 	// UpstreamListen takes the announcements of the upstream beside the node.
 	UpstreamListen string `toml:"upstream_listen"`
 	// OperatorListen takes operators' calls.
@@ -113,6 +116,14 @@
 	return faults
 }
 
+// ReachedAt returns the address at which other nodes reach this one.
+func (p Process) ReachedAt() string {
+	if p.NodeAddress != "" {
+		return p.NodeAddress
+	}
+	return p.NodeListen
+}
+
 // SettingError reports a process setting that can't be used.
 type SettingError struct {
 	Name string
@@ -169,6 +180,9 @@
 		"caller_listen": p.CallerListen, "node_listen": p.NodeListen, "upstream_listen": p.UpstreamListen,
 		"operator_listen": p.OperatorListen, "store": p.Store,
 	}
+	if p.NodeAddress != "" {
+		addresses["node_address"] = p.NodeAddress
+	}
 	if p.ReadyListen != "" {
 		addresses["ready_listen"] = p.ReadyListen
 	}
@@ -183,7 +197,7 @@
 			faults = append(faults, SettingError{Name: name, What: fmt.Sprintf("want an IP address and port: %v", err)})
 		}
 	}
-	if host, _, err := net.SplitHostPort(p.NodeListen); err == nil && net.ParseIP(host).IsUnspecified() {
+	if host, _, err := net.SplitHostPort(p.ReachedAt()); err == nil && net.ParseIP(host).IsUnspecified() {
 		faults = append(faults, SettingError{Name: "node_listen", What: "want an address that other nodes can reach"})
 	}
 	return errors.Join(faults...)
--- a/standin/upstream/main.go
+++ b/standin/upstream/main.go
@@ -32,14 +32,18 @@
 	ColdFor     time.Duration `help:"Length of the cold start."`
 	ServiceTime time.Duration `default:"5ms" help:"Time to work on a request."`
 	ChecksFence bool          `help:"Refuse orders that the grant does not cover."`
-	KeepLog     bool          `help:"Keep a log of accepted work."`
+	LogFile     string        `help:"File to which accepted work is logged."`
 }
 
 func main() {
 	var args arguments
 	kong.Parse(&args, kong.Description("A stand-in for an upstream."))
 	logger := hclog.New(&hclog.LoggerOptions{Name: "standin-upstream", JSONFormat: true})
-	s := newServer(args)
+	s, err := newServer(args)
+	if err != nil {
+		logger.Error("start", "error", err)
+		os.Exit(1)
+	}
 	srv := &http.Server{Addr: args.Listen, Handler: s.handler(), ReadHeaderTimeout: headerTimeout}
 	if args.Node != "" {
 		announcer := &announcer{server: s, incarnation: uuid.NewString(), client: &http.Client{Timeout: time.Second}}
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -6,8 +6,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,7 +34,7 @@
 	mu        sync.Mutex
 	totals    map[string]int64
 	runs      map[string]int
-	log       []entry
+	logFile   *os.File
 	grant     grant
 	fences    map[int]fence
 	faults    faults
@@ -43,17 +45,25 @@
 	coldFrom time.Time
 }
 
-func newServer(args arguments) *server {
-	return &server{
+func newServer(args arguments) (*server, error) {
+	s := &server{
 		args: args, start: time.Now(), totals: map[string]int64{}, runs: map[string]int{}, fences: map[int]fence{},
 		coldUntil: time.Now().Add(args.ColdFor), faults: faults{SlowFactor: 1},
 	}
+	if args.LogFile == "" {
+		return s, nil
+	}
+	var err error
+	s.logFile, err = os.OpenFile(args.LogFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("open log of work: %w", err)
+	}
+	return s, nil
 }
 
 func (s *server) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /bergamotlead/grant", s.setGrant)
-	mux.HandleFunc("GET /standin/log", s.getLog)
 	mux.HandleFunc("GET /standin/counts", s.getCounts)
 	mux.HandleFunc("POST /standin/faults", s.setFaults)
 	mux.HandleFunc("/", s.serve)
@@ -70,13 +80,6 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (s *server) getLog(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	log := append([]entry(nil), s.log...)
-	s.mu.Unlock()
-	respond(w, http.StatusOK, log)
-}
-
 func notRun(w http.ResponseWriter, why string) {
 	w.Header().Set("Bergamotlead-Not-Run", why)
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -190,6 +193,12 @@
 	_, _ = w.Write(encoded)
 }
 
+// keep adds a line to the log. The caller holds the lock.
+func (s *server) keep(e entry) {
+	line, _ := json.Marshal(e)
+	_, _ = s.logFile.Write(append(line, '\n'))
+}
+
 // apply writes the order to the log. The caller holds the lock.
 func (s *server) apply(r *http.Request, o order, body []byte) answerBody {
 	request := r.Header.Get("Bergamotlead-Request-Id")
@@ -202,8 +211,8 @@
 		}
 		s.totals[o.key] += amount
 	}
-	if s.args.KeepLog {
-		s.log = append(s.log, entry{
+	if s.logFile != nil {
+		s.keep(entry{
 			AtNS: time.Now().UnixNano(), Key: o.key, Partition: o.partition, Fence: o.fenceText,
 			Account: r.Header.Get("Bergamotlead-Client-Account"), Method: r.Method, Request: request,
 		})
--- a/tests/main_test.go
+++ b/tests/main_test.go
@@ -4,15 +4,12 @@
 
 import (
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
-	"sync"
 	"testing"
 	"time"
 
 	"bergamotlead/core/blconfig"
-	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blsettings"
 	"bergamotlead/tools/blfleet"
 )
@@ -163,75 +160,6 @@
 	return nil, nil, nil
 }
 
-// traffic sends contributions to many pots through some hosts until it is
-// stopped.
-type traffic struct {
-	f       *fleet
-	hosts   []*blfleet.Host
-	stop    chan struct{}
-	wg      sync.WaitGroup
-	mu      sync.Mutex
-	answers map[string]answerCount
-	outcome map[string]int
-}
-
-// answerCount is what a caller was told of one key.
-type answerCount struct {
-	answered int
-	unknown  int
-}
-
-const (
-	trafficCallers = 16
-	trafficPause   = 15 * time.Millisecond
-)
-
-func (f *fleet) startTraffic(hosts ...*blfleet.Host) *traffic {
-	tr := &traffic{
-		f: f, hosts: hosts, stop: make(chan struct{}), answers: map[string]answerCount{}, outcome: map[string]int{},
-	}
-	for i := range trafficCallers {
-		tr.wg.Go(func() { tr.run(i) })
-	}
-	return tr
-}
-
-func (tr *traffic) run(number int) {
-	for i := 0; ; i++ {
-		select {
-		case <-tr.stop:
-			return
-		case <-time.After(trafficPause):
-		}
-		key := fmt.Sprintf("pot_%d_%d", number, i%6)
-		host := tr.hosts[(number+i)%len(tr.hosts)]
-		answer, err := tr.f.Call(host, http.MethodPost, "/pot/"+key+"/contributions", tr.f.Keys[account], "1")
-		tr.note(key, answer, err)
-	}
-}
-
-func (tr *traffic) note(key string, answer blfleet.Answer, err error) {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	count := tr.answers[key]
-	switch {
-	case err != nil:
-		count.unknown++
-		tr.outcome["broken"]++
-	case answer.Status == http.StatusOK:
-		count.answered++
-		tr.outcome["answered"]++
-	case answer.Outcome == string(blvalue.OutcomeNotRun):
-		tr.outcome["not_run"]++
-	default:
-		count.unknown++
-		tr.outcome[answer.Outcome]++
-	}
-	tr.answers[key] = count
-}
-
-// end stops the traffic and waits for its last answers.
-func (tr *traffic) end() {
-	close(tr.stop)
-	tr.wg.Wait()
+func (f *fleet) startTraffic(hosts ...*blfleet.Host) *blfleet.Traffic {
+	return f.StartTraffic(account, nil, hosts...)
 }
--- a/tests/operators_test.go
+++ b/tests/operators_test.go
@@ -200,10 +200,10 @@
 	}
 	close(stop)
 	wg.Wait()
-	tr.end()
-	f.checkOwners(tr)
-	if lost := tr.outcome["unknown"] + tr.outcome["broken"]; lost != 0 {
-		t.Errorf("requests without a truthful answer: got %d of %v, want 0", lost, tr.outcome)
+	tr.End()
+	f.checkOwners(tr.Tally)
+	if lost := tr.Outcomes()["unknown"] + tr.Outcomes()["broken"]; lost != 0 {
+		t.Errorf("requests without a truthful answer: got %d of %v, want 0", lost, tr.Outcomes())
 	}
 }
 
@@ -256,11 +256,11 @@
 			t.Errorf("exit code of %s: got %d, want 0", leaving.Spec.Name, got)
 		}
 		time.Sleep(1500 * time.Millisecond)
-		tr.end()
-		if lost := tr.outcome["unknown"] + tr.outcome["broken"] + tr.outcome["ran_partially_answered"]; lost != 0 {
-			t.Errorf("requests cut while %s ended: got %d of %v, want 0", leaving.Spec.Name, lost, tr.outcome)
+		tr.End()
+		if lost := tr.Outcomes()["unknown"] + tr.Outcomes()["broken"] + tr.Outcomes()["ran_partially_answered"]; lost != 0 {
+			t.Errorf("requests cut while %s ended: got %d of %v, want 0", leaving.Spec.Name, lost, tr.Outcomes())
 		}
-		t.Logf("%s ended: %v", leaving.Spec.Name, tr.outcome)
+		t.Logf("%s ended: %v", leaving.Spec.Name, tr.Outcomes())
 	}
 }
 
--- a/tests/ownership_test.go
+++ b/tests/ownership_test.go
@@ -1,7 +1,6 @@
 package bltests_test
 
 import (
-	"sort"
 	"syscall"
 	"testing"
 	"time"
@@ -9,74 +8,17 @@
 	"bergamotlead/tools/blfleet"
 )
 
-// checkOwners holds the logs of accepted work of the exclusive service's
-// upstreams against single ownership and against what callers were told. Every
-// upstream's log must be readable.
-func (f *fleet) checkOwners(tr *traffic) {
+// checkOwners holds what upstreams did against single ownership and against what
+// callers were told.
+func (f *fleet) checkOwners(tr *blfleet.Tally) {
 	f.t.Helper()
-	var log []blfleet.Work
-	for _, host := range f.Hosts {
-		for _, upstream := range host.Upstreams {
-			if !upstream.Spec.Exclusive {
-				continue
-			}
-			part, err := f.Log(upstream)
-			if err != nil {
-				f.t.Fatalf("read log of %s: %v", upstream.Spec.Name, err)
-			}
-			log = append(log, part...)
-		}
+	for _, broken := range f.CheckOwners(tr.Told()) {
+		f.t.Error(broken)
 	}
-	sort.Slice(log, func(i, j int) bool { return log[i].AtNS < log[j].AtNS })
-	f.checkOwnersGoForward(log)
-	f.checkRuns(log, tr)
-}
-
-// checkOwnersGoForward looks for a key that went back to an owner under an
-// older fence: two owners whose work interleaves do that.
-func (f *fleet) checkOwnersGoForward(log []blfleet.Work) {
-	f.t.Helper()
-	last := map[string]blfleet.Work{}
-	for _, work := range log {
-		before, ok := last[work.Key]
-		if ok && before.Upstream != work.Upstream && !older(before.Fence, work.Fence) {
-			f.t.Errorf("key %s: got work at %s under %s after work at %s under %s, want a higher fence",
-				work.Key, work.Upstream, work.Fence, before.Upstream, before.Fence)
-		}
-		last[work.Key] = work
-	}
-}
-
-// checkRuns compares the runs of each key with what callers were told: no
-// request ran twice, every answer stands for a run, and every run for an
-// answer or an unknown outcome.
-func (f *fleet) checkRuns(log []blfleet.Work, tr *traffic) {
-	f.t.Helper()
-	runs, requests := map[string]int{}, map[string]int{}
-	for _, work := range log {
-		runs[work.Key]++
-		requests[work.Request]++
-	}
-	for request, count := range requests {
-		if count > 1 {
-			f.t.Errorf("request %s: got %d runs, want at most 1", request, count)
-		}
-	}
-	for key, told := range tr.answers {
-		if got := runs[key]; got < told.answered || got > told.answered+told.unknown {
-			f.t.Errorf("key %s: got %d runs, want %d to %d", key, got, told.answered, told.answered+told.unknown)
-		}
-	}
-	if tr.outcome["answered"] == 0 {
+	if tr.Outcomes()[blfleet.OutcomeAnswered] == 0 {
 		f.t.Error("answered requests: got 0, want some")
 	}
-	f.t.Logf("outcomes: %v", tr.outcome)
-}
-
-// older reports whether the first fence was given before the second.
-func older(first, second string) bool {
-	a, b := parseFence(first), parseFence(second)
-	return a[0] < b[0] || a[0] == b[0] && a[1] < b[1]
+	f.t.Logf("outcomes: %v", tr.Outcomes())
 }
 
 // TestSingleOwnership loses, freezes and cuts processes under load and looks
@@ -133,8 +75,8 @@
 			time.Sleep(500 * time.Millisecond)
 			c.hit(f, lead, standby, other)
 			time.Sleep(3500 * time.Millisecond)
-			tr.end()
-			f.checkOwners(tr)
+			tr.End()
+			f.checkOwners(tr.Tally)
 		})
 	}
 }
@@ -181,10 +123,10 @@
 	if result, err := f.Apply(f.Hosts[0], f.revision, f.document); err == nil {
 		t.Errorf("apply during the outage: got %+v, want a refusal", result)
 	}
-	tr.end()
+	tr.End()
 	f.faults(map[string]any{"down": false})
-	if got := tr.outcome["not_run"] + tr.outcome["unknown"] + tr.outcome["broken"]; got != 0 {
-		t.Errorf("requests not answered: got %d of %v, want 0", got, tr.outcome)
+	if got := tr.Outcomes()["not_run"] + tr.Outcomes()["unknown"] + tr.Outcomes()["broken"]; got != 0 {
+		t.Errorf("requests not answered: got %d of %v, want 0", got, tr.Outcomes())
 	}
-	f.checkOwners(tr)
+	f.checkOwners(tr.Tally)
 }
--- a/tests/protection_test.go
+++ b/tests/protection_test.go
@@ -64,7 +64,7 @@
 func TestOverloadKeepsGoodputAndTruth(t *testing.T) {
 	f := deploy(t, potHosts(3, true), nil)
 	f.roles()
-	tr := &traffic{f: f, answers: map[string]answerCount{}, outcome: map[string]int{}}
+	tr := blfleet.NewTally()
 	end := time.Now().Add(3 * time.Second)
 	var wg sync.WaitGroup
 	for i := range 96 {
@@ -72,14 +72,14 @@
 			for n := 0; time.Now().Before(end); n++ {
 				key := fmt.Sprintf("over_%d", (i*131+n)%64)
 				answer, err := f.Call(f.Hosts[(i+n)%3], http.MethodPost, "/pot/"+key+"/contributions", f.Keys[account], "1")
-				tr.note(key, answer, err)
+				tr.Note(key, answer, err)
 			}
 		})
 	}
 	wg.Wait()
 	f.checkOwners(tr)
-	if got := tr.outcome["unknown"] + tr.outcome["broken"]; got != 0 {
-		t.Errorf("requests without a truthful answer: got %d of %v, want 0", got, tr.outcome)
+	if got := tr.Outcomes()["unknown"] + tr.Outcomes()["broken"]; got != 0 {
+		t.Errorf("requests without a truthful answer: got %d of %v, want 0", got, tr.Outcomes())
 	}
 	for _, host := range f.Hosts {
 		counts, err := f.Counts(host.Upstreams[0])
--- a/tools/blfleet/fleet.go
+++ b/tools/blfleet/fleet.go
@@ -40,8 +40,12 @@
 	Hosts  []HostSpec
 	// Traces turns span files on.
 	Traces bool
-	// Logs keeps the upstreams' logs of accepted work.
+	// Logs keeps the upstreams' logs of accepted work, in files that outlast
+	// them.
 	Logs bool
+	// Link returns the address by which the target is reached from outside
+	// through the link of the given name, or is nil where nothing lies between.
+	Link func(name, target string) (string, error)
 }
 
 // Host is a running host.
@@ -154,8 +158,34 @@
 	return host, nil
 }
 
+// workFile is where the upstream of the given name logs accepted work.
+func (f *Fleet) workFile(name string) string {
+	return filepath.Join(f.options.Folder, name+".work")
+}
+
+// link returns the address by which a target is reached.
+func (f *Fleet) link(name, target string) (string, error) {
+	if f.options.Link == nil {
+		return target, nil
+	}
+	address, err := f.options.Link(name, target)
+	if err != nil {
+		return "", fmt.Errorf("link %s: %w", name, err)
+	}
+	return address, nil
+}
+
 func (f *Fleet) writeSettings(host *Host) error {
+	store, err := f.link("store/"+host.Spec.Name, f.Store)
+	if err != nil {
+		return err
+	}
+	nodes, err := f.link("node/"+host.Spec.Name, host.Nodes)
+	if err != nil {
+		return err
+	}
 	lines := []string{
+		fmt.Sprintf("node_address = %q", nodes),
 		fmt.Sprintf("host = %q", host.Spec.Name),
 		fmt.Sprintf("region = %q", f.options.Region),
 		fmt.Sprintf("failure_domain = %q", host.Spec.Domain),
@@ -164,7 +194,7 @@
 		fmt.Sprintf("upstream_listen = %q", host.Announce),
 		fmt.Sprintf("operator_listen = %q", host.Operators),
 		fmt.Sprintf("operator_token_file = %q", f.tokenFile()),
-		fmt.Sprintf("store = %q", f.Store),
+		fmt.Sprintf("store = %q", store),
 	}
 	if f.options.Traces {
 		host.TraceFile = filepath.Join(f.options.Folder, host.Spec.Name+".spans")
@@ -195,12 +225,15 @@
 		"--slots", fmt.Sprint(spec.Slots), "--cold-slots", fmt.Sprint(max(spec.ColdSlots, 1)),
 		"--cold-for", spec.ColdFor.String(), "--service-time", spec.ServiceTime.String(),
 	}
-	flags := map[string]bool{"--exclusive": spec.Exclusive, "--checks-fence": spec.ChecksFence, "--keep-log": f.options.Logs}
+	flags := map[string]bool{"--exclusive": spec.Exclusive, "--checks-fence": spec.ChecksFence}
 	for flag, on := range flags {
 		if on {
 			args = append(args, flag)
 		}
 	}
+	if f.options.Logs {
+		args = append(args, "--log-file", f.workFile(spec.Name))
+	}
 	upstream := &RunningUpstream{Spec: spec, Address: address, args: args}
 	host.Upstreams = append(host.Upstreams, upstream)
 	return f.StartUpstream(upstream)
--- a/tools/blfleet/standins.go
+++ b/tools/blfleet/standins.go
@@ -1,7 +1,12 @@
 package blfleet
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
 	"net/http"
+	"os"
 )
 
 // PlatformFaults sets the faults of the platform stand-in.
@@ -33,14 +38,26 @@
 	Request   string `json:"request_id"`
 }
 
-// Log returns the log of accepted work of an upstream.
+// Log returns the log of accepted work of an upstream, over all its runs.
 func (f *Fleet) Log(upstream *RunningUpstream) ([]Work, error) {
+	file, err := os.Open(f.workFile(upstream.Spec.Name))
+	if err != nil {
+		return nil, fmt.Errorf("open log of work: %w", err)
+	}
+	defer func() { _ = file.Close() }()
 	var log []Work
-	err := f.get("http://"+upstream.Address+"/standin/log", &log)
-	for i := range log {
-		log[i].Upstream = upstream.Spec.Name
+	decoder := json.NewDecoder(file)
+	for {
+		work := Work{Upstream: upstream.Spec.Name}
+		err := decoder.Decode(&work)
+		if errors.Is(err, io.EOF) {
+			return log, nil
+		}
+		if err != nil {
+			return log, fmt.Errorf("read log of work: %w", err)
+		}
+		log = append(log, work)
 	}
-	return log, err
 }
 
 // Counts is what an upstream stand-in has seen.
