--- a/core/blassign/speed.go
+++ b/core/blassign/speed.go
@@ -45,10 +45,11 @@
 		return s
 	}
 	s.weighedAt = now
+	medians := s.medianPaces()
 	weights := s.weights
 	changed := false
 	for name, entry := range s.entries.All() {
-		wanted := s.speed(entry.Upstream)
+		wanted := s.speed(entry.Upstream, medians[entry.Upstream.Service])
 		current, ok := s.weights.Get(name)
 		if !ok {
 			current = percent
@@ -64,21 +65,31 @@
 	return s
 }
 
+// medianPaces returns the median time to answer of the upstreams of each service
+// that are up.
+func (s State[P]) medianPaces() map[blvalue.ServiceName]time.Duration {
+	paces := map[blvalue.ServiceName][]time.Duration{}
+	for _, entry := range s.entries.All() {
+		if pace, ok := s.paces.Get(entry.Upstream.Incarnation); ok && !entry.Gone {
+			paces[entry.Upstream.Service] = append(paces[entry.Upstream.Service], pace)
+		}
+	}
+	medians := make(map[blvalue.ServiceName]time.Duration, len(paces))
+	for service, list := range paces {
+		slices.Sort(list)
+		medians[service] = list[len(list)/2]
+	}
+	return medians
+}
+
 // speed returns how fast an upstream answers, in percent of the median of its
-// service.
-func (s State[P]) speed(upstream blvalue.Upstream) int {
+// service. One of which nothing is known, or whose service has no other that is
+// up, counts as average.
+func (s State[P]) speed(upstream blvalue.Upstream, median time.Duration) int {
 	pace, ok := s.paces.Get(upstream.Incarnation)
-	if !ok || pace <= 0 {
+	if !ok || pace <= 0 || median == 0 {
 		return percent
 	}
-	var paces []time.Duration
-	for _, entry := range s.entries.All() {
-		if other, ok := s.paces.Get(entry.Upstream.Incarnation); ok && entry.Upstream.Service == upstream.Service && !entry.Gone {
-			paces = append(paces, other)
-		}
-	}
-	slices.Sort(paces)
-	median := paces[len(paces)/2]
 	return min(max(int(percent*median/pace), slowest), fastest)
 }
 
--- a/core/blassign/speed_test.go
+++ b/core/blassign/speed_test.go
@@ -46,3 +46,17 @@
 		})
 	}
 }
+
+// TestWeightsWhereEveryUpstreamIsGone replays a service all of whose upstreams
+// are gone after they had answered: seed 5 of the soak ended the lead's process.
+func TestWeightsWhereEveryUpstreamIsGone(t *testing.T) {
+	upstream := blvalue.Upstream{Name: "a", Incarnation: "a", Service: "pot", Slots: 6}
+	s := New(LeastMoves{}).withEntry(Entry{Upstream: upstream, Gone: true}).withLoads(Heartbeat{Loads: []UpstreamLoad{
+		{Incarnation: "a", Load: blvalue.Load{Limit: 6, Service: time.Millisecond}},
+	}})
+	s = s.withWeights(bltimer.Instant(time.Minute))
+	entry, _ := s.entries.Get("a")
+	if got, want := s.weight(entry.Entry), 600; got != want {
+		t.Errorf("weight: got %d, want %d", got, want)
+	}
+}
--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -24,6 +24,10 @@
 	if s = s.withHush(now); s.unheard(now) {
 		return vacate(s, now)
 	}
+	if s.yields(now) {
+		s.shyUntil = now.Add(shyFor)
+		return callStandby(s)
+	}
 	s, effects = renew(s, effects, now)
 	s, effects = askStandby(s, effects, now)
 	s, effects = probeFresh(s, effects, now)
--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -30,20 +30,52 @@
 	return s.leaseUntil.Sub(now) < s.timing.Lease-2*s.timing.renewEvery()
 }
 
+const (
+	// upgradeAfter is how long a lead gathers reports before it names a standby
+	// with more capacity in place of one that answers.
+	upgradeAfter = 2 * time.Second
+	// upgradeFactor is how many times the capacity of the other the better
+	// process has.
+	upgradeFactor = 2
+)
+
+// outranks reports whether a process has so much more capacity than another that
+// the lead, or its place in waiting, should pass to it.
+func outranks(a, b blvalue.Host) bool {
+	return b.Capacity > 0 && a.Capacity >= upgradeFactor*b.Capacity
+}
+
+// upgrades reports whether a standby that answers should make room for another:
+// the first one was named when few processes had reported.
+func (s State) upgrades(chosen, current blvalue.Host, now bltimer.Instant) bool {
+	apart := chosen.Domain != s.self.Domain || current.Domain == s.self.Domain
+	return apart && outranks(chosen, current) && now.Sub(s.gainedAt) > upgradeAfter
+}
+
+// yields reports whether the lead should pass to its standby, which answers and
+// has far more capacity.
+func (s State) yields(now bltimer.Instant) bool {
+	standby, ok := s.standby()
+	if !ok || s.Role() != RoleLeading || s.writing != nil || !outranks(standby, s.self) {
+		return false
+	}
+	return now.Sub(s.gainedAt) > 2*upgradeAfter && now.Sub(s.standbyHeard) < s.timing.Lease && !s.missesStore(now)
+}
+
 // nameStandby writes a record with another standby when there is none that
-// answers. It needs the store.
+// answers, or a far better one. It needs the store.
 func nameStandby(s State, effects []Effect, now bltimer.Instant) (State, []Effect) {
 	if s.writing != nil || !now.Before(s.leaseUntil) || s.leaving {
 		return s, effects
 	}
 	current, ok := s.standby()
-	if ok && now.Sub(s.standbyHeard) < standbySilence {
-		return s, effects
-	}
 	chosen := s.chooseStandby(current.Incarnation)
 	if chosen.IsZero() {
 		return s, effects
 	}
+	if ok && now.Sub(s.standbyHeard) < standbySilence && !s.upgrades(chosen, current, now) {
+		return s, effects
+	}
 	var write WriteRecord
 	s, write = s.withWrite(s.stored.Record.WithStandby(chosen, ""))
 	s.standbyHeard = now
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -82,8 +82,9 @@
 	// startedAt is when this process first asked the store.
 	startedAt bltimer.Instant
 	// absentSince is when the store first showed no lease, and showed none ever
-	// since.
+	// since. It did so last at absentAt.
 	absentSince bltimer.Instant
+	absentAt    bltimer.Instant
 	// resigned is the claim of the lead that has called this process to take
 	// over.
 	resigned Claim
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -106,13 +106,17 @@
 	return s.mayLead(now)
 }
 
-// withAbsence keeps since when the store has shown no lease.
+// withAbsence keeps since when the store has shown no lease. Between two reads
+// that are further apart than a lease lasts there may have been one.
 func (s State) withAbsence(absent bool, at bltimer.Instant) State {
 	if !absent {
 		s.absentSince = 0
-	} else if s.absentSince == 0 {
+		return s
+	}
+	if s.absentSince == 0 || at.Sub(s.absentAt) > s.timing.Lease {
 		s.absentSince = max(at, 1)
 	}
+	s.absentAt = at
 	return s
 }
 
--- a/core/blproof/directed_test.go
+++ b/core/blproof/directed_test.go
@@ -221,3 +221,22 @@
 	host.Incarnation += "_again"
 	n.lead = bllead.New(host, bllead.Timing{Lease: lease, GrantTTL: ttl, Margin: margin})
 }
+
+// TestOldAbsenceOfALeaseProvesNothing is a schedule that random faults found: a
+// node reads the store before there is a lead, hears that lead later, and reads
+// again when an outage has ended through which the lead goes on.
+func TestOldAbsenceOfALeaseProvesNothing(t *testing.T) {
+	w := newLimitedWorld(1, worldNodes, sabotage{}, 3*time.Second)
+	w.slowMessages = 20
+	for _, f := range []fault{
+		{kind: "pause", node: 2, at: 28 * time.Millisecond, length: 1496 * time.Millisecond},
+		{kind: "pause", node: 0, at: 1494 * time.Millisecond, length: 84 * time.Millisecond},
+		{kind: "store down", at: 1677 * time.Millisecond, length: 2234 * time.Millisecond},
+	} {
+		w.inject(f)
+	}
+	w.runUntil(worldLength)
+	for _, broken := range w.broken {
+		t.Errorf("broken: %s", broken)
+	}
+}
--- a/core/blproof/world_test.go
+++ b/core/blproof/world_test.go
@@ -194,6 +194,10 @@
 		Incarnation: blvalue.Incarnation(fmt.Sprintf("%d.%d", n.index, n.run)),
 		Domain:      blvalue.DomainName([]string{"a", "b", "c"}[n.index%3]),
 	}
+	if n.world.holdLimit > 0 {
+		// Leadership moves to more capacity there.
+		n.host.Capacity = []int{16, 80, 16, 40}[n.index%4]
+	}
 	n.lead = bllead.New(n.host, bllead.Timing{Lease: lease, GrantTTL: ttl, Margin: margin, HoldLimit: n.world.holdLimit})
 	n.assign = blassign.New(placement{}).WithSelf(n.host.Incarnation)
 	n.member = blmember.New(n.host)
--- a/core/blroute/choose.go
+++ b/core/blroute/choose.go
@@ -25,9 +25,9 @@
 	AsideUntil bltimer.Instant
 	// Skipped counts the requests that passed it by while it was an outlier.
 	Skipped int
-	// Load is what its node said last, less what this node has sent and got
-	// back since.
-	Load blvalue.Load
+	// Load is what its node said last, at LoadAt.
+	Load   blvalue.Load
+	LoadAt bltimer.Instant
 }
 
 // Healths maps upstreams to their health.
@@ -35,14 +35,14 @@
 
 // Chooser picks one upstream of a shared service. Draw is a random number.
 type Chooser interface {
-	Choose(candidates []blassign.Entry, healths Healths, draw uint64) blassign.Entry
+	Choose(candidates []blassign.Entry, healths Healths, draw uint64, now bltimer.Instant) blassign.Entry
 }
 
 // RoundRobin takes the candidates in turn, by a draw that rises by one.
 type RoundRobin struct{}
 
 // Choose implements Chooser.
-func (RoundRobin) Choose(candidates []blassign.Entry, _ Healths, draw uint64) blassign.Entry {
+func (RoundRobin) Choose(candidates []blassign.Entry, _ Healths, draw uint64, _ bltimer.Instant) blassign.Entry {
 	return candidates[draw%uint64(len(candidates))]
 }
 
@@ -51,7 +51,9 @@
 type TwoChoices struct{}
 
 // Choose implements Chooser.
-func (TwoChoices) Choose(candidates []blassign.Entry, healths Healths, draw uint64) blassign.Entry {
+func (TwoChoices) Choose(
+	candidates []blassign.Entry, healths Healths, draw uint64, now bltimer.Instant,
+) blassign.Entry {
 	count := uint64(len(candidates))
 	position := mix(draw) % count
 	first := candidates[position]
@@ -59,41 +61,60 @@
 		return first
 	}
 	second := candidates[(position+1+mix(^draw)%(count-1))%count]
-	if cost(healths, second) < cost(healths, first) {
+	if cost(healths, second, now) < cost(healths, first, now) {
 		return second
 	}
 	return first
 }
 
-// NearFirst keeps requests in one failure domain while an upstream there has a
-// slot free, as far as is known. Otherwise it takes the better of two.
+// NearFirst keeps requests in one failure domain while a warm upstream there has
+// a slot free, as far as is known. After those come warm ones elsewhere that have
+// one. Otherwise it takes the better of two.
 type NearFirst struct {
 	// Domain is where this node stands.
 	Domain blvalue.DomainName
 }
 
 // Choose implements Chooser.
-func (n NearFirst) Choose(candidates []blassign.Entry, healths Healths, draw uint64) blassign.Entry {
-	near := make([]blassign.Entry, 0, len(candidates))
+func (n NearFirst) Choose(
+	candidates []blassign.Entry, healths Healths, draw uint64, now bltimer.Instant,
+) blassign.Entry {
+	var near, far []blassign.Entry
 	for _, entry := range candidates {
-		if entry.Node.Domain == n.Domain && hasRoom(healths, entry) {
+		switch {
+		case entry.Upstream.Cold || !hasRoom(healths, entry, now):
+		case entry.Node.Domain == n.Domain:
 			near = append(near, entry)
+		default:
+			far = append(far, entry)
 		}
 	}
-	if len(near) > 0 {
-		return TwoChoices{}.Choose(near, healths, draw)
+	switch {
+	case len(near) > 0:
+		return TwoChoices{}.Choose(near, healths, draw, now)
+	case len(far) > 0:
+		return TwoChoices{}.Choose(far, healths, draw, now)
 	}
-	return TwoChoices{}.Choose(candidates, healths, draw)
+	return TwoChoices{}.Choose(candidates, healths, draw, now)
 }
 
 // hasRoom reports whether a slot of the upstream is free.
-func hasRoom(healths Healths, entry blassign.Entry) bool {
+func hasRoom(healths Healths, entry blassign.Entry, now bltimer.Instant) bool {
 	health, _ := healths.Get(entry.Upstream.Name)
 	limit := health.Load.Limit
 	if limit == 0 {
 		limit = entry.Upstream.Slots
 	}
-	return max(health.Outstanding, health.Load.Running+health.Load.Waiting) < limit
+	return health.work(now) < limit
+}
+
+// work returns the number of requests that are known to run or wait at the
+// upstream. What its node said counts for a while only.
+func (h Health) work(now bltimer.Instant) int {
+	if now.Sub(h.LoadAt) > loadLasts {
+		return h.Outstanding
+	}
+	return max(h.Outstanding, h.Load.Running+h.Load.Waiting)
 }
 
 // mix spreads consecutive draws over all bits.
@@ -106,10 +127,10 @@
 // unknownLatency is assumed of an upstream that has not answered yet.
 const unknownLatency = time.Millisecond
 
-func cost(healths Healths, entry blassign.Entry) time.Duration {
+func cost(healths Healths, entry blassign.Entry, now bltimer.Instant) time.Duration {
 	health, _ := healths.Get(entry.Upstream.Name)
 	latency := max(health.Latency, unknownLatency)
-	return latency * time.Duration(max(health.Outstanding, health.Load.Running+health.Load.Waiting)+1)
+	return latency * time.Duration(health.work(now)+1)
 }
 
 const (
@@ -122,14 +143,19 @@
 	aside = 2 * time.Second
 )
 
+// loadLasts is how long what a node said of its upstream's work is of use. The
+// requests that it counted have mostly been answered then.
+const loadLasts = 400 * time.Millisecond
+
 // WithLoad returns the health after the upstream's node told its load.
-func (h Health) WithLoad(load blvalue.Load) Health {
+func (h Health) WithLoad(load blvalue.Load, now bltimer.Instant) Health {
 	if load.Known() {
-		h.Load = load
+		h.Load, h.LoadAt = load, now
 	}
 	return h
 }
 
+
 // WithAnswer returns the health after one answer.
 func (h Health) WithAnswer(latency time.Duration, failed bool, now bltimer.Instant) Health {
 	h.Outstanding = max(h.Outstanding-1, 0)
--- a/core/blroute/retry.go
+++ b/core/blroute/retry.go
@@ -34,7 +34,7 @@
 const (
 	// mostElsewhere is the number of attempts at busy upstreams that took
 	// nothing of the request.
-	mostElsewhere = 3
+	mostElsewhere = 4
 	// goalShare is the part of the goal for which a request may wait for an
 	// owner.
 	goalShare = 4
@@ -59,6 +59,8 @@
 	StepGiveUp Step = "give_up"
 	// StepWait tries again after a while, at no cost to any upstream.
 	StepWait Step = "wait"
+	// StepElsewhere tries another upstream at once, at no cost to any.
+	StepElsewhere Step = "elsewhere"
 	// StepSpend tries again at the cost of the retry budget.
 	StepSpend Step = "spend"
 )
@@ -101,10 +103,13 @@
 // afterNothingSpent returns the step after an attempt that cost no upstream
 // anything.
 func (f Failure) afterNothingSpent() Step {
-	busy := f.Refusal.Reason == blvalue.ReasonOverload && (f.Exclusive || f.Attempt >= mostElsewhere)
-	if busy || f.impatient() {
+	busy := f.Refusal.Reason == blvalue.ReasonOverload
+	if busy && (f.Exclusive || f.Attempt >= mostElsewhere) || f.impatient() {
 		return StepGiveUp
 	}
+	if busy {
+		return StepElsewhere
+	}
 	return StepWait
 }
 
--- a/core/blroute/state.go
+++ b/core/blroute/state.go
@@ -62,9 +62,9 @@
 	if m.Unused {
 		health.Outstanding = max(health.Outstanding-1, 0)
 	} else {
-		health = health.WithAnswer(m.Latency, m.Failed, now).WithLoad(m.Load)
+		health = health.WithAnswer(m.Latency, m.Failed, now)
 	}
-	s.healths = s.healths.With(m.Upstream, health)
+	s.healths = s.healths.With(m.Upstream, health.WithLoad(m.Load, now))
 	return s
 }
 
@@ -144,7 +144,7 @@
 		return s, *selected.probe
 	}
 	s.draw++
-	return s, s.chooser.Choose(selected.usable, s.healths, s.draw)
+	return s, s.chooser.Choose(selected.usable, s.healths, s.draw, now)
 }
 
 // shortestHedge keeps quick answers from being hedged.
--- a/core/blvalue/identity.go
+++ b/core/blvalue/identity.go
@@ -50,6 +50,9 @@
 	// KeepsGrants tells that the server keeps its grants itself, whichever run
 	// of the node renews them.
 	KeepsGrants bool
+	// Cold tells that the server says it is in cold start, in which it bears
+	// little.
+	Cold bool
 	// Born is when the run started, in milliseconds since the Unix epoch by the
 	// server's own clock, or zero where it doesn't say. Of two runs beside one
 	// node the one that was born later has replaced the other.
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -31,7 +31,7 @@
 func upstreamToProto(u blvalue.Upstream) *blproto.Upstream {
 	return &blproto.Upstream{
 		Name: string(u.Name), Incarnation: string(u.Incarnation), Service: string(u.Service),
-		Slots: uint32(u.Slots), ChecksFence: u.ChecksFence, Leaving: u.Leaving, KeepsGrants: u.KeepsGrants, Born: u.Born,
+		Slots: uint32(u.Slots), ChecksFence: u.ChecksFence, Leaving: u.Leaving, KeepsGrants: u.KeepsGrants, Cold: u.Cold, Born: u.Born,
 	}
 }
 
@@ -39,7 +39,7 @@
 	return blvalue.Upstream{
 		Name: blvalue.UpstreamName(u.GetName()), Incarnation: blvalue.Incarnation(u.GetIncarnation()),
 		Service: blvalue.ServiceName(u.GetService()), Slots: int(u.GetSlots()),
-		ChecksFence: u.GetChecksFence(), Leaving: u.GetLeaving(), KeepsGrants: u.GetKeepsGrants(), Born: u.GetBorn(),
+		ChecksFence: u.GetChecksFence(), Leaving: u.GetLeaving(), KeepsGrants: u.GetKeepsGrants(), Cold: u.GetCold(), Born: u.GetBorn(),
 	}
 }
 
--- a/io/blhttp/forward.go
+++ b/io/blhttp/forward.go
@@ -148,7 +148,7 @@
 			Exclusive: answer.Target.Exclusive, Attempt: attempt, Sent: sent,
 			MaxAttempts: answer.Route.MaxAttempts, Waited: time.Since(j.startedAt), Goal: answer.Route.Goal,
 		})
-		if step == blroute.StepGiveUp || !pause(ctx, blroute.Pause(attempt)) {
+		if step == blroute.StepGiveUp || step != blroute.StepElsewhere && !pause(ctx, blroute.Pause(attempt)) {
 			return delivery, delivery.RetryAfter
 		}
 		if step == blroute.StepSpend {
--- /dev/null
+++ b/tools/soak/main.go
@@ -0,0 +1,86 @@
+// Command soak runs a fleet of real processes under random faults made from
+// outside them, and holds what callers and upstreams see against what must
+// always hold. The same seed makes the same faults.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"bergamotlead/tools/blfleet"
+)
+
+type arguments struct {
+	Seed   uint64        `default:"1" help:"First seed."`
+	Seeds  uint64        `default:"1" help:"Number of seeds, one run each."`
+	Length time.Duration `default:"20s" help:"Length of a run."`
+	Hosts  int           `default:"5" help:"Hosts of the fleet."`
+	Root   string        `default:"." help:"Root of the module." type:"existingdir"`
+	Folder string        `help:"Where logs and reports are kept; a folder of its own when empty."`
+}
+
+func main() {
+	var args arguments
+	kong.Parse(&args, kong.Description("Runs a fleet under random faults and checks its promises."))
+	failed, err := run(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// run plays the seeds one after the other and returns how many broke a promise.
+func run(args arguments) (int, error) {
+	folder := args.Folder
+	if folder == "" {
+		var err error
+		if folder, err = os.MkdirTemp("", "bergamotlead-soak-"); err != nil {
+			return 0, fmt.Errorf("make folder: %w", err)
+		}
+	}
+	binaries := filepath.Join(folder, "bin")
+	if err := os.MkdirAll(binaries, 0o750); err != nil {
+		return 0, fmt.Errorf("make folder: %w", err)
+	}
+	if err := blfleet.Build(args.Root, binaries); err != nil {
+		return 0, fmt.Errorf("build programs: %w", err)
+	}
+	failed := 0
+	fmt.Println("seed    answered  not run  unknown  broken  p50 ms  p99 ms  recovered  verdict")
+	for seed := args.Seed; seed < args.Seed+args.Seeds; seed++ {
+		s := newSoak(args, seed, binaries, filepath.Join(folder, fmt.Sprintf("seed_%d", seed)))
+		if err := s.play(); err != nil {
+			return failed, fmt.Errorf("seed %d: %w", seed, err)
+		}
+		fmt.Println(s.line())
+		for _, broken := range s.findings() {
+			fmt.Println("        ", broken)
+		}
+		if len(s.findings()) > 0 {
+			failed++
+		}
+	}
+	fmt.Printf("soak: %d passed, %d failed\n", int(args.Seeds)-failed, failed)
+	fmt.Println("logs and reports:", folder)
+	return failed, nil
+}
+
+// writePlan keeps the plan of a run beside its logs.
+func writePlan(folder string, plan []step) error {
+	text, err := json.MarshalIndent(plan, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode plan: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "plan.json"), text, 0o600); err != nil {
+		return fmt.Errorf("write plan: %w", err)
+	}
+	return nil
+}
