--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 TOOLS := $(CURDIR)/.bin
 BUILD := $(CURDIR)/.build
 
-.PHONY: build demo test unit race lint bench measure fuzz generate config-page clean
+.PHONY: build demo test unit race lint bench measure soak fuzz generate config-page clean
 
 build: ## Build every program into .build
 	go build -o $(BUILD)/ ./cmd/... 
@@ -31,6 +31,9 @@
 bench: ## Measure the parts
 	go test -run '^$$' -bench . -benchmem ./core/...
 
+soak: ## Run fleets under random faults: SEED, SEEDS and LENGTH
+	go run ./tools/soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) --length $(or $(LENGTH),20s)
+
 measure: ## Measure the whole path between separate processes
 	go run ./tools/measure
 
--- a/core/blassign/offer.go
+++ b/core/blassign/offer.go
@@ -22,7 +22,8 @@
 	outstanding, _ := s.outstanding.Get(holder)
 	current := outstanding.current()
 	allowed := owned
-	unchanged := now.Before(current.expires) && current.set.Equal(owned)
+	taken := s.settled(now) || held.Fence.Term == s.authority.Term
+	unchanged := taken && now.Before(current.expires) && current.set.Equal(owned)
 	if !unchanged {
 		allowed = s.allowed(ownership, holder, upstream, owned, held, now)
 		s = s.withService(upstream.Service, ownership.withClaims(allowed, holder))
@@ -97,26 +98,28 @@
 	return blvalue.NewPartitionSet(list...)
 }
 
-// heldUnder returns what the holder still uses, by its own report or by a
-// grant of this term.
+// heldUnder returns what the holder still uses: by its own report, or by a grant
+// of this term where the report leaves it out. A grant that the report doesn't
+// show was never taken, and may rest on an older report that came late.
 func (s State[P]) heldUnder(holder Holder, held blgrant.Held, now bltimer.Instant) blvalue.PartitionSet {
 	outstanding, _ := s.outstanding.Get(holder)
 	current := outstanding.current()
-	if now.Before(current.expires) {
-		return held.Set.Union(current.set)
+	if !held.HasSet && now.Before(current.expires) {
+		return current.set
 	}
 	return held.Set
 }
 
 // needsHeld reports whether this lead has to know what the upstream holds from
-// an older term, and the report leaves it out.
+// an older term, and the report leaves it out. That this lead has granted
+// something says nothing while the report shows an older term: the grant may
+// have answered a report that came late, and never have been taken.
 func (s State[P]) needsHeld(m Heartbeat, upstream blvalue.Upstream, now bltimer.Instant) bool {
 	held := heldBy(m, upstream)
 	if s.settled(now) || held.HasSet || held.Fence.Term == 0 {
 		return false
 	}
-	_, known := s.outstanding.Get(NewHolder(m.Node.Incarnation, upstream))
-	return !known
+	return held.Fence.Term != s.authority.Term
 }
 
 func heldBy(m Heartbeat, upstream blvalue.Upstream) blgrant.Held {
--- a/core/blgrant/grant.go
+++ b/core/blgrant/grant.go
@@ -115,6 +115,14 @@
 	return g
 }
 
+// outdates reports whether an offer of another term rests on a report that no
+// longer holds: the grant has lapsed since the report was sent, and another
+// holder may have what it named.
+func (g Grant) outdates(offer Offer, sentAt, now bltimer.Instant) bool {
+	lapsed := g.Until != 0 && !now.Before(g.Until) && sentAt.Before(g.Until)
+	return lapsed && g.Fence.Term < offer.Fence.Term
+}
+
 func (g Grant) withoutDropping() Grant {
 	g.dropping = blvalue.PartitionSet{}
 	return g
--- a/core/blgrant/state.go
+++ b/core/blgrant/state.go
@@ -64,7 +64,7 @@
 	case Tick:
 		return s.cancelLapsed(now)
 	case Offered:
-		return s.offered(m)
+		return s.offered(m, now)
 	case UpstreamsSeen:
 		return s.upstreamsSeen(m, now)
 	case Kept:
@@ -81,7 +81,7 @@
 
 // offered takes the grants of a heartbeat's answer. A node that has heard of a
 // term takes nothing from a lower one.
-func (s State) offered(m Offered) (State, []Effect) {
+func (s State) offered(m Offered, now bltimer.Instant) (State, []Effect) {
 	if m.Term < s.term {
 		return s, nil
 	}
@@ -89,7 +89,7 @@
 	var effects []Effect
 	for _, offer := range m.Offers {
 		grant, ok := s.grants.Get(offer.Upstream)
-		if !ok || grant.Incarnation != offer.Incarnation {
+		if !ok || grant.Incarnation != offer.Incarnation || grant.outdates(offer, m.SentAt, now) {
 			continue
 		}
 		next := grant.WithOffer(offer, m.SentAt).withReported(m.SentAt)
--- a/core/blgrant/state_test.go
+++ b/core/blgrant/state_test.go
@@ -149,3 +149,30 @@
 		t.Error("request at a restarted upstream: got a permit, want a refusal")
 	}
 }
+
+// TestAnswerToAReportThatNoLongerHolds lets the first answer of a new lead come
+// after the grant lapsed that the report had named.
+func TestAnswerToAReportThatNoLongerHolds(t *testing.T) {
+	cases := []struct {
+		name   string
+		sentAt time.Duration
+		term   uint64
+		now    time.Duration
+		want   bool
+	}{
+		{"the grant still runs", ttl - 100*time.Millisecond, 2, ttl - 50*time.Millisecond, true},
+		{"it lapsed meanwhile", ttl - 100*time.Millisecond, 2, ttl + 50*time.Millisecond, false},
+		{"it had lapsed before the report", ttl + 10*time.Millisecond, 2, ttl + 50*time.Millisecond, true},
+		{"it lapsed meanwhile, the same lead", ttl - 100*time.Millisecond, 1, ttl + 50*time.Millisecond, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNode(t)
+			n.send(blgrant.Offered{SentAt: at(0), Term: 1, Offers: []blgrant.Offer{offer(1, 1, 5)}}, 0)
+			n.send(blgrant.Offered{SentAt: at(c.sentAt), Term: c.term, Offers: []blgrant.Offer{offer(c.term, 2, 5)}}, c.now)
+			if got := n.begin(c.now).Refusal == nil; got != c.want {
+				t.Errorf("request allowed: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/core/blroute/choose.go
+++ b/core/blroute/choose.go
@@ -155,7 +155,6 @@
 	return h
 }
 
-
 // WithAnswer returns the health after one answer.
 func (h Health) WithAnswer(latency time.Duration, failed bool, now bltimer.Instant) Health {
 	h.Outstanding = max(h.Outstanding-1, 0)
--- a/tests/reload_test.go
+++ b/tests/reload_test.go
@@ -42,7 +42,7 @@
 func (f *fleet) waitLine(path, text string) {
 	f.t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		if log, err := os.ReadFile(path); err == nil && strings.Contains(string(log), text) { //nolint:gosec // a file of the test
+		if log, err := os.ReadFile(path); err == nil && strings.Contains(string(log), text) {
 			return
 		}
 	}
--- a/tools/soak/config.go
+++ b/tools/soak/config.go
@@ -40,7 +40,7 @@
 	defer s.config.mu.Unlock()
 	status, err := s.fleet.Status(host)
 	if err != nil {
-		return nil //nolint:nilerr // the host is down, by another fault
+		return nil // The host is down, or the change refused or unknown: other faults explain it.
 	}
 	document, err := blsettings.ParseDocument([]byte(s.config.text))
 	if err != nil {
@@ -57,7 +57,7 @@
 	}
 	result, err := s.fleet.Apply(host, max(s.config.revision, status.ConfigRevision), string(text))
 	if err != nil || result.Result != "accepted" {
-		return nil //nolint:nilerr // refused or unknown, which the outage explains
+		return nil // The host is down, or the change refused or unknown: other faults explain it.
 	}
 	s.config.key, s.config.text, s.config.revision = next, string(text), result.Revision
 	s.config.withdrawn, s.config.forceAt = former, time.Now().Add(forceBound)
--- /dev/null
+++ b/tools/soak/echo_test.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// newEcho serves connections that send back what they get, and returns where.
+func newEcho(t *testing.T) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// echoes reports whether a byte that is sent to address comes back soon.
+func echoes(t *testing.T, address string) bool {
+	t.Helper()
+	conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(300 * time.Millisecond))
+	if _, err := conn.Write([]byte{1}); err != nil {
+		return false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil
+}
--- a/tools/soak/plan.go
+++ b/tools/soak/plan.go
@@ -63,7 +63,7 @@
 // newPlan draws the faults of a run. The same seed gives the same plan. Faults
 // overlap.
 func newPlan(seed uint64, length time.Duration, hosts int) []step {
-	random := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // a plan is to be repeated, not kept secret
+	random := rand.New(rand.NewPCG(seed, 0))
 	between := func(least, most time.Duration) time.Duration {
 		return least + time.Duration(random.Int64N(int64(most-least)))
 	}
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -55,6 +55,13 @@
 	l.behaviour = b
 }
 
+// hold changes what the link does for a while.
+func (l *link) hold(b behaviour, length time.Duration) {
+	l.set(b)
+	time.Sleep(length)
+	l.set(behaviour{})
+}
+
 func (l *link) now() behaviour {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/tools/soak/report.go
+++ b/tools/soak/report.go
@@ -95,7 +95,7 @@
 		fmt.Fprintf(&svg, `<rect x="%.1f" y="%.1f" width="%.1f" height="%.1f" fill="#9c9"/>`, x, plotHeight-answered, width-1, answered)
 		fmt.Fprintf(&svg, `<rect x="%.1f" y="%.1f" width="%.1f" height="%.1f" fill="#c66"/>`, x, plotHeight-answered-other, width-1, other)
 		latency := float64(at.latency.ValueAtQuantile(maxPercentile)) / float64(slowest) * plotHeight
-		line = append(line, fmt.Sprintf("%.1f,%.1f", x+width/2, plotHeight-latency)) //nolint:mnd // the middle
+		line = append(line, fmt.Sprintf("%.1f,%.1f", x+width/2, plotHeight-latency))
 	}
 	fmt.Fprintf(&svg, `<polyline points="%s" fill="none" stroke="#338"/>`, strings.Join(line, " "))
 	for i, at := range plan {
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -166,7 +166,7 @@
 	faults := make(chan error, len(s.plan))
 	for _, at := range s.plan {
 		time.Sleep(at.At - time.Since(startedAt))
-		go func() { faults <- s.strike(at) }()
+		go func() { faults <- strikes[at.Fault](s, at, s.fleet.Hosts[at.Host]) }()
 	}
 	var first error
 	for range s.plan {
@@ -240,7 +240,7 @@
 	}
 	return fmt.Sprintf("%-7d %8d  %7d  %7d  %6d  %6.1f  %6.1f  %7.1f s  %s", s.seed, outcomes[blfleet.OutcomeAnswered],
 		outcomes["not_run"], outcomes["unknown"], outcomes[blfleet.OutcomeBroken],
-		s.report.quantile(50), s.report.quantile(99), s.recovered.Seconds(), verdict) //nolint:mnd // percent
+		s.report.quantile(50), s.report.quantile(99), s.recovered.Seconds(), verdict)
 }
 
 // firstConfig applies the shipped document.
--- /dev/null
+++ b/tools/soak/soak_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"bergamotlead/tools/blfleet"
+)
+
+// TestShortRuns plays a seed for a while, and seeds that once failed.
+func TestShortRuns(t *testing.T) {
+	cases := []struct {
+		name string
+		seed uint64
+	}{
+		{"any seed", 1},
+		// Every pot server was gone for the lead at once, and weighing them ended
+		// its process.
+		{"lead that saw all servers gone", 5},
+	}
+	binaries := t.TempDir()
+	if err := blfleet.Build(filepath.Join("..", ".."), binaries); err != nil {
+		t.Fatalf("build: %v", err)
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			args := arguments{Length: 20 * time.Second, Hosts: 5, Root: filepath.Join("..", "..")}
+			s := newSoak(args, c.seed, binaries, t.TempDir())
+			if err := s.play(); err != nil {
+				t.Fatalf("play: %v", err)
+			}
+			for _, broken := range s.findings() {
+				t.Error(broken)
+			}
+			t.Log(s.line())
+		})
+	}
+}
+
+func TestSameSeedSamePlan(t *testing.T) {
+	first, second := newPlan(7, 20*time.Second, 5), newPlan(7, 20*time.Second, 5)
+	if !slices.Equal(first, second) {
+		t.Errorf("plans: got %v and %v, want the same", first, second)
+	}
+	for _, at := range first {
+		if got, most := at.At+at.Lasts, 20*time.Second-calmEnd+shortestFault; got > most {
+			t.Errorf("%s ends: got %s, want at most %s", at.Fault, got, most)
+		}
+	}
+}
+
+// TestLinkLosesWhatItCuts holds the soak's own proxy against what it is to do.
+func TestLinkLosesWhatItCuts(t *testing.T) {
+	echo := newEcho(t)
+	cases := []struct {
+		name      string
+		behaviour behaviour
+		want      bool
+	}{
+		{"passes", behaviour{}, true},
+		{"delays", behaviour{delay: 30 * time.Millisecond}, true},
+		{"cuts there", behaviour{cutForward: true}, false},
+		{"cuts back", behaviour{cutBack: true}, false},
+		{"silent", behaviour{silent: true}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := newLink(echo)
+			if err != nil {
+				t.Fatalf("open link: %v", err)
+			}
+			defer l.close()
+			l.set(c.behaviour)
+			if got := echoes(t, l.address()); got != c.want {
+				t.Errorf("echo comes back: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/tools/soak/strike.go
+++ b/tools/soak/strike.go
@@ -17,119 +17,144 @@
 	stopWait     = 20 * time.Second
 )
 
-// strike makes the fault of a step and ends it after its time.
-func (s *soak) strike(at step) error {
-	host := s.fleet.Hosts[at.Host]
-	switch at.Fault {
-	case faultKillNode, faultStopNode, faultFreezeNode, faultReloadNode:
-		return s.strikeNode(at, host)
-	case faultKillUpstream, faultFreezeUpstream, faultSlowUpstream, faultBreakAnswers:
-		return s.strikeUpstream(at, host.Upstreams[0])
-	case faultStoreDown:
-		return s.strikeStore(at, map[string]any{"down": true})
-	case faultStoreSlow:
-		return s.strikeStore(at, map[string]any{"delay_ms": slowStoreMS})
-	case faultStoreLoses:
-		return s.strikeStore(at, map[string]any{"lose_answers": lostAnswers})
-	case faultStoreLapses:
-		return s.strikeStore(at, map[string]any{"lapse_leases": true})
-	case faultConfig:
-		return s.changeConfig(host)
-	case faultCutNode, faultDelayNode, faultResetNode, faultSilenceNode, faultCutStore:
-		s.strikeLink(at, host)
+// strike makes one fault at a host and ends it after its time.
+type strike func(s *soak, at step, host *blfleet.Host) error
+
+// strikes holds how each fault is made.
+var strikes = map[fault]strike{
+	faultKillNode:       alone(killNode),
+	faultStopNode:       alone(stopNode),
+	faultFreezeNode:     alone(freezeNode),
+	faultReloadNode:     alone(reloadNode),
+	faultKillUpstream:   alone(killUpstream),
+	faultFreezeUpstream: alone(freezeUpstream),
+	faultSlowUpstream:   alone(slowUpstream),
+	faultBreakAnswers:   alone(breakAnswers),
+	faultStoreDown:      store(map[string]any{"down": true}),
+	faultStoreSlow:      store(map[string]any{"delay_ms": slowStoreMS}),
+	faultStoreLoses:     store(map[string]any{"lose_answers": lostAnswers}),
+	faultStoreLapses:    store(map[string]any{"lapse_leases": true}),
+	faultCutNode:        cut("node/"),
+	faultCutStore:       cut("store/"),
+	faultDelayNode:      delayNode,
+	faultSilenceNode:    silenceNode,
+	faultResetNode:      resetNode,
+	faultConfig:         func(s *soak, _ step, host *blfleet.Host) error { return s.changeConfig(host) },
+}
+
+// alone makes a fault while no other one starts or stops a process of the host.
+func alone(made strike) strike {
+	return func(s *soak, at step, host *blfleet.Host) error {
+		s.busy[at.Host].Lock()
+		defer s.busy[at.Host].Unlock()
+		return made(s, at, host)
 	}
-	return nil
 }
 
-// strikeNode holds the host's node for itself, so that no other fault starts or
-// stops it meanwhile.
-func (s *soak) strikeNode(at step, host *blfleet.Host) error {
-	s.busy[at.Host].Lock()
-	defer s.busy[at.Host].Unlock()
-	switch at.Fault {
-	case faultReloadNode:
-		host.Node.Signal(syscall.SIGHUP)
-		return nil
-	case faultFreezeNode:
-		host.Node.Signal(syscall.SIGSTOP)
-		time.Sleep(at.Lasts)
-		host.Node.Signal(syscall.SIGCONT)
-		return nil
-	case faultStopNode:
-		if !host.Node.Terminate(stopWait) {
-			s.broken("node of %s: got no end within %s of SIGTERM", host.Spec.Name, stopWait)
-			host.Node.Kill()
-		}
-	default:
+func killNode(s *soak, at step, host *blfleet.Host) error {
+	host.Node.Kill()
+	time.Sleep(at.Lasts)
+	return s.startNode(host)
+}
+
+func stopNode(s *soak, _ step, host *blfleet.Host) error {
+	if !host.Node.Terminate(stopWait) {
+		s.broken("node of %s: got no end within %s of SIGTERM", host.Spec.Name, stopWait)
 		host.Node.Kill()
-		time.Sleep(at.Lasts)
 	}
+	return s.startNode(host)
+}
+
+func (s *soak) startNode(host *blfleet.Host) error {
 	if err := s.fleet.StartNode(host); err != nil {
 		return fmt.Errorf("start node of %s: %w", host.Spec.Name, err)
 	}
 	return nil
 }
 
-func (s *soak) strikeUpstream(at step, upstream *blfleet.RunningUpstream) error {
-	s.busy[at.Host].Lock()
-	defer s.busy[at.Host].Unlock()
-	switch at.Fault {
-	case faultKillUpstream:
-		upstream.Process.Kill()
-		time.Sleep(at.Lasts)
-		if err := s.fleet.StartUpstream(upstream); err != nil {
-			return fmt.Errorf("start upstream %s: %w", upstream.Spec.Name, err)
-		}
-	case faultFreezeUpstream:
-		upstream.Process.Signal(syscall.SIGSTOP)
-		time.Sleep(at.Lasts)
-		upstream.Process.Signal(syscall.SIGCONT)
-	case faultBreakAnswers:
-		s.unheard(s.fleet.UpstreamFaults(upstream, map[string]any{"break_after_run": brokenAnswer}))
-	default:
-		s.unheard(s.fleet.UpstreamFaults(upstream, map[string]any{"slow_factor": slowFactor}))
-		time.Sleep(at.Lasts)
-		s.unheard(s.fleet.UpstreamFaults(upstream, map[string]any{"slow_factor": 1}))
-	}
+func freezeNode(_ *soak, at step, host *blfleet.Host) error {
+	freeze(host.Node, at.Lasts)
 	return nil
 }
 
-// strikeStore gives the store a fault, one at a time.
-func (s *soak) strikeStore(at step, fault map[string]any) error {
-	s.storeBusy.Lock()
-	defer s.storeBusy.Unlock()
-	if err := s.fleet.PlatformFaults(fault); err != nil {
-		return fmt.Errorf("set fault of store: %w", err)
-	}
+func freeze(process *blfleet.Process, length time.Duration) {
+	process.Signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	process.Signal(syscall.SIGCONT)
+}
+
+func reloadNode(_ *soak, _ step, host *blfleet.Host) error {
+	host.Node.Signal(syscall.SIGHUP)
+	return nil
+}
+
+func killUpstream(s *soak, at step, host *blfleet.Host) error {
+	upstream := host.Upstreams[0]
+	upstream.Process.Kill()
 	time.Sleep(at.Lasts)
-	if err := s.fleet.PlatformFaults(map[string]any{}); err != nil {
-		return fmt.Errorf("end fault of store: %w", err)
+	if err := s.fleet.StartUpstream(upstream); err != nil {
+		return fmt.Errorf("start upstream %s: %w", upstream.Spec.Name, err)
 	}
 	return nil
 }
 
-func (s *soak) strikeLink(at step, host *blfleet.Host) {
-	name := "node/" + host.Spec.Name
-	if at.Fault == faultCutStore {
-		name = "store/" + host.Spec.Name
-	}
-	l := s.links[name]
-	var b behaviour
-	switch at.Fault {
-	case faultResetNode:
-		l.reset()
-		return
-	case faultDelayNode:
-		b.delay = linkDelay
-	case faultSilenceNode:
-		b.silent = true
-	default:
-		b.cutBack, b.cutForward = at.Back, !at.Back
-	}
-	l.set(b)
+func freezeUpstream(_ *soak, at step, host *blfleet.Host) error {
+	freeze(host.Upstreams[0].Process, at.Lasts)
+	return nil
+}
+
+func slowUpstream(s *soak, at step, host *blfleet.Host) error {
+	s.unheard(s.fleet.UpstreamFaults(host.Upstreams[0], map[string]any{"slow_factor": slowFactor}))
 	time.Sleep(at.Lasts)
-	l.set(behaviour{})
-	if b.delay == 0 {
+	s.unheard(s.fleet.UpstreamFaults(host.Upstreams[0], map[string]any{"slow_factor": 1}))
+	return nil
+}
+
+func breakAnswers(s *soak, _ step, host *blfleet.Host) error {
+	s.unheard(s.fleet.UpstreamFaults(host.Upstreams[0], map[string]any{"break_after_run": brokenAnswer}))
+	return nil
+}
+
+// store gives the platform's store a fault, one at a time.
+func store(fault map[string]any) strike {
+	return func(s *soak, at step, _ *blfleet.Host) error {
+		s.storeBusy.Lock()
+		defer s.storeBusy.Unlock()
+		if err := s.fleet.PlatformFaults(fault); err != nil {
+			return fmt.Errorf("set fault of store: %w", err)
+		}
+		time.Sleep(at.Lasts)
+		if err := s.fleet.PlatformFaults(map[string]any{}); err != nil {
+			return fmt.Errorf("end fault of store: %w", err)
+		}
+		return nil
+	}
+}
+
+// cut loses what passes the host's link of a kind one way. What was lost leaves
+// connections silent, which end with the cut.
+func cut(kind string) strike {
+	return func(s *soak, at step, host *blfleet.Host) error {
+		l := s.links[kind+host.Spec.Name]
+		l.hold(behaviour{cutBack: at.Back, cutForward: !at.Back}, at.Lasts)
 		l.reset()
+		return nil
 	}
 }
+
+func delayNode(s *soak, at step, host *blfleet.Host) error {
+	s.links["node/"+host.Spec.Name].hold(behaviour{delay: linkDelay}, at.Lasts)
+	return nil
+}
+
+func silenceNode(s *soak, at step, host *blfleet.Host) error {
+	l := s.links["node/"+host.Spec.Name]
+	l.hold(behaviour{silent: true}, at.Lasts)
+	l.reset()
+	return nil
+}
+
+func resetNode(s *soak, _ step, host *blfleet.Host) error {
+	s.links["node/"+host.Spec.Name].reset()
+	return nil
+}
