Count the time to end from the signal; stop waiting for new owners in time

With the store slow and leads coming and going nobody took its keys; it waited for that until the end of its time, which was counted from 1.4 s after the signal. Ruled out by the log: a crash (no exit of its own) and the upstream's node (it cut only after the entry had closed).

--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -117,11 +117,20 @@
 	}
 }
 
+// handOverLimit returns how long a leaving node waits at most for new owners,
+// where callers go elsewhere after the given time, or are told at once.
+func handOverLimit(leaveAfter time.Duration) time.Duration {
+	if leaveAfter == 0 {
+		return handOverWait
+	}
+	return min(leaveAfter, handOverTime) + lateHandOver
+}
+
 // leave hands partitions and the lead over. It waits until nothing is granted
 // here any more, or nobody takes it.
 func (n *Node) leave(ctx context.Context) {
 	blduty.PutWaiting[blmember.Message](n.duties.member.Put, blmember.Leave{})
-	ctx, cancel := context.WithTimeout(ctx, handOverWait)
+	ctx, cancel := context.WithTimeout(ctx, handOverLimit(n.platform.LeaveAfter))
 	defer cancel()
 	ticker := time.NewTicker(handOverPoll)
 	defer ticker.Stop()
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -62,6 +62,9 @@
 	// handOverWait is how long a leaving node waits at most for its partitions
 	// to find new owners.
 	handOverWait = 10 * time.Second
+	// lateHandOver is how long it waits at most beyond the moment at which callers
+	// go elsewhere. Requests that run need the rest of the time to end.
+	lateHandOver = 500 * time.Millisecond
 	percent      = 100
 	// linesPerSecond bounds the lines about orders of other nodes, of each kind.
 	linesPerSecond = 20
@@ -239,12 +242,12 @@
 		server.SetKeepAlivesEnabled(false)
 	}
 	elsewhere := time.After(n.platform.LeaveAfter)
-	n.stay(ctx)
 	if grace := n.duties.admit.View().Config().Plan.Limits.ShutdownGrace; grace > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, grace)
 		defer cancel()
 	}
+	n.stay(ctx)
 	n.leave(ctx)
 	select {
 	case <-elsewhere:
