--- a/core/blpurse/state.go
+++ b/core/blpurse/state.go
@@ -93,9 +93,10 @@
 	for name, account := range s.config.Plan.Accounts {
 		bucket, ok := s.buckets.Get(name)
 		if !ok {
-			bucket = NewBucket(account, now).WithBurst(s.burst(account, now), now)
+			bucket = NewBucket(account, now)
 		}
-		s.buckets = s.buckets.With(name, bucket.WithAccount(account, now).WithBurst(s.burst(account, now), now))
+		account.Burst = s.burst(account, now)
+		s.buckets = s.buckets.With(name, bucket.WithAccount(account, now))
 	}
 	return s
 }
