Log every cause of an outage and where a configuration came from

Of an outage of the watch only the first error was logged, rereads failed at debug level, heartbeats failed without a line, and 'configuration in force' did not say who had sent it.

No decision changes.

--- a/core/blmember/messages.go
+++ b/core/blmember/messages.go
@@ -111,9 +111,21 @@
 // GrantsOffered passes grants to the grant duty.
 type GrantsOffered struct{ Offered blgrant.OffersReceived }
 
+// ConfigOrigin says from where a node received a configuration.
+type ConfigOrigin string
+
+// The origins of configurations.
+const (
+	OriginSource ConfigOrigin = "source"
+	OriginLead   ConfigOrigin = "lead"
+)
+
 // ConfigChanged carries a configuration that differs from the former one and has a
 // later revision.
-type ConfigChanged struct{ Accepted blconfig.Accepted }
+type ConfigChanged struct {
+	Accepted blconfig.Accepted
+	Origin   ConfigOrigin
+}
 
 // ReloadConfig requests a read of the configuration from the store, because the
 // lead has a later one.
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -158,7 +158,7 @@
 		s.readsStore = m.ReadsStore
 		return s, nil
 	case ConfigSeen:
-		return s.configSeen(m.Accepted)
+		return s.configSeen(m.Accepted, OriginSource)
 	case UpstreamResponded:
 		return s.upstreamResponded(m, now), nil
 	case UpstreamStopped:
@@ -313,7 +313,7 @@
 	}
 	if config := m.Reply.Config; config != nil {
 		var changed []Effect
-		s, changed = s.configSeen(*config)
+		s, changed = s.configSeen(*config, OriginLead)
 		effects = append(effects, changed...)
 	}
 	if s.readsStore && m.Reply.ConfigRevision > s.config.Revision {
--- a/core/blmember/upstreams.go
+++ b/core/blmember/upstreams.go
@@ -69,7 +69,7 @@
 
 // configSeen adopts a configuration from the store or the lead if its revision is
 // later than the current one.
-func (s State) configSeen(accepted blconfig.Accepted) (State, []Effect) {
+func (s State) configSeen(accepted blconfig.Accepted, origin ConfigOrigin) (State, []Effect) {
 	if accepted.Revision <= s.config.Revision {
 		return s, nil
 	}
@@ -79,7 +79,7 @@
 	}
 	s.config = accepted
 	s.interval = accepted.Plan.Timing.Heartbeat
-	return s, []Effect{ConfigChanged{Accepted: accepted}}
+	return s, []Effect{ConfigChanged{Accepted: accepted, Origin: origin}}
 }
 
 // withNodes keeps the nodes of a directory, any of which may know the lead.
--- a/io/blnode/config_work.go
+++ b/io/blnode/config_work.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blplatform"
 	"bergamotlead/io/blsettings"
@@ -69,7 +66,7 @@
 // configReloader rereads the configuration in case a watch has missed a change.
 type configReloader struct {
 	source    ConfigSource
-	logger    hclog.Logger
+	outage    *outageLog
 	onConfig  func(blconfig.Accepted)
 	onRead    func(bool)
 	countCall func(kind string)
@@ -79,10 +76,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	r.countCall("get")
+	startedAt := time.Now()
 	accepted, err := r.source.Load(ctx)
 	r.onRead(err == nil)
+	r.outage.record(err, "revision", accepted.Revision, "bytes", len(accepted.Source), "elapsed_ms", time.Since(startedAt).Milliseconds())
 	if err != nil {
-		r.logger.Debug("configuration not read", "error", err)
 		return
 	}
 	if accepted.Revision > 0 {
@@ -119,7 +117,7 @@
 // itself.
 type configWatcher struct {
 	source   ConfigSource
-	logger   hclog.Logger
+	outage   *outageLog
 	onConfig func(blconfig.Accepted)
 	// enabled reports whether this process is to watch the configuration.
 	enabled func() bool
@@ -127,9 +125,6 @@
 	onRead    func(bool)
 	requeue   func(watchJob)
 	countCall func(kind string)
-	// failing is set during an outage, which is logged once rather than at each
-	// attempt.
-	failing *atomic.Bool
 }
 
 // perform waits for one change and requeues the job as long as the watch is
@@ -143,19 +138,14 @@
 	defer cancel()
 	accepted, err := w.next(ctx, job)
 	w.onRead(err == nil)
+	w.outage.record(err, "revision", max(job.revision, accepted.Revision), "bytes", len(accepted.Source))
 	if err != nil {
-		if !w.failing.Swap(true) {
-			w.logger.Warn("configuration not watched", "revision", job.revision, "error", err)
-		}
 		job.failures++
 		time.Sleep(job.backoff())
 		w.requeue(job)
 		return
 	}
 	job.failures = 0
-	if w.failing.Swap(false) {
-		w.logger.Info("configuration watched again", "revision", accepted.Revision)
-	}
 	job.revision = max(job.revision, accepted.Revision)
 	if accepted.Revision > 0 {
 		w.onConfig(accepted)
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -5,7 +5,6 @@
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/blassign"
-	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blduty"
 	"bergamotlead/core/blgrant"
@@ -190,7 +189,7 @@
 	case blmember.GrantsOffered:
 		n.logDropped("grant", n.duties.grant.Put(e.Offered))
 	case blmember.ConfigChanged:
-		n.configChanged(e.Accepted)
+		n.configChanged(e)
 	case blmember.ReloadConfig:
 		n.reloadConfig()
 	case blmember.DirectoryChanged:
@@ -237,7 +236,8 @@
 }
 
 // configChanged brings a newer configuration into force on this node.
-func (n *Node) configChanged(accepted blconfig.Accepted) {
+func (n *Node) configChanged(change blmember.ConfigChanged) {
+	accepted := change.Accepted
 	blduty.PutBlocking[bladmit.Message](n.duties.admit.Put, bladmit.ConfigChanged{Accepted: accepted})
 	blduty.PutBlocking[blroute.Message](n.duties.route.Put, blroute.ConfigChanged{Accepted: accepted})
 	blduty.PutBlocking[bldeliver.Message](n.duties.deliver.Put, bldeliver.ConfigChanged{Accepted: accepted})
@@ -247,7 +247,7 @@
 		HoldLimit: n.platform.Timing.HoldLimit,
 	}})
 	n.logger.Info("configuration in force", "revision", accepted.Revision, "routes", len(accepted.Plan.Routes),
-		"accounts", len(accepted.Plan.Accounts))
+		"accounts", len(accepted.Plan.Accounts), "origin", string(change.Origin), "bytes", len(accepted.Source))
 }
 
 func (n *Node) performGrant(effect blgrant.Effect) {
--- a/io/blnode/node_work.go
+++ b/io/blnode/node_work.go
@@ -28,6 +28,7 @@
 	client *blgrpc.Client
 	grant  func(blgrant.Message) error
 	put    func(blmember.Message) error
+	outage *outageLog
 	// loads returns the loads of the local upstreams.
 	loads func() []blassign.UpstreamLoad
 }
@@ -46,6 +47,7 @@
 			heartbeat.Loads = s.loads()
 			answer.Reply, err = s.client.Heartbeat(ctx, effect.To.Address, heartbeat)
 			answer.Failed = err != nil
+			s.outage.record(err, "to", string(effect.To.Name))
 		}
 	}
 	_ = s.put(answer)
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"bergamotlead/core/bladmit"
@@ -55,13 +54,15 @@
 		countCall: n.metrics.StoreCall,
 	}
 	watch := configWatcher{
-		source: n.platform.Config, logger: n.logger, onConfig: n.publishLocalConfig, enabled: n.watchesConfig,
-		onRead: n.configSourceChanged, countCall: n.metrics.StoreCall, failing: &atomic.Bool{},
+		source: n.platform.Config, onConfig: n.publishLocalConfig, enabled: n.watchesConfig,
+		outage: n.newOutageLog("configuration not watched", "configuration watched again"),
+		onRead: n.configSourceChanged, countCall: n.metrics.StoreCall,
 		requeue: func(job watchJob) { n.logDropped("watch", n.workers.watch.Put(job)) },
 	}
 	heartbeat := heartbeatSender{
 		client: n.client, grant: func(m blgrant.Message) error { return n.duties.grant.Put(m) },
 		put: func(m blmember.Message) error { return n.duties.member.Put(m) }, loads: n.upstreamLoads,
+		outage: n.newOutageLog("heartbeat not answered", "heartbeat answered again"),
 	}
 	borrow := tokenBorrower{
 		client: n.client, clock: n.clock, self: n.self,
@@ -80,12 +81,17 @@
 		upstream:   blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock).perform),
 		reconciler: blduty.NewWorker("hold", 1, n.sendOrders),
 		reload: blduty.NewWorker("reload", 1, configReloader{
-			source: n.platform.Config, logger: n.logger, onConfig: n.publishLocalConfig, onRead: n.configSourceChanged,
+			source: n.platform.Config, onConfig: n.publishLocalConfig, onRead: n.configSourceChanged,
+			outage:    n.newOutageLog("configuration not read", "configuration read again"),
 			countCall: n.metrics.StoreCall,
 		}.perform),
 	}
 }
 
+func (n *Node) newOutageLog(lost, regained string) *outageLog {
+	return newOutageLog(n.logger, n.clock, lost, regained)
+}
+
 func (w workers) start() {
 	w.lease.Start()
 	w.record.Start()
