--- a/tools/soak/echo_test.go
+++ b/tools/bllink/echo_test.go
@@ -1,4 +1,4 @@
-package main
+package bllink
 
 import (
 	"context"
--- a/tools/soak/inject.go
+++ b/tools/soak/inject.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotlead/tools/blfleet"
+	"bergamotlead/tools/bllink"
 )
 
 const (
@@ -137,25 +138,25 @@
 func cutLink(kind string) injector {
 	return func(s *soak, planned plannedFault, host *blfleet.Host) error {
 		l := s.links[kind+host.Spec.Name]
-		l.setFor(linkFaults{cutBack: planned.Back, cutForward: !planned.Back}, planned.Duration)
-		l.reset()
+		l.SetFor(bllink.Faults{CutBack: planned.Back, CutForward: !planned.Back}, planned.Duration)
+		l.Reset()
 		return nil
 	}
 }
 
 func delayNode(s *soak, planned plannedFault, host *blfleet.Host) error {
-	s.links["node/"+host.Spec.Name].setFor(linkFaults{delay: linkDelay}, planned.Duration)
+	s.links["node/"+host.Spec.Name].SetFor(bllink.Faults{Delay: linkDelay}, planned.Duration)
 	return nil
 }
 
 func silenceNode(s *soak, planned plannedFault, host *blfleet.Host) error {
 	l := s.links["node/"+host.Spec.Name]
-	l.setFor(linkFaults{silent: true}, planned.Duration)
-	l.reset()
+	l.SetFor(bllink.Faults{Silent: true}, planned.Duration)
+	l.Reset()
 	return nil
 }
 
 func resetNode(s *soak, _ plannedFault, host *blfleet.Host) error {
-	s.links["node/"+host.Spec.Name].reset()
+	s.links["node/"+host.Spec.Name].Reset()
 	return nil
 }
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -9,6 +9,7 @@
 
 	"bergamotlead/core/blconfig"
 	"bergamotlead/tools/blfleet"
+	"bergamotlead/tools/bllink"
 )
 
 const (
@@ -31,7 +32,7 @@
 	plan     []plannedFault
 
 	fleet *blfleet.Fleet
-	links map[string]*link
+	links map[string]*bllink.Link
 	// processLocks has one lock per host, held by a fault while it stops or starts a
 	// process of the host.
 	processLocks []sync.Mutex
@@ -49,7 +50,7 @@
 func newSoak(args arguments, seed uint64, binaries, folder string) *soak {
 	return &soak{
 		args: args, seed: seed, binaries: binaries, folder: folder, plan: newPlan(seed, args.Length, args.Hosts),
-		links: map[string]*link{}, processLocks: make([]sync.Mutex, args.Hosts), report: newReport(),
+		links: map[string]*bllink.Link{}, processLocks: make([]sync.Mutex, args.Hosts), report: newReport(),
 	}
 }
 
@@ -135,7 +136,7 @@
 func (s *soak) stop() {
 	s.fleet.Stop()
 	for _, l := range s.links {
-		l.close()
+		l.Close()
 	}
 }
 
@@ -153,12 +154,12 @@
 
 // link starts a proxy to the target and returns its address.
 func (s *soak) link(name, target string) (string, error) {
-	l, err := newLink(target)
+	l, err := bllink.New(target)
 	if err != nil {
 		return "", err
 	}
 	s.links[name] = l
-	return l.address(), nil
+	return l.Address(), nil
 }
 
 // runPlan injects the faults of the plan at their times, waits until all have
