Bound the store's responses by progress and size instead of a fixed time

Cause, first part: two limits of the store's client did not depend on the size of a configuration. A watch from an old revision is answered with every version since; beyond 2 MB (five versions of 1,400 routes) the rest was cut off, decoding failed, and the next attempt asked for the same again. A reread of 0.45 MB at 10 Mbit/s takes 360 ms and was given 250 (logs: 'read answer: context deadline exceeded' from every small host after the configuration grew).

Change: a response is bounded by TooLargeError and by progress (StalledError after 1 s without data). Keep-alive probes find a silent connection in 2.5 s.

--- a/io/blstore/client.go
+++ b/io/blstore/client.go
@@ -45,7 +45,9 @@
 
 // Get returns the entry of key. The entry of a missing key has revision zero.
 func (c *Client) Get(ctx context.Context, key string) (blplatform.Entry, error) {
-	return c.read(ctx, key, "/kv/"+url.PathEscape(key))
+	var body entryBody
+	status, err := c.transport.Call(ctx, http.MethodGet, "/kv/"+url.PathEscape(key), nil, &body)
+	return entryOf(key, body, status, err)
 }
 
 // Watch waits until the revision of key differs from revision, at most for
@@ -55,12 +57,13 @@
 		"revision": {strconv.FormatUint(revision, 10)},
 		"wait_ms":  {strconv.FormatInt(watchTimeout.Milliseconds(), 10)},
 	}
-	return c.read(ctx, key, "/watch/"+url.PathEscape(key)+"?"+query.Encode())
+	var body entryBody
+	status, err := c.transport.Watch(ctx, "/watch/"+url.PathEscape(key)+"?"+query.Encode(), MaxResponseBytes, &body)
+	return entryOf(key, body, status, err)
 }
 
-func (c *Client) read(ctx context.Context, key, path string) (blplatform.Entry, error) {
-	var body entryBody
-	status, err := c.transport.Call(ctx, http.MethodGet, path, nil, &body)
+// entryOf returns the entry in the response to a read.
+func entryOf(key string, body entryBody, status int, err error) (blplatform.Entry, error) {
 	if err != nil {
 		return blplatform.Entry{}, fmt.Errorf("get %s: %w", key, blplatform.UnavailableError{Cause: err})
 	}
--- a/io/blstore/transport.go
+++ b/io/blstore/transport.go
@@ -15,13 +15,25 @@
 )
 
 const (
-	// maxResponseBytes limits a response of the store: a value of one megabyte
+	// MaxResponseBytes limits a response of the store: a value of one megabyte
 	// in base64 and the JSON around it.
-	maxResponseBytes = 2 << 20
+	MaxResponseBytes = 2 << 20
 	// maxIdleConnections limits the idle connections to the store that are kept
 	// open.
 	maxIdleConnections = 8
 	connectTimeout     = time.Second
+	// progressTimeout is how long a read waits for the head of the response, and any
+	// call for the next bytes of the body. The time for a whole response depends on
+	// its size and on the link.
+	progressTimeout = time.Second
+)
+
+// Keep-alive probes find a connection that has gone silent within 2.5 s. A watch has
+// no other means, since it may wait long for its answer.
+const (
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 3
 )
 
 // Transport calls a store over HTTP with JSON bodies.
@@ -33,8 +45,12 @@
 // NewTransport returns a transport to the store at address, which is an IP address
 // and port.
 func NewTransport(address string) *Transport {
+	dialer := &net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
 	}
@@ -51,6 +67,24 @@
 	return fmt.Sprintf("status %d", e.Status)
 }
 
+// TooLargeError reports a response of more bytes than the caller accepts.
+type TooLargeError struct {
+	Limit int64
+}
+
+// Error implements error.
+func (e TooLargeError) Error() string {
+	return fmt.Sprintf("response exceeds %d bytes", e.Limit)
+}
+
+// StalledError reports a response of which nothing arrived for progressTimeout.
+type StalledError struct{}
+
+// Error implements error.
+func (StalledError) Error() string {
+	return fmt.Sprintf("no data for %s", progressTimeout)
+}
+
 // ClassifyWriteError classifies the error of a write. It returns an
 // UnavailableError if connecting to the store failed, so that the write was never
 // sent, and an UnknownOutcomeError otherwise, because the write may have taken
@@ -65,34 +99,111 @@
 
 // Call sends request as the body, unless it is nil, and decodes the response body
 // into result, unless that is nil. The body is not decoded if the status says that
-// the store is unavailable.
+// the store is unavailable. It returns a StalledError if the response to a read, or
+// the rest of any response, does not arrive, and a TooLargeError for one of more
+// than MaxResponseBytes.
 func (t *Transport) Call(ctx context.Context, method, path string, request, result any) (int, error) {
-	var payload io.Reader = http.NoBody
+	payload := []byte(nil)
 	if request != nil {
-		encoded, err := json.Marshal(request)
-		if err != nil {
+		var err error
+		if payload, err = json.Marshal(request); err != nil {
 			return 0, fmt.Errorf("encode request: %w", err)
 		}
-		payload = bytes.NewReader(encoded)
 	}
-	call, err := http.NewRequestWithContext(ctx, method, t.base+path, payload)
+	return t.call(ctx, exchange{
+		method: method, path: path, payload: payload, result: result, limit: MaxResponseBytes, headBounded: method == http.MethodGet,
+	})
+}
+
+// Watch reads a response that the store holds back until there is a change. It
+// returns a TooLargeError if the response has more than limit bytes.
+func (t *Transport) Watch(ctx context.Context, path string, limit int64, result any) (int, error) {
+	return t.call(ctx, exchange{method: http.MethodGet, path: path, result: result, limit: limit})
+}
+
+// exchange is one call and what its response may look like.
+type exchange struct {
+	method  string
+	path    string
+	payload []byte
+	result  any
+	// limit is the maximum size of the response body in bytes.
+	limit int64
+	// headBounded is set if the head of the response has to arrive within
+	// progressTimeout.
+	headBounded bool
+}
+
+func (t *Transport) call(ctx context.Context, e exchange) (int, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	progress := time.AfterFunc(progressTimeout, func() { cancel(StalledError{}) })
+	defer progress.Stop()
+	if !e.headBounded {
+		progress.Stop()
+	}
+	status, body, err := t.exchange(ctx, e, progress)
+	if err != nil {
+		return 0, t.failure(ctx, err)
+	}
+	if e.result == nil || len(body) == 0 || status == http.StatusServiceUnavailable {
+		return status, nil
+	}
+	if err := json.Unmarshal(body, e.result); err != nil {
+		return 0, fmt.Errorf("decode answer: %w", err)
+	}
+	return status, nil
+}
+
+// failure completes the error of an exchange. After one without a response the idle
+// connections are closed, since they may have gone silent as well.
+func (t *Transport) failure(ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
+	if cause == nil {
+		return err
+	}
+	t.client.CloseIdleConnections()
+	if errors.Is(cause, StalledError{}) {
+		return fmt.Errorf("%w: %w", cause, err)
+	}
+	return err
+}
+
+func (t *Transport) exchange(ctx context.Context, e exchange, progress *time.Timer) (int, []byte, error) {
+	call, err := http.NewRequestWithContext(ctx, e.method, t.base+e.path, bytes.NewReader(e.payload))
 	if err != nil {
-		return 0, fmt.Errorf("build request: %w", err)
+		return 0, nil, fmt.Errorf("build request: %w", err)
 	}
 	response, err := t.client.Do(call)
 	if err != nil {
-		return 0, fmt.Errorf("call store: %w", err)
+		return 0, nil, fmt.Errorf("call store: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if response.ContentLength > e.limit {
+		return 0, nil, TooLargeError{Limit: e.limit}
+	}
+	progress.Reset(progressTimeout)
+	body, err := io.ReadAll(progressReader{reader: io.LimitReader(response.Body, e.limit+1), progress: progress})
 	if err != nil {
-		return 0, fmt.Errorf("read answer: %w", err)
+		return 0, nil, fmt.Errorf("read answer: %w", err)
 	}
-	if result == nil || len(body) == 0 || response.StatusCode == http.StatusServiceUnavailable {
-		return response.StatusCode, nil
+	if int64(len(body)) > e.limit {
+		return 0, nil, TooLargeError{Limit: e.limit}
 	}
-	if err := json.Unmarshal(body, result); err != nil {
-		return 0, fmt.Errorf("decode answer: %w", err)
+	return response.StatusCode, body, nil
+}
+
+// progressReader restarts a timer whenever data arrives.
+type progressReader struct {
+	reader   io.Reader
+	progress *time.Timer
+}
+
+// Read implements io.Reader.
+func (r progressReader) Read(buffer []byte) (int, error) {
+	count, err := r.reader.Read(buffer)
+	if count > 0 {
+		r.progress.Reset(progressTimeout)
 	}
-	return response.StatusCode, nil
+	return count, err //nolint:wrapcheck // io.Reader passes io.EOF on
 }
