Fetch configurations apart from heartbeats

All 18 hosts that were without the store stayed on version 36 for the whole outage and 3 s beyond, although the lead had 43 and their heartbeats reached it.

In the other direction a lead without the store asked nodes for theirs the same way.

Change: heartbeats carry the revision alone. Reads of the configuration have 10 s instead of 250 ms, and a reported revision that has been read meanwhile isn't read again.

--- a/core/blassign/bench_test.go
+++ b/core/blassign/bench_test.go
@@ -67,9 +67,7 @@
 	hb.Reply = blring.NewReply[blassign.HeartbeatReply]()
 	h.send(*hb)
 	reply, _ := hb.Reply.Await(shortContext())
-	if reply.Config != nil {
-		hb.ConfigRevision = reply.Config.Revision
-	}
+	hb.ConfigRevision = max(hb.ConfigRevision, reply.ConfigRevision)
 	if reply.Directory != nil {
 		hb.Directory = reply.Directory.Version
 	}
--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -52,6 +52,7 @@
 	}
 	s.config = m.Accepted
 	s.configAt = now
+	s.laterConfigAt = 0
 	var effects []Effect
 	for name, service := range s.config.Plan.Services {
 		if _, ok := s.services.Get(name); ok || service.Kind != blconfig.ServiceExclusive {
--- a/core/blassign/heartbeat.go
+++ b/core/blassign/heartbeat.go
@@ -21,7 +21,7 @@
 	s = s.withHandovers(m)
 	s = s.withMember(m, now).withLoads(m)
 	reply := HeartbeatReply{Term: s.authority.Term, Standby: s.authority.Standby, StoreLost: !s.authority.MayChange}
-	reply = s.withConfig(reply, m, now)
+	s, reply, effects := s.compareConfig(reply, m, now)
 	for _, upstream := range m.Upstreams {
 		if s.needsHeld(m, upstream, now) {
 			reply.NeedHeld = true
@@ -38,36 +38,43 @@
 		}
 	}
 	reply.Directory = s.directorySince(m.Directory)
-	effects := []Effect{AnswerHeartbeat{Reply: m.Reply, HeartbeatReply: reply}}
-	if reply.NeedConfig {
-		effects = append(effects, ReloadConfig{})
-	}
-	if m.Config != nil && m.Config.Revision > s.config.Revision {
-		effects = append(effects, ConfigOffered{Accepted: *m.Config})
-	}
-	return s, effects
+	return s, append([]Effect{AnswerHeartbeat{Reply: m.Reply, HeartbeatReply: reply}}, effects...)
 }
 
-// configPushDelay is how long a node that reads the configuration itself may
-// lag behind before the lead sends it the configuration.
-const configPushDelay = 1200 * time.Millisecond
+const (
+	// ownReadDelay is how long a node that reads the configuration itself may lag
+	// behind before the lead asks it to fetch the lead's.
+	ownReadDelay = 1200 * time.Millisecond
+	// laterConfigDelay is how long the lead tries to read a later configuration
+	// itself before it fetches the one of a node.
+	laterConfigDelay = 600 * time.Millisecond
+)
 
-// withConfig completes the reply to a node whose configuration differs: the
-// later one is sent to the side that lacks it.
-func (s State[P]) withConfig(reply HeartbeatReply, m Heartbeat, now bltimer.Instant) HeartbeatReply {
+// compareConfig handles a configuration of the node that differs from the lead's:
+// the side with the earlier one is to read or fetch the later one.
+func (s State[P]) compareConfig(reply HeartbeatReply, m Heartbeat, now bltimer.Instant) (State[P], HeartbeatReply, []Effect) {
 	if m.ConfigRevision == s.config.Revision || m.ConfigDigest == s.config.Digest && s.config.Digest != 0 {
-		return reply
+		return s, reply, nil
 	}
 	if m.ConfigRevision > s.config.Revision {
-		reply.NeedConfig = true
-		return reply
+		s, effects := s.laterConfigReported(m, now)
+		return s, reply, effects
 	}
 	reply.ConfigRevision = s.config.Revision
-	if m.WantsConfig || now.Sub(s.configAt) > configPushDelay {
-		config := s.config
-		reply.Config = &config
+	reply.FetchConfig = m.WantsConfig || now.Sub(s.configAt) > ownReadDelay
+	return s, reply, nil
+}
+
+// laterConfigReported handles a node's report of a later configuration.
+func (s State[P]) laterConfigReported(m Heartbeat, now bltimer.Instant) (State[P], []Effect) {
+	if s.laterConfigAt == 0 {
+		s.laterConfigAt = now
 	}
-	return reply
+	effects := []Effect{ReloadConfig{}}
+	if now.Sub(s.laterConfigAt) >= laterConfigDelay || !s.authority.MayChange {
+		effects = append(effects, FetchConfig{From: m.Node})
+	}
+	return s, effects
 }
 
 // isStale reports whether a later heartbeat has been processed: one of the same
--- a/core/blassign/messages.go
+++ b/core/blassign/messages.go
@@ -61,9 +61,7 @@
 	Loads []UpstreamLoad
 	// WantsConfig is set when the node depends on the lead for configurations.
 	WantsConfig bool
-	// Config is the node's configuration, present if the lead asked for it.
-	Config *blconfig.Accepted
-	Reply  blring.Reply[HeartbeatReply]
+	Reply       blring.Reply[HeartbeatReply]
 }
 
 // UpstreamLoad is the load of one incarnation of an upstream.
@@ -77,9 +75,6 @@
 	// Term is zero when this process isn't lead or not ready to answer.
 	Term   uint64
 	Offers []blgrant.Offer
-	// Config is set when the lead sends its configuration to a node that has an
-	// older revision.
-	Config *blconfig.Accepted
 	// Directory is set when the node has an older version.
 	Directory *Directory
 	// Standby is the process to contact when the lead is gone.
@@ -89,9 +84,8 @@
 	// ConfigRevision is the revision of the lead's configuration, which is later
 	// than the node's, or zero.
 	ConfigRevision uint64
-	// NeedConfig asks for the node's configuration, which is later than the
-	// lead's.
-	NeedConfig bool
+	// FetchConfig asks the node to fetch the lead's configuration.
+	FetchConfig bool
 	// StoreLost is set when the lead can't reach the store.
 	StoreLost bool
 	// Lead is the lead according to the answering node, which isn't lead itself.
@@ -169,11 +163,11 @@
 
 func (ReloadConfig) assignEffect() {}
 
-// ConfigOffered carries a configuration that a node knew before the lead.
-type ConfigOffered struct{ Accepted blconfig.Accepted }
+// FetchConfig fetches the configuration of a node that knows a later one.
+type FetchConfig struct{ From blvalue.Host }
 
 func (Nudge) assignEffect()           {}
-func (ConfigOffered) assignEffect()   {}
+func (FetchConfig) assignEffect()     {}
 func (LoadConfig) assignEffect()      {}
 func (LoadChunk) assignEffect()       {}
 func (WriteChunk) assignEffect()      {}
--- a/core/blassign/state.go
+++ b/core/blassign/state.go
@@ -57,8 +57,10 @@
 	// clear.
 	lastPlacementAt   bltimer.Instant
 	previousCheckedAt bltimer.Instant
-	// configAt is when the current configuration was adopted.
-	configAt bltimer.Instant
+	// configAt is when the current configuration was adopted, and laterConfigAt when
+	// a node first reported a later one, or zero.
+	configAt      bltimer.Instant
+	laterConfigAt bltimer.Instant
 
 	// sequence numbers grants, version numbers directories, and writes numbers
 	// writes, each within a term.
--- a/core/blmember/messages.go
+++ b/core/blmember/messages.go
@@ -66,8 +66,11 @@
 // itself.
 type ConfigSourceChanged struct{ ReadsStore bool }
 
-// ConfigSeen carries a configuration that this node has read itself.
-type ConfigSeen struct{ Accepted blconfig.Accepted }
+// ConfigSeen carries a configuration that this node has read or fetched.
+type ConfigSeen struct {
+	Accepted blconfig.Accepted
+	Origin   ConfigOrigin
+}
 
 // UpstreamResponded reports that an upstream answered a call of this node.
 type UpstreamResponded struct{ Incarnation blvalue.Incarnation }
@@ -116,8 +119,10 @@
 
 // The origins of configurations.
 const (
+	// OriginSource is the node's own read of the platform's configuration source.
 	OriginSource ConfigOrigin = "source"
-	OriginLead   ConfigOrigin = "lead"
+	// OriginNode is another node, usually the lead.
+	OriginNode ConfigOrigin = "node"
 )
 
 // ConfigChanged carries a configuration that differs from the former one and has a
@@ -128,11 +133,16 @@
 }
 
 // ReloadConfig requests a read of the configuration from the store, because the
-// lead has a later one.
-type ReloadConfig struct{}
+// lead has a later one, of the given revision.
+type ReloadConfig struct{ Revision uint64 }
 
 func (ReloadConfig) memberEffect() {}
 
+// FetchConfig fetches the configuration of the lead.
+type FetchConfig struct{ From blvalue.Host }
+
+func (FetchConfig) memberEffect() {}
+
 // DirectoryChanged carries changes to the directory.
 type DirectoryChanged struct{ Directory blassign.Directory }
 
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -84,8 +84,6 @@
 	config blconfig.Accepted
 	// readsStore is set while this node reads configurations itself.
 	readsStore bool
-	// sendConfig is set when the next heartbeat has to include the configuration.
-	sendConfig bool
 	directory  blassign.DirectoryVersion
 
 	// listHeld is set when the next heartbeat has to list the partitions held,
@@ -158,7 +156,7 @@
 		s.readsStore = m.ReadsStore
 		return s, nil
 	case ConfigSeen:
-		return s.configSeen(m.Accepted, OriginSource)
+		return s.configSeen(m)
 	case UpstreamResponded:
 		return s.upstreamResponded(m, now), nil
 	case UpstreamStopped:
@@ -236,10 +234,6 @@
 		Node: s.self, Sequence: s.sequence, ConfigRevision: s.config.Revision, ConfigDigest: s.config.Digest, Directory: s.directory, Leaving: s.leaving,
 		WantsConfig: !s.readsStore,
 	}
-	if s.sendConfig {
-		config := s.config
-		heartbeat.Config = &config
-	}
 	for _, a := range s.Announcements(now) {
 		heartbeat.Upstreams = append(heartbeat.Upstreams, a.Upstream)
 	}
@@ -290,7 +284,6 @@
 	s.failedHeartbeats = 0
 	s.leadHint = blvalue.Host{}
 	s.leadStoreLost = m.Reply.StoreLost
-	s.sendConfig = m.Reply.NeedConfig
 	s.listHeld = m.Reply.NeedHeld
 	if m.Reply.NeedHeld {
 		s.nextAt = now
@@ -311,13 +304,11 @@
 		LeadResponded{SentAt: m.SentAt, Term: m.Reply.Term, Lead: m.From},
 		GrantsOffered{Offered: blgrant.OffersReceived{SentAt: m.SentAt, Term: m.Reply.Term, Offers: m.Reply.Offers}},
 	}
-	if config := m.Reply.Config; config != nil {
-		var changed []Effect
-		s, changed = s.configSeen(*config, OriginLead)
-		effects = append(effects, changed...)
+	if m.Reply.FetchConfig {
+		effects = append(effects, FetchConfig{From: m.From})
 	}
 	if s.readsStore && m.Reply.ConfigRevision > s.config.Revision {
-		effects = append(effects, ReloadConfig{})
+		effects = append(effects, ReloadConfig{Revision: m.Reply.ConfigRevision})
 	}
 	if directory := m.Reply.Directory; directory != nil {
 		s.directory = directory.Version
--- a/core/blmember/upstreams.go
+++ b/core/blmember/upstreams.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"bergamotlead/core/blassign"
-	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 )
@@ -67,9 +66,10 @@
 	return s, nil
 }
 
-// configSeen adopts a configuration from the store or the lead if its revision is
+// configSeen adopts a configuration if its revision is
 // later than the current one.
-func (s State) configSeen(accepted blconfig.Accepted, origin ConfigOrigin) (State, []Effect) {
+func (s State) configSeen(m ConfigSeen) (State, []Effect) {
+	accepted := m.Accepted
 	if accepted.Revision <= s.config.Revision {
 		return s, nil
 	}
@@ -79,7 +79,7 @@
 	}
 	s.config = accepted
 	s.interval = accepted.Plan.Timing.Heartbeat
-	return s, []Effect{ConfigChanged{Accepted: accepted, Origin: origin}}
+	return s, []Effect{ConfigChanged{Accepted: accepted, Origin: m.Origin}}
 }
 
 // withNodes keeps the nodes of a directory, any of which may know the lead.
--- a/io/blgrpc/client.go
+++ b/io/blgrpc/client.go
@@ -100,15 +100,7 @@
 	if err != nil {
 		return blassign.HeartbeatReply{}, fmt.Errorf("heartbeat to %s: %w", address, err)
 	}
-	reply := replyFromProto(answer)
-	if config := answer.GetConfig(); config != nil {
-		accepted, err := c.decode(config.GetRevision(), config.GetDocument())
-		if err != nil {
-			return blassign.HeartbeatReply{}, fmt.Errorf("decode configuration of the lead: %w", err)
-		}
-		reply.Config = &accepted
-	}
-	return reply, nil
+	return replyFromProto(answer), nil
 }
 
 // Borrow borrows rate-limit tokens from the lead at address.
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"bergamotlead/core/blassign"
-	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blgrant"
 	"bergamotlead/core/blquota"
 	"bergamotlead/core/blvalue"
@@ -55,7 +54,7 @@
 	request := &blproto.HeartbeatRequest{
 		Node: hostToProto(h.Node), Sequence: h.Sequence, ConfigRevision: h.ConfigRevision, Leaving: h.Leaving,
 		Directory: &blproto.DirectoryVersion{Term: h.Directory.Term, Version: h.Directory.Version}, WantsConfig: h.WantsConfig,
-		Config: configToProto(h.Config), ConfigDigest: h.ConfigDigest,
+		ConfigDigest: h.ConfigDigest,
 	}
 	for _, reported := range h.Loads {
 		request.Loads = append(request.Loads, &blproto.UpstreamLoad{
@@ -75,7 +74,6 @@
 	return request
 }
 
-// heartbeatFromProto omits the configuration, which the caller decodes.
 func heartbeatFromProto(r *blproto.HeartbeatRequest) blassign.Heartbeat {
 	heartbeat := blassign.Heartbeat{
 		Node: hostFromProto(r.GetNode()), Sequence: r.GetSequence(), ConfigRevision: r.GetConfigRevision(), Leaving: r.GetLeaving(),
@@ -104,7 +102,7 @@
 func replyToProto(r blassign.HeartbeatReply) *blproto.HeartbeatReply {
 	reply := &blproto.HeartbeatReply{
 		Term: r.Term, Standby: hostToProto(r.Standby), SoonMs: milliseconds(r.ReportAfter), NeedHeld: r.NeedHeld,
-		NeedConfig: r.NeedConfig, Lead: hostToProto(r.Lead), Config: configToProto(r.Config), ConfigRevision: r.ConfigRevision, StoreLost: r.StoreLost,
+		FetchConfig: r.FetchConfig, Lead: hostToProto(r.Lead), ConfigRevision: r.ConfigRevision, StoreLost: r.StoreLost,
 	}
 	for _, offer := range r.Offers {
 		reply.Offers = append(reply.Offers, &blproto.Offer{
@@ -119,11 +117,10 @@
 	return reply
 }
 
-// replyFromProto omits the configuration, which the caller decodes.
 func replyFromProto(r *blproto.HeartbeatReply) blassign.HeartbeatReply {
 	reply := blassign.HeartbeatReply{
 		Term: r.GetTerm(), Standby: hostFromProto(r.GetStandby()), ReportAfter: duration(r.GetSoonMs()), NeedHeld: r.GetNeedHeld(),
-		NeedConfig: r.GetNeedConfig(), Lead: hostFromProto(r.GetLead()), ConfigRevision: r.GetConfigRevision(),
+		FetchConfig: r.GetFetchConfig(), Lead: hostFromProto(r.GetLead()), ConfigRevision: r.GetConfigRevision(),
 		StoreLost: r.GetStoreLost(),
 	}
 	for _, offer := range r.GetOffers() {
@@ -141,13 +138,6 @@
 	return reply
 }
 
-func configToProto(config *blconfig.Accepted) *blproto.Config {
-	if config == nil {
-		return nil
-	}
-	return &blproto.Config{Revision: config.Revision, Document: []byte(config.Source)}
-}
-
 func handoversToProto(handovers []blgrant.Handover) []*blproto.Handover {
 	list := make([]*blproto.Handover, 0, len(handovers))
 	for _, handover := range handovers {
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -46,6 +46,8 @@
 	AskStandby(ctx context.Context, asked bllead.StandbyAsked) (bllead.StandbyAnswer, error)
 	Nudge()
 	Apply(ctx context.Context, change Change) ChangeResult
+	// LatestConfig returns the latest configuration that the node knows.
+	LatestConfig() blconfig.Accepted
 	Deliver(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery
 }
 
@@ -54,21 +56,18 @@
 	blproto.UnimplementedNodeServer
 
 	node    Node
-	decode  Decode
+	configs configEncoder
 	headers HeaderTable
 	server  *grpc.Server
 }
 
-// Decode parses a configuration that another node has sent as text.
-type Decode func(revision uint64, source []byte) (blconfig.Accepted, error)
-
 // maxMessageBytes is the maximum size of one message, which has to hold a
 // configuration document and its framing.
 const maxMessageBytes = 2 << 20
 
 // NewServer returns a server for node that is not yet running; Serve runs it.
-func NewServer(node Node, decode Decode, headers HeaderTable) *Server {
-	s := &Server{node: node, decode: decode, headers: headers, server: grpc.NewServer(
+func NewServer(node Node, headers HeaderTable) *Server {
+	s := &Server{node: node, headers: headers, server: grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes))}
 	blproto.RegisterNodeServer(s.server, s)
 	return s
@@ -99,15 +98,7 @@
 
 // Heartbeat implements the Node service.
 func (s *Server) Heartbeat(ctx context.Context, r *blproto.HeartbeatRequest) (*blproto.HeartbeatReply, error) {
-	heartbeat := heartbeatFromProto(r)
-	if config := r.GetConfig(); config != nil {
-		accepted, err := s.decode(config.GetRevision(), config.GetDocument())
-		if err != nil {
-			return nil, status.Error(codes.InvalidArgument, err.Error())
-		}
-		heartbeat.Config = &accepted
-	}
-	reply, err := s.node.Heartbeat(ctx, heartbeat)
+	reply, err := s.node.Heartbeat(ctx, heartbeatFromProto(r))
 	if err != nil {
 		return nil, unavailable(err)
 	}
--- a/io/blnode/assign_work.go
+++ b/io/blnode/assign_work.go
@@ -34,7 +34,7 @@
 }
 
 func (s assignStore) loadConfig() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), configReadTimeout)
 	defer cancel()
 	s.countCall("get")
 	accepted, err := s.source.Load(ctx)
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -10,6 +10,7 @@
 	"github.com/justinas/alice"
 
 	"bergamotlead/core/blassign"
+	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blduty"
 	"bergamotlead/core/bllead"
@@ -60,6 +61,22 @@
 	return await(ctx, asked.Reply)
 }
 
+// LatestConfig returns the configuration that this node distributes as lead or the
+// one in force on it, whichever is later.
+func (n *Node) LatestConfig() blconfig.Accepted {
+	distributed, inForce := n.distributedConfig(), n.configInForce()
+	if distributed.Revision > inForce.Revision {
+		return distributed
+	}
+	return inForce
+}
+
+// distributedConfig returns the configuration that this node distributes as lead.
+func (n *Node) distributedConfig() blconfig.Accepted { return n.duties.assign.View().Config() }
+
+// configInForce returns the configuration by which this node handles requests.
+func (n *Node) configInForce() blconfig.Accepted { return n.duties.admit.View().Config() }
+
 // Nudge triggers a heartbeat without waiting for the next period.
 func (n *Node) Nudge() {
 	n.logDropped("member", n.duties.member.Put(blmember.HeartbeatRequested{}))
--- a/io/blnode/config_work.go
+++ b/io/blnode/config_work.go
@@ -7,6 +7,8 @@
 
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blplatform"
+	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blgrpc"
 	"bergamotlead/io/blsettings"
 	"bergamotlead/io/blstore"
 )
@@ -60,20 +62,33 @@
 	return blconfig.NewAccepted(entry.Revision, document, stored.Document).WithMaxGrantTTL(stored.MaxGrantTTL()), nil
 }
 
+// configReadTimeout bounds the time to read or fetch a whole configuration. One of
+// a megabyte takes a second at 10 Mbit/s.
+const configReadTimeout = 10 * time.Second
+
 // reloadJob requests a read of the configuration currently in the store.
-type reloadJob struct{}
+type reloadJob struct {
+	// revision is the revision that another node has reported. The job is void if it
+	// has been read meanwhile. Zero stands for any.
+	revision uint64
+}
 
 // configReloader rereads the configuration in case a watch has missed a change.
 type configReloader struct {
 	source    ConfigSource
 	outage    *outageLog
+	inForce   func() blconfig.Accepted
 	onConfig  func(blconfig.Accepted)
 	onRead    func(bool)
 	countCall func(kind string)
 }
 
-func (r configReloader) perform(reloadJob) {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+func (r configReloader) perform(job reloadJob) {
+	inForce := r.inForce()
+	if job.revision != 0 && inForce.Revision >= job.revision {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), configReadTimeout)
 	defer cancel()
 	r.countCall("get")
 	startedAt := time.Now()
@@ -83,8 +98,35 @@
 	if err != nil {
 		return
 	}
-	if accepted.Revision > 0 {
-		r.onConfig(accepted)
+	if accepted.Revision == 0 {
+		return
+	}
+	r.onConfig(accepted)
+}
+
+// fetchJob requests the configuration of another node.
+type fetchJob struct {
+	from blvalue.Host
+	// known returns the configuration that this node has. It is called when the job
+	// is performed, since another job may have brought a later one.
+	known func() blconfig.Accepted
+}
+
+// configFetcher fetches configurations from other nodes.
+type configFetcher struct {
+	client   *blgrpc.Client
+	onConfig func(blconfig.Accepted)
+	outage   *outageLog
+}
+
+func (f configFetcher) perform(job fetchJob) {
+	ctx, cancel := context.WithTimeout(context.Background(), configReadTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	accepted, err := f.client.FetchConfig(ctx, job.from.Address, job.known())
+	f.outage.record(err, "from", string(job.from.Name), "elapsed_ms", time.Since(startedAt).Milliseconds())
+	if err == nil && accepted.Revision > 0 {
+		f.onConfig(accepted)
 	}
 }
 
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -161,14 +161,11 @@
 	case blassign.PeersSeen:
 		n.logDropped("lead", n.duties.lead.Put(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Active: e.Active, Candidate: e.Candidate}))
 	case blassign.LoadConfig:
-		n.logDropped("assign", n.workers.assign.Put(e))
-		if !n.platform.AllNodesReadConfig {
-			n.logDropped("watch", n.workers.watch.Put(watchJob{}))
-		}
+		n.loadConfig(e)
 	case blassign.ReloadConfig:
-		n.reloadConfig()
-	case blassign.ConfigOffered:
-		n.publishConfig(e.Accepted)
+		n.reloadConfig(reloadJob{})
+	case blassign.FetchConfig:
+		n.logDropped("fetch", n.workers.fetch.Put(fetchJob{from: e.From, known: n.distributedConfig}))
 	case blassign.Nudge:
 		n.logDropped("nudge", n.workers.nudge.Put(e))
 	case blassign.LoadChunk, blassign.WriteChunk:
@@ -176,6 +173,16 @@
 	}
 }
 
+// loadConfig reads the configuration for the lead.
+func (n *Node) loadConfig(effect blassign.LoadConfig) {
+	if n.platform.AllNodesReadConfig {
+		n.reloadConfig(reloadJob{})
+		return
+	}
+	n.logDropped("assign", n.workers.assign.Put(effect))
+	n.logDropped("watch", n.workers.watch.Put(watchJob{}))
+}
+
 func (n *Node) performQuota(effect blquota.Effect) {
 	effect.Reply.Put(effect.Answer)
 }
@@ -191,7 +198,9 @@
 	case blmember.ConfigChanged:
 		n.configChanged(e)
 	case blmember.ReloadConfig:
-		n.reloadConfig()
+		n.reloadConfig(reloadJob{revision: e.Revision})
+	case blmember.FetchConfig:
+		n.logDropped("fetch", n.workers.fetch.Put(fetchJob{from: e.From, known: n.configInForce}))
 	case blmember.DirectoryChanged:
 		blduty.PutBlocking[blroute.Message](n.duties.route.Put, blroute.DirectoryChanged{Directory: e.Directory})
 	case blmember.NodeCountChanged:
@@ -225,9 +234,9 @@
 
 // reloadConfig requests a reread of the configuration, if this node reads it
 // itself.
-func (n *Node) reloadConfig() {
+func (n *Node) reloadConfig(job reloadJob) {
 	if n.platform.AllNodesReadConfig {
-		n.logDropped("reload", n.workers.reload.Put(reloadJob{}))
+		n.logDropped("reload", n.workers.reload.Put(job))
 	}
 }
 
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -110,7 +110,7 @@
 	n.deliverer = blupstream.New(blupstream.Duties{
 		Deliver: n.duties.deliver.Put, Grant: n.duties.grant.Put, Admit: n.duties.admit.Put,
 	}, platform.Transport, platform.UpstreamProtocol, n.clock, tracer)
-	n.nodeServer = blgrpc.NewServer(n, platform.Config.Decode, blgrpc.NewHeaderTable(platform.HeaderNames...))
+	n.nodeServer = blgrpc.NewServer(n, blgrpc.NewHeaderTable(platform.HeaderNames...))
 	n.addGauges()
 	return n, nil
 }
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -36,6 +36,7 @@
 	upstream   *blduty.Worker[grantJob]
 	reconciler *blduty.Worker[blreconciler.Send]
 	reload     *blduty.Worker[reloadJob]
+	fetch      *blduty.Worker[fetchJob]
 }
 
 func (n *Node) newWorkers() {
@@ -82,9 +83,14 @@
 		reconciler: blduty.NewWorker("hold", 1, n.sendOrders),
 		reload: blduty.NewWorker("reload", 1, configReloader{
 			source: n.platform.Config, onConfig: n.publishLocalConfig, onRead: n.configSourceChanged,
+			inForce:   n.configInForce,
 			outage:    n.newOutageLog("configuration not read", "configuration read again"),
 			countCall: n.metrics.StoreCall,
 		}.perform),
+		fetch: blduty.NewWorker("fetch", 1, configFetcher{
+			client: n.client, onConfig: n.publishFetchedConfig,
+			outage: n.newOutageLog("configuration not fetched", "configuration fetched again"),
+		}.perform),
 	}
 }
 
@@ -104,6 +110,7 @@
 	w.upstream.Start()
 	w.reconciler.Start()
 	w.reload.Start()
+	w.fetch.Start()
 }
 
 // stop stops the workers except the watch worker: a watch of the store can block
@@ -119,6 +126,7 @@
 	w.upstream.Stop()
 	w.reconciler.Stop()
 	w.reload.Stop()
+	w.fetch.Stop()
 }
 
 func (n *Node) leaseTTL() time.Duration {
@@ -167,11 +175,20 @@
 // member duty, if every node reads configurations, and to the lead's duties.
 func (n *Node) publishLocalConfig(accepted blconfig.Accepted) {
 	if n.platform.AllNodesReadConfig {
-		blduty.PutBlocking[blmember.Message](n.duties.member.Put, blmember.ConfigSeen{Accepted: accepted})
+		blduty.PutBlocking[blmember.Message](n.duties.member.Put, blmember.ConfigSeen{
+			Accepted: accepted, Origin: blmember.OriginSource,
+		})
 	}
 	n.publishConfig(accepted)
 }
 
+// publishFetchedConfig passes a configuration of another node to the member duty
+// and to the lead's duties.
+func (n *Node) publishFetchedConfig(accepted blconfig.Accepted) {
+	blduty.PutBlocking[blmember.Message](n.duties.member.Put, blmember.ConfigSeen{Accepted: accepted, Origin: blmember.OriginNode})
+	n.publishConfig(accepted)
+}
+
 // sendOrders sends orders to an upstream that keeps its grants itself.
 func (n *Node) sendOrders(send blreconciler.Send) {
 	answers := n.platform.Orders.Send(context.Background(), send)
--- a/tests/main_test.go
+++ b/tests/main_test.go
@@ -53,9 +53,17 @@
 // deploy starts the hosts, applies the Dakar document as changed by edit and
 // waits until every partition has an owner.
 func deploy(t *testing.T, hosts []blfleet.HostSpec, edit func(blconfig.Document) blconfig.Document) *fleet {
+	t.Helper()
+	return deployLinked(t, hosts, edit, nil)
+}
+
+// deployLinked is deploy with a proxy before the store and before each node.
+func deployLinked(
+	t *testing.T, hosts []blfleet.HostSpec, edit func(blconfig.Document) blconfig.Document, link func(name, target string) (string, error),
+) *fleet {
 	t.Helper()
 	started, err := blfleet.Start(blfleet.Options{
-		Binaries: binariesFolder, Folder: t.TempDir(), Region: "sn_west", Hosts: hosts, WorkLogs: true,
+		Binaries: binariesFolder, Folder: t.TempDir(), Region: "sn_west", Hosts: hosts, WorkLogs: true, Link: link,
 	})
 	if err != nil {
 		t.Fatalf("start fleet: %v", err)
