Restart a watch that has missed a change

When a reread brings a configuration that the watch has not, the watch is cancelled and starts again at the revision read.

Test: TestMissedChangeRestartsWatch.

--- a/io/blnode/config_work.go
+++ b/io/blnode/config_work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"bergamotlead/core/blconfig"
@@ -80,6 +81,7 @@
 	inForce   func() blconfig.Accepted
 	onConfig  func(blconfig.Accepted)
 	onRead    func(bool)
+	onMissed  func(blconfig.Accepted)
 	countCall func(kind string)
 }
 
@@ -101,6 +103,9 @@
 	if accepted.Revision == 0 {
 		return
 	}
+	if !accepted.SameAs(inForce) {
+		r.onMissed(accepted)
+	}
 	r.onConfig(accepted)
 }
 
@@ -167,6 +172,45 @@
 	onRead    func(bool)
 	requeue   func(watchJob)
 	countCall func(kind string)
+	current   *currentWatch
+}
+
+// currentWatch is the watch that waits for its answer.
+type currentWatch struct {
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	// restartAt is the revision at which the next watch is to start, or zero if this
+	// one wasn't cancelled.
+	restartAt uint64
+}
+
+// begin returns the context of a new watch.
+func (c *currentWatch) begin(ctx context.Context) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ctx, c.cancel = context.WithCancel(ctx)
+	c.restartAt = 0
+	return ctx
+}
+
+// end returns the revision at which the next watch is to start, if the watch was
+// cancelled.
+func (c *currentWatch) end() (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel()
+	return c.restartAt, c.restartAt > 0
+}
+
+// restart cancels a watch that has missed a change, so that the next one starts at
+// the revision which has been read meanwhile.
+func (c *currentWatch) restart(accepted blconfig.Accepted) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.restartAt = accepted.Revision
+		c.cancel()
+	}
 }
 
 // perform waits for one change and requeues the job as long as the watch is
@@ -178,7 +222,11 @@
 	w.countCall("watch")
 	ctx, cancel := context.WithTimeout(context.Background(), watchTimeout)
 	defer cancel()
-	accepted, err := w.next(ctx, job)
+	accepted, err := w.next(w.current.begin(ctx), job)
+	if revision, restarted := w.current.end(); restarted && err != nil {
+		w.requeue(watchJob{revision: revision})
+		return
+	}
 	w.onRead(err == nil)
 	w.outage.record(err, "revision", max(job.revision, accepted.Revision), "bytes", len(accepted.Source))
 	if err != nil {
--- a/io/blnode/config_work_test.go
+++ b/io/blnode/config_work_test.go
@@ -1,8 +1,14 @@
 package blnode
 
 import (
+	"context"
 	"testing"
 	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/bltimer"
 )
 
 // TestWatchBacksOff guards against a watch that retries at a constant rate during
@@ -22,3 +28,54 @@
 		}
 	}
 }
+
+// scriptedSource is a configuration source whose watch waits until it is cancelled.
+type scriptedSource struct {
+	ConfigSource
+
+	loaded blconfig.Accepted
+	// watched receives the revision from which each watch starts.
+	watched chan uint64
+}
+
+func (s scriptedSource) Load(context.Context) (blconfig.Accepted, error) { return s.loaded, nil }
+
+func (s scriptedSource) Watch(ctx context.Context, revision uint64) (blconfig.Accepted, error) {
+	s.watched <- revision
+	<-ctx.Done()
+	return blconfig.Accepted{}, ctx.Err()
+}
+
+// TestMissedChangeRestartsWatch guards against a watch on a connection that has gone
+// silent: it hears no later change either, until it times out.
+func TestMissedChangeRestartsWatch(t *testing.T) {
+	later := blconfig.NewAcceptedPlan(9, blconfig.Plan{}, "later")
+	source := scriptedSource{loaded: later, watched: make(chan uint64, 1)}
+	outage := newOutageLog(hclog.NewNullLogger(), bltimer.NewSystem(), "lost", "regained")
+	current := &currentWatch{}
+	requeued := make(chan watchJob, 1)
+	watcher := configWatcher{
+		source: source, outage: outage, current: current, enabled: func() bool { return true }, onConfig: func(blconfig.Accepted) {},
+		onRead:  func(succeeded bool) { t.Errorf("read: got %t, want no result of the cancelled watch", succeeded) },
+		requeue: func(job watchJob) { requeued <- job }, countCall: func(string) {},
+	}
+	go watcher.perform(watchJob{revision: 5})
+	if got := <-source.watched; got != 5 {
+		t.Fatalf("watch: got from %d, want 5", got)
+	}
+	inForce := blconfig.NewAcceptedPlan(5, blconfig.Plan{}, "earlier")
+	reloader := configReloader{
+		source: source, outage: outage, inForce: func() blconfig.Accepted { return inForce }, onConfig: func(blconfig.Accepted) {},
+		onRead: func(bool) {}, onMissed: current.restart, countCall: func(string) {},
+	}
+	reloader.perform(reloadJob{revision: 5})
+	select {
+	case job := <-requeued:
+		t.Fatalf("watch after nothing new: got a restart at %d, want none", job.revision)
+	case <-time.After(50 * time.Millisecond):
+	}
+	reloader.perform(reloadJob{revision: 9})
+	if got, want := <-requeued, (watchJob{revision: 9}); got != want {
+		t.Errorf("watch after a missed change: got %+v, want %+v", got, want)
+	}
+}
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -54,8 +54,10 @@
 		put:       func(m blassign.Message) error { return n.duties.assign.Put(m) },
 		countCall: n.metrics.StoreCall,
 	}
+	current := &currentWatch{}
 	watch := configWatcher{
-		source: n.platform.Config, onConfig: n.publishLocalConfig, enabled: n.watchesConfig,
+		current: current,
+		source:  n.platform.Config, onConfig: n.publishLocalConfig, enabled: n.watchesConfig,
 		outage: n.newOutageLog("configuration not watched", "configuration watched again"),
 		onRead: n.configSourceChanged, countCall: n.metrics.StoreCall,
 		requeue: func(job watchJob) { n.logDropped("watch", n.workers.watch.Put(job)) },
@@ -83,7 +85,7 @@
 		reconciler: blduty.NewWorker("hold", 1, n.sendOrders),
 		reload: blduty.NewWorker("reload", 1, configReloader{
 			source: n.platform.Config, onConfig: n.publishLocalConfig, onRead: n.configSourceChanged,
-			inForce:   n.configInForce,
+			inForce: n.configInForce, onMissed: current.restart,
 			outage:    n.newOutageLog("configuration not read", "configuration read again"),
 			countCall: n.metrics.StoreCall,
 		}.perform),
