Bound what is read of an upstream's response that is not needed

Bytes that are no answer may come without end, in a head or a body. Of the project's own transport, heads could take 10 MB each.

Such a body is now read up to 32 KB and 100 ms, then its connection is closed. All HTTP clients of the node limit heads to 64 KB. The end of a response body may come from the timer as well as from its reader, hence the sync.Once.

--- a/io/blnode/platform.go
+++ b/io/blnode/platform.go
@@ -68,11 +68,9 @@
 }
 
 const (
-	initialLease        = 500 * time.Millisecond
-	initialGrantTTL     = 900 * time.Millisecond
-	initialMargin       = 30 * time.Millisecond
-	maxIdlePerUpstream  = 128
-	upstreamIdleTimeout = 90 * time.Second
+	initialLease    = 500 * time.Millisecond
+	initialGrantTTL = 900 * time.Millisecond
+	initialMargin   = 30 * time.Millisecond
 )
 
 // DefaultPlatform returns the platform with the project's native protocols: the
@@ -82,9 +80,7 @@
 	store := blstore.New(settings.Store)
 	return Platform{
 		Store: store, Config: documentSource{store: store}, CallerProtocol: blhttp.NativeProtocol{}, UpstreamProtocol: blupstream.NativeProtocol{},
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: upstreamIdleTimeout, DisableCompression: true,
-		},
+		Transport:        blupstream.NewTransport(),
 		Announcements:    blupstream.AnnounceHandler,
 		Timing:           bllead.Timing{Lease: initialLease, GrantTTL: initialGrantTTL, ClockMargin: initialMargin},
 		UpstreamTimeouts: blmember.DefaultUpstreamTimeouts(),
--- a/io/blstore/transport.go
+++ b/io/blstore/transport.go
@@ -22,6 +22,8 @@
 	// open.
 	maxIdleConnections = 8
 	connectTimeout     = time.Second
+	// maxHeaderBytes limits the head of a response.
+	maxHeaderBytes = 64 << 10
 	// progressTimeout is how long a read waits for the head of the response, and any
 	// call for the next bytes of the body. The time for a whole response depends on
 	// its size and on the link.
@@ -53,6 +55,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Transport{base: "http://" + address, client: &http.Client{Transport: transport}}
 }
--- a/io/blupstream/announce.go
+++ b/io/blupstream/announce.go
@@ -91,7 +91,7 @@
 
 // NewGrantSender returns a sender that reads the time from clock.
 func NewGrantSender(clock bltimer.Clock) *GrantSender {
-	return &GrantSender{clock: clock, client: &http.Client{Timeout: grantTimeout}}
+	return &GrantSender{clock: clock, client: &http.Client{Timeout: grantTimeout, Transport: NewTransport()}}
 }
 
 // ReceivedAnnouncement is an announcement and the time at which it was received.
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -39,8 +39,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if rejection := a.deliverer.protocol.Rejection(response); rejection != RejectionNone {
-		// The connection can only be reused once the response has been read.
-		_, _ = io.CopyN(io.Discard, response.Body, copyBytes)
+		discard(response.Body, func() { _ = response.Body.Close() })
 		refusal, result := rejection.refusal()
 		return refused(refusal), result
 	}
--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -18,7 +18,9 @@
 )
 
 const (
-	connectTimeout = time.Second
+	connectTimeout       = time.Second
+	maxIdlePerUpstream   = 128
+	transportIdleTimeout = 90 * time.Second
 	// defaultIdleTimeout is how long an idle connection may be reused if the
 	// upstream announces no keep-alive timeout.
 	defaultIdleTimeout = 4 * time.Second
@@ -26,7 +28,7 @@
 	// upstream announces, so that the upstream doesn't close a connection while
 	// a request is in flight on it.
 	idleTimeoutMargin = time.Second
-	// maxHeaderBytes limits the header of a response.
+	// maxHeaderBytes limits the head of a response.
 	maxHeaderBytes = 64 << 10
 	// maxSkippedResponses limits the responses read to find the one that
 	// matches the request: informational ones and those to other requests.
@@ -54,6 +56,15 @@
 	idle map[string][]*connection
 }
 
+// NewTransport returns an HTTP transport for upstreams that answer the requests of a
+// connection in order.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: transportIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // NewPool returns an empty pool that matches responses to requests by the header
 // field idHeader.
 func NewPool(idHeader string) *Pool {
@@ -161,13 +172,30 @@
 		if response.Close {
 			break
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, fmt.Errorf("discard response to another request: %w", err)
+		if !discard(response.Body, c.close) {
+			break
 		}
 	}
 	return nil, MismatchedResponseError{}
 }
 
+const (
+	// maxDiscardBytes and discardTimeout limit what is read of a response that is
+	// not needed. Beyond that a new connection costs less.
+	maxDiscardBytes = 32 << 10
+	discardTimeout  = 100 * time.Millisecond
+)
+
+// discard reads a body that is not needed, so that its connection can be reused. It
+// reports whether it has read the whole body. If that takes too long, it calls
+// closeConnection, which has to end the read.
+func discard(body io.Reader, closeConnection func()) bool {
+	timer := time.AfterFunc(discardTimeout, closeConnection)
+	defer timer.Stop()
+	count, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes+1))
+	return err == nil && count <= maxDiscardBytes
+}
+
 func (p *Pool) mismatched(request *http.Request, response *http.Response) bool {
 	if p.idHeader == "" {
 		return false
@@ -240,7 +268,7 @@
 	stopCancel  func() bool
 	reusable    bool
 	idleTimeout time.Duration
-	finished    bool
+	finished    sync.Once
 }
 
 // Read implements io.Reader.
@@ -261,10 +289,10 @@
 }
 
 func (b *responseBody) finish(reuse bool) {
-	if b.finished {
-		return
-	}
-	b.finished = true
+	b.finished.Do(func() { b.release(reuse) })
+}
+
+func (b *responseBody) release(reuse bool) {
 	if !b.stopCancel() || !reuse || b.connection.closed.Load() {
 		b.connection.close()
 		return
