Give the lead's store calls the time between two renewals

Calls had 250 ms whatever the lease, and the three calls that acquire it had 250 ms together.

Each call now has a quarter of the lease (375 ms on the users' platform), at least 250 ms as before. A store that answers within that keeps its lead.

--- a/io/blnode/assign_work.go
+++ b/io/blnode/assign_work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -17,6 +18,7 @@
 	source    ConfigSource
 	keys      blstore.Keys
 	logger    hclog.Logger
+	leaseTTL  func() time.Duration
 	put       func(blassign.Message) error
 	onConfig  func(blconfig.Accepted)
 	countCall func(kind string)
@@ -47,7 +49,7 @@
 
 func (s assignStore) loadChunk(e blassign.LoadChunk) blassign.ChunkLoaded {
 	result := blassign.ChunkLoaded{Term: e.Term, ID: e.ID}
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := storeContext(s.leaseTTL())
 	defer cancel()
 	s.countCall("get")
 	entry, err := s.store.Get(ctx, s.keys.Chunk(e.ID))
--- a/io/blnode/lead_work.go
+++ b/io/blnode/lead_work.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// storeTimeout bounds a store call that the lead depends on.
-	storeTimeout = 250 * time.Millisecond
+	// minStoreTimeout and leaseFraction set the time-out of a store call that the lead
+	// depends on: the time between two renewals of its lease.
+	minStoreTimeout = 250 * time.Millisecond
+	leaseFraction   = 4
 	// writeTimeout bounds a write together with its retries after a lost answer,
 	// before the write counts as unresolved.
 	writeTimeout = 400 * time.Millisecond
@@ -32,6 +34,11 @@
 	countCall func(kind string)
 }
 
+// storeContext returns the context of one store call that the lead depends on.
+func storeContext(leaseTTL time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), max(minStoreTimeout, leaseTTL/leaseFraction))
+}
+
 // perform makes one call and puts its result on the lead duty's ring. A result
 // dropped because the ring is full is equivalent to a call without an answer.
 func (s leadStore) perform(effect bllead.Effect) {
@@ -51,9 +58,7 @@
 
 func (s leadStore) readRecord() bllead.RecordRead {
 	result := bllead.RecordRead{SentAt: s.clock.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	entries, err := s.readLead(ctx)
+	entries, err := s.readLead()
 	if err == nil {
 		lease := entries[s.keys.LeadLease()]
 		result.LeaseClaim, result.LeaseRevision = bllead.Claim(lease.Value), lease.Revision
@@ -70,35 +75,51 @@
 // readLead returns the entries of the lead by key, with a single call if the
 // store can list them. Otherwise it reads them in turn, the lease before the
 // record.
-func (s leadStore) readLead(ctx context.Context) (map[string]blplatform.Entry, error) {
-	found := map[string]blplatform.Entry{}
+func (s leadStore) readLead() (map[string]blplatform.Entry, error) {
 	if lister, ok := s.store.(blplatform.Lister); ok {
-		s.countCall("list")
-		entries, err := lister.List(ctx, s.keys.LeadPrefix())
-		if err != nil {
-			return nil, fmt.Errorf("read lead: %w", err)
-		}
-		for _, entry := range entries {
-			found[entry.Key] = entry
-		}
-		return found, nil
+		return s.listLead(lister)
 	}
+	found := map[string]blplatform.Entry{}
 	for _, key := range []string{s.keys.LeadLease(), s.keys.LeadRecord(), s.keys.LostHosts()} {
-		s.countCall("get")
-		entry, err := s.store.Get(ctx, key)
+		entry, err := s.get(key)
 		if err != nil {
-			return nil, fmt.Errorf("read lead: %w", err)
+			return nil, err
 		}
 		found[key] = entry
 	}
 	return found, nil
 }
 
-func (s leadStore) readStored(ctx context.Context) (bllead.Stored, error) {
+func (s leadStore) listLead(lister blplatform.Lister) (map[string]blplatform.Entry, error) {
+	ctx, cancel := storeContext(s.leaseTTL())
+	defer cancel()
+	s.countCall("list")
+	entries, err := lister.List(ctx, s.keys.LeadPrefix())
+	if err != nil {
+		return nil, fmt.Errorf("read lead: %w", err)
+	}
+	found := make(map[string]blplatform.Entry, len(entries))
+	for _, entry := range entries {
+		found[entry.Key] = entry
+	}
+	return found, nil
+}
+
+func (s leadStore) get(key string) (blplatform.Entry, error) {
+	ctx, cancel := storeContext(s.leaseTTL())
+	defer cancel()
 	s.countCall("get")
-	entry, err := s.store.Get(ctx, s.keys.LeadRecord())
+	entry, err := s.store.Get(ctx, key)
 	if err != nil {
-		return bllead.Stored{}, fmt.Errorf("read lead record: %w", err)
+		return blplatform.Entry{}, fmt.Errorf("read lead: %w", err)
+	}
+	return entry, nil
+}
+
+func (s leadStore) readStored() (bllead.Stored, error) {
+	entry, err := s.get(s.keys.LeadRecord())
+	if err != nil {
+		return bllead.Stored{}, err
 	}
 	stored, err := blstore.DecodeRecord(entry)
 	if err != nil {
@@ -111,19 +132,15 @@
 // If the key can't be set or the record can't be read, the lease is released.
 func (s leadStore) acquireLease(e bllead.AcquireLease) bllead.LeaseAcquired {
 	result := bllead.LeaseAcquired{SentAt: s.clock.Now(), Claim: e.Claim}
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	s.countCall("open_lease")
-	lease, err := s.store.NewLease(ctx, s.leaseTTL())
+	lease, err := s.openLease()
 	if err != nil {
 		result.Failed = true
 		return result
 	}
 	result.Lease = lease
-	s.countCall("swap")
-	_, err = s.store.CompareAndSwap(ctx, s.keys.LeadLease(), e.Revision, []byte(e.Claim), lease)
+	err = s.setLeaseKey(e, lease)
 	if err == nil {
-		result.Stored, err = s.readStored(ctx)
+		result.Stored, err = s.readStored()
 	}
 	if err != nil {
 		result.Failed = true
@@ -132,9 +149,24 @@
 	return result
 }
 
+func (s leadStore) openLease() (blplatform.LeaseID, error) {
+	ctx, cancel := storeContext(s.leaseTTL())
+	defer cancel()
+	s.countCall("open_lease")
+	return s.store.NewLease(ctx, s.leaseTTL()) //nolint:wrapcheck // only whether it failed matters
+}
+
+func (s leadStore) setLeaseKey(e bllead.AcquireLease, lease blplatform.LeaseID) error {
+	ctx, cancel := storeContext(s.leaseTTL())
+	defer cancel()
+	s.countCall("swap")
+	_, err := s.store.CompareAndSwap(ctx, s.keys.LeadLease(), e.Revision, []byte(e.Claim), lease)
+	return err //nolint:wrapcheck // only whether it failed matters
+}
+
 func (s leadStore) renewLease(e bllead.RenewLease) bllead.LeaseRenewed {
 	result := bllead.LeaseRenewed{SentAt: s.clock.Now(), Lease: e.Lease}
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := storeContext(s.leaseTTL())
 	defer cancel()
 	s.countCall("renew_lease")
 	err := s.store.RenewLease(ctx, e.Lease)
@@ -148,7 +180,7 @@
 	if e.Lease == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := storeContext(s.leaseTTL())
 	defer cancel()
 	s.countCall("end_lease")
 	_ = s.store.EndLease(ctx, e.Lease)
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -50,7 +50,7 @@
 		put: func(m bllead.Message) error { return n.duties.lead.Put(m) },
 	}
 	assign := assignStore{
-		store: n.store, source: n.platform.Config, keys: n.keys, logger: n.logger, onConfig: n.publishConfig,
+		store: n.store, source: n.platform.Config, keys: n.keys, logger: n.logger, leaseTTL: n.leaseTTL, onConfig: n.publishConfig,
 		put:       func(m blassign.Message) error { return n.duties.assign.Put(m) },
 		countCall: n.metrics.StoreCall,
 	}
