--- a/core/blassign/bench_test.go
+++ b/core/blassign/bench_test.go
@@ -66,7 +66,7 @@
 	hb.Sequence++
 	hb.Reply = blring.NewReply[blassign.HeartbeatReply]()
 	h.send(*hb)
-	reply, _ := hb.Reply.Await(shortContext())
+	reply, _ := hb.Reply.Poll()
 	hb.ConfigRevision = max(hb.ConfigRevision, reply.ConfigRevision)
 	if reply.Directory != nil {
 		hb.Directory = reply.Directory.Version
