--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -129,19 +129,19 @@
 			s.states = s.states.With(p, state)
 		}
 	}
-	return s.withRevoked(now)
+	return s.withRevoked()
 }
 
 // withRevoked adds partitions that the grant duty wants released and that this
 // incarnation of the node never granted itself.
-func (s State) withRevoked(now bltimer.Instant) State {
+func (s State) withRevoked() State {
 	for p := range s.grant.Revoked().All() {
 		if _, ok := s.states.Get(p); ok {
 			continue
 		}
 		s.states = s.states.With(p, partitionState{
 			fence: s.grant.Fence, releasing: true,
-			mayHoldUntil: s.startedAt.Add(s.timing.GrantTTL), unansweredUntil: min(now, s.startedAt.Add(s.timing.GrantTTL)),
+			mayHoldUntil: s.startedAt.Add(s.timing.GrantTTL), unansweredUntil: s.startedAt.Add(s.timing.GrantTTL),
 		})
 	}
 	return s
--- a/core/blreconciler/state_test.go
+++ b/core/blreconciler/state_test.go
@@ -195,3 +195,22 @@
 		}
 	}
 }
+
+// TestRevokedPartitionWaitsForOrdersOfEarlierRun guards against a second owner: a
+// restarted node released a partition that it had not granted itself, while a grant
+// that its earlier run had sent could still arrive at the upstream.
+func TestRevokedPartitionWaitsForOrdersOfEarlierRun(t *testing.T) {
+	n := newNode(t)
+	n.grant = n.grant.WithOffer(blgrant.Offer{
+		Fence: blvalue.Fence{Term: 1, Sequence: 1}, TTL: ttl, HasSet: true, Set: blvalue.NewPartitionSet(3),
+	}, bltimer.Instant(started))
+	n.offer(2, started+time.Second)
+	n.answer(blreconciler.ResultDone, started+time.Second)
+	if got := n.holdings.Released.Has(3); got {
+		t.Error("released while an order of the earlier run may arrive: got true, want false")
+	}
+	n.send(blreconciler.Tick{}, ordersExpired+time.Millisecond)
+	if got := n.holdings.Released.Has(3); !got {
+		t.Error("released once no such order is left: got false, want true")
+	}
+}
