Start the fallback rate while directories arrive

With a lead that moves partitions and lends nothing no request of a limited account was admitted (0 in 3 s; 4 to 9 are due). The delay now counts from when the number of nodes became known. TestFallbackRateWhileNoLeadLends has the case and failed before.

--- a/core/bladmit/fallback.go
+++ b/core/bladmit/fallback.go
@@ -47,7 +47,7 @@
 // its fallback bucket, and whether it got one. It gets none while a lead lends or
 // the number of nodes is unknown.
 func (s State) withFallbackToken(quota Quota, accountRate int64, now bltimer.Instant) (Quota, bool) {
-	sinceLoan := now.Sub(max(s.lentAt, s.nodesSetAt))
+	sinceLoan := now.Sub(max(s.lentAt, s.nodesKnownAt))
 	if s.nodes == 0 || sinceLoan < fallbackDelay {
 		return quota, false
 	}
--- a/core/bladmit/fallback_test.go
+++ b/core/bladmit/fallback_test.go
@@ -5,15 +5,20 @@
 	"time"
 
 	"bergamotlead/core/bladmit"
+	"bergamotlead/core/bltimer"
 )
 
 // admitWithoutLead returns how many requests a node, one of the given number of
 // nodes, admits during the given time while no lead lends tokens.
-func admitWithoutLead(nodes int, length time.Duration) int {
+// With directories, it receives a new directory five times a second.
+func admitWithoutLead(nodes int, length time.Duration, directories bool) int {
 	n := newNode()
 	n.send(bladmit.NodeCountChanged{Count: nodes})
 	admitted := 0
 	for end := n.now.Add(length); n.now.Before(end); n.now = n.now.Add(20 * time.Millisecond) {
+		if directories && n.now%bltimer.Instant(200*time.Millisecond) == 0 {
+			n.send(bladmit.NodeCountChanged{Count: nodes})
+		}
 		n.send(bladmit.BorrowCompleted{SentAt: n.now, Failed: true})
 		n.send(bladmit.LeadResponded{SentAt: n.now})
 		n.admit("pot", "POST", "contributions", "digest")
@@ -31,14 +36,16 @@
 	cases := []struct {
 		name        string
 		nodes       int
+		directories bool
 		least, most int
 	}{
-		{"the number of nodes is unknown", 0, 0, 0},
-		{"half of the even share of two nodes", 2, 4, 9},
+		{"the number of nodes is unknown", 0, false, 0, 0},
+		{"half of the even share of two nodes", 2, false, 4, 9},
+		{"a lead sends directories and lends nothing", 2, true, 4, 9},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if got := admitWithoutLead(c.nodes, length); got < c.least || got > c.most {
+			if got := admitWithoutLead(c.nodes, length, c.directories); got < c.least || got > c.most {
 				t.Errorf("admitted requests: got %d, want %d to %d", got, c.least, c.most)
 			}
 		})
--- a/core/bladmit/state.go
+++ b/core/bladmit/state.go
@@ -39,10 +39,10 @@
 	// when the last one was sent.
 	borrowing  bool
 	borrowedAt bltimer.Instant
-	// lentAt is when the last answered request for tokens was sent, and nodesSetAt
-	// when the number of nodes was last set.
-	lentAt     bltimer.Instant
-	nodesSetAt bltimer.Instant
+	// lentAt is when the last answered request for tokens was sent, and nodesKnownAt
+	// when the number of nodes became known.
+	lentAt       bltimer.Instant
+	nodesKnownAt bltimer.Instant
 	// nodes is the number of nodes that share a rate while no lead lends. Zero
 	// disables the fallback, so that requests wait for a lead.
 	nodes int
@@ -90,8 +90,10 @@
 	case BorrowCompleted:
 		return s.borrowCompleted(m, now)
 	case NodeCountChanged:
+		if s.nodes == 0 {
+			s.nodesKnownAt = now
+		}
 		s.nodes = m.Count
-		s.nodesSetAt = max(s.nodesSetAt, now)
 		return s, nil
 	case Leave:
 		s.leaving = true
