End an order between nodes when the caller's body breaks off

The sender now cancels the stream, and the refusal says malformed_request as it does for a local upstream.

TestBrokenBodyEndsOrder failed before.

--- a/io/blgrpc/config_test.go
+++ b/io/blgrpc/config_test.go
@@ -31,17 +31,23 @@
 	return base64.StdEncoding.EncodeToString(data)
 }
 
-// newConfigLink serves the configuration to other nodes and returns a link to it.
-func newConfigLink(t *testing.T, config blconfig.Accepted) *bllink.Link {
+// serveNode serves the node's calls and returns its address.
+func serveNode(t *testing.T, node Node) string {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
-	server := NewServer(configNode{config: config}, NewHeaderTable())
+	server := NewServer(node, NewHeaderTable())
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
-	link, err := bllink.New(listener.Addr().String())
+	return listener.Addr().String()
+}
+
+// newConfigLink serves the configuration to other nodes and returns a link to it.
+func newConfigLink(t *testing.T, config blconfig.Accepted) *bllink.Link {
+	t.Helper()
+	link, err := bllink.New(serveNode(t, configNode{config: config}))
 	if err != nil {
 		t.Fatalf("open link: %v", err)
 	}
@@ -49,7 +55,7 @@
 	return link
 }
 
-func newConfigClient(t *testing.T) *Client {
+func newTestClient(t *testing.T) *Client {
 	t.Helper()
 	client := NewClient(func(revision uint64, source []byte) (blconfig.Accepted, error) {
 		return blconfig.NewAcceptedPlan(revision, blconfig.Plan{}, string(source)), nil
@@ -65,7 +71,7 @@
 	link := newConfigLink(t, want)
 	link.Set(bllink.Faults{BytesPerSecond: 200 << 10})
 	startedAt := time.Now()
-	got, err := newConfigClient(t).FetchConfig(t.Context(), link.Address(), blconfig.Accepted{Revision: 6})
+	got, err := newTestClient(t).FetchConfig(t.Context(), link.Address(), blconfig.Accepted{Revision: 6})
 	if err != nil || got.Revision != want.Revision || got.Digest != want.Digest {
 		t.Errorf("FetchConfig: got revision %d, digest %d, %v, want %d, %d", got.Revision, got.Digest, err, want.Revision, want.Digest)
 	}
@@ -105,7 +111,7 @@
 			link.Set(c.faults)
 			ctx, cancel := context.WithTimeout(t.Context(), 3*configProgressTimeout)
 			defer cancel()
-			got, err := newConfigClient(t).FetchConfig(ctx, link.Address(), c.known)
+			got, err := newTestClient(t).FetchConfig(ctx, link.Address(), c.known)
 			if ctx.Err() != nil {
 				t.Errorf("time: got more than %s, want about %s", 3*configProgressTimeout, configProgressTimeout)
 			}
--- a/io/blgrpc/deliver.go
+++ b/io/blgrpc/deliver.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strconv"
+	"sync/atomic"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -37,13 +38,17 @@
 	if err := stream.Send(&blproto.DeliverRequest{Part: &blproto.DeliverRequest_Head{Head: head}}); err != nil {
 		return streamFailure(ctx, streamError(stream, err), false)
 	}
+	sender := &bodySender{stream: stream, body: order.Body, cancel: cancel}
 	if head.GetBodyWhole() {
 		_ = stream.CloseSend()
 	} else {
-		sender := &bodySender{stream: stream, body: order.Body}
 		go sender.run()
 	}
-	return c.receive(ctx, stream, writer)
+	delivery := c.receive(ctx, stream, writer)
+	if delivery.Refusal != nil && sender.failed.Load() {
+		delivery.Refusal = blvalue.UnknownOutcome(blvalue.ReasonMalformed, "the caller's body was cut short")
+	}
+	return delivery
 }
 
 // addSmallBody includes the body in the head if its length is known and at most
@@ -80,6 +85,10 @@
 type bodySender struct {
 	stream deliverStream
 	body   io.Reader
+	// cancel ends the stream when the body can't be read, since the owner's node
+	// would wait for the rest.
+	cancel context.CancelFunc
+	failed atomic.Bool
 }
 
 func (b *bodySender) run() {
@@ -99,6 +108,8 @@
 			return
 		}
 		if err != nil {
+			b.failed.Store(true)
+			b.cancel()
 			return
 		}
 	}
--- a/io/blgrpc/deliver_test.go
+++ b/io/blgrpc/deliver_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"bergamotlead/core/bldeliver"
+	"bergamotlead/core/blroute"
 	"bergamotlead/core/blvalue"
 )
 
@@ -32,3 +38,52 @@
 		})
 	}
 }
+
+// bodyNode is a node that reads the body of each order.
+type bodyNode struct {
+	Node
+
+	// read receives the error that ended a body.
+	read chan error
+}
+
+func (n bodyNode) Deliver(_ context.Context, order bldeliver.Order, _ bldeliver.ResponseWriter) bldeliver.Delivery {
+	_, err := io.Copy(io.Discard, order.Body)
+	n.read <- err
+	return bldeliver.Delivery{Refusal: blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "no answer")}
+}
+
+// brokenBody is a body that ends with an error.
+type brokenBody struct{ io.Reader }
+
+func (b brokenBody) Read(buffer []byte) (int, error) {
+	count, err := b.Reader.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return count, err
+}
+
+// TestBrokenBodyEndsOrder guards against a caller's body that breaks off and keeps the
+// slot at the owner's node until the deadline of the request.
+func TestBrokenBodyEndsOrder(t *testing.T) {
+	const deadline = 3 * time.Second
+	node := bodyNode{read: make(chan error, 1)}
+	address := serveNode(t, node)
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	startedAt := time.Now()
+	got := newTestClient(t).Deliver(ctx, bldeliver.Order{
+		Request: blvalue.Request{Method: "POST"}, Target: blroute.Target{Node: blvalue.Host{Address: address}},
+		Body: brokenBody{strings.NewReader("half")}, BodyLength: -1, Timeout: deadline,
+	}, nil)
+	if got.Refusal == nil || got.Refusal.Outcome != blvalue.OutcomeUnknown || got.Refusal.Reason != blvalue.ReasonMalformed {
+		t.Errorf("refusal: got %+v, want %s %s", got.Refusal, blvalue.OutcomeUnknown, blvalue.ReasonMalformed)
+	}
+	if err := <-node.read; err == nil {
+		t.Error("body at the owner's node: got its end, want an error")
+	}
+	if elapsed := time.Since(startedAt); elapsed > deadline/2 {
+		t.Errorf("time: got %s, want well before the deadline of %s", elapsed, deadline)
+	}
+}
