Exit with 3 and 4 on a conflict and an unknown outcome of a change

bergamotctl exited with 1 for both, unlike what the operations page says: the result of a change hid the HTTP status by which the code is chosen. TestConcurrentConfigChangesConflict wanted the 1 that contradicts the page; it now wants 3.

--- a/cmd/bergamotctl/client.go
+++ b/cmd/bergamotctl/client.go
@@ -49,6 +49,10 @@
 }
 
 func exitCode(err error) int {
+	var change changeError
+	if errors.As(err, &change) {
+		return change.exitCode()
+	}
 	var response responseError
 	if !errors.As(err, &response) {
 		return exitFailed
--- a/cmd/bergamotctl/config.go
+++ b/cmd/bergamotctl/config.go
@@ -139,6 +139,16 @@
 	return e.result.Result + ": " + e.result.Detail
 }
 
+func (e changeError) exitCode() int {
+	switch e.result.Result {
+	case bloperator.ResultConflict:
+		return exitConflict
+	case bloperator.ResultUnknown:
+		return exitUnknown
+	}
+	return exitFailed
+}
+
 // apply sends a change and prints its result. On a conflict it prints the
 // differences between the document in force and the one that was sent.
 func apply(c *client, base uint64, document string, wait time.Duration) error {
--- a/tests/operators_test.go
+++ b/tests/operators_test.go
@@ -119,7 +119,7 @@
 	base := f.revision
 	f.mustCtl(f.Hosts[0], "domain", "out", "sn_west_c", "--reason", "The hall in Thies is flooded")
 	output, code := f.ctl(f.Hosts[1], "config", "apply", path, "--base", fmt.Sprint(base))
-	if code != 1 || !strings.Contains(output, "conflict") ||
+	if code != 3 || !strings.Contains(output, "conflict") ||
 		!strings.Contains(output, "domains.sn_west_c.state") || !strings.Contains(output, "limits.queue_length") {
 		t.Errorf("second apply: got exit code %d and %q, want a conflict that names both changes", code, output)
 	}
