--- a/core/blmember/state_test.go
+++ b/core/blmember/state_test.go
@@ -1,6 +1,7 @@
 package blmember_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -188,3 +189,29 @@
 		t.Error("heartbeat after the answer: got none, want one")
 	}
 }
+
+// TestNodesAreRemovedFromFullDirectory guards against a node that asks hosts for the
+// lead that are gone, once it knows as many nodes as it keeps.
+func TestNodesAreRemovedFromFullDirectory(t *testing.T) {
+	const nodes = 1100
+	n := newNode()
+	directory := blassign.Directory{Full: true}
+	for i := range nodes {
+		directory.Entries = append(directory.Entries, blassign.Entry{Node: host(fmt.Sprintf("node_%d", i))})
+	}
+	count := func(directory blassign.Directory) int {
+		sent, _ := n.tick(2 * time.Second)
+		n.send(blmember.HeartbeatAnswered{SentAt: sent.SentAt, From: sent.To, Reply: blassign.HeartbeatReply{Term: 3, Directory: &directory}})
+		for _, effect := range n.effects {
+			if changed, ok := effect.(blmember.NodeCountChanged); ok {
+				return changed.Count
+			}
+		}
+		return 0
+	}
+	full := count(directory)
+	gone := blassign.Entry{Node: host("node_0"), Gone: true}
+	if got, want := count(blassign.Directory{Entries: []blassign.Entry{gone}}), full-1; got != want {
+		t.Errorf("nodes after one is gone: got %d, want %d", got, want)
+	}
+}
--- a/core/blmember/upstreams.go
+++ b/core/blmember/upstreams.go
@@ -88,11 +88,11 @@
 		s.nodes = nil
 	}
 	for _, entry := range directory.Entries {
-		if entry.Node.Name == s.self.Name || len(s.nodes) >= maxKnownNodes {
+		if entry.Node.Name == s.self.Name {
 			continue
 		}
 		nodes := slices.DeleteFunc(slices.Clone(s.nodes), func(h blvalue.Host) bool { return h.Name == entry.Node.Name })
-		if !entry.Gone {
+		if !entry.Gone && len(nodes) < maxKnownNodes {
 			nodes = append(nodes, entry.Node)
 		}
 		s.nodes = nodes
