--- a/core/bldeliver/deliver_test.go
+++ b/core/bldeliver/deliver_test.go
@@ -188,3 +188,24 @@
 		t.Errorf("running: got %d, want %d", got, want)
 	}
 }
+
+// TestLimitFollowsAnnouncedSlots guards against a limit that stays at the slots of the
+// upstream's earlier run.
+func TestLimitFollowsAnnouncedSlots(t *testing.T) {
+	n := &node{state: bldeliver.New(), replies: map[bldeliver.Ticket]blring.Reply[bldeliver.AcquireAnswer]{}}
+	n.send(bldeliver.ConfigChanged{Accepted: blconfig.Accepted{Revision: 1, Plan: blconfig.Plan{
+		Services: map[blvalue.ServiceName]blconfig.Service{"pot": {Name: "pot"}, "list": {Name: "list"}},
+	}}})
+	runs := []blvalue.Upstream{
+		{Name: "a", Service: "pot", Incarnation: "run_1", Slots: 6},
+		{Name: "a", Service: "list", Incarnation: "run_2", Slots: 9},
+		{Name: "a", Service: "list", Incarnation: "run_3", Slots: 4},
+	}
+	for _, run := range runs {
+		n.send(bldeliver.UpstreamsSeen{Announcements: []blmember.Announcement{{Upstream: run, Address: "here"}}})
+		upstream, _ := n.state.Upstreams().Get("a")
+		if got := upstream.Limit(); got != run.Slots {
+			t.Errorf("limit of %s: got %d, want %d", run.Incarnation, got, run.Slots)
+		}
+	}
+}
--- a/core/bldeliver/limiter.go
+++ b/core/bldeliver/limiter.go
@@ -54,11 +54,15 @@
 }
 
 // WithBounds returns the limiter with new settings. The current limit is kept
-// within the new bounds, and the average latency is kept.
+// within the new bounds, unless the expected service time is unknown, and the
+// average latency is kept.
 func (l Limiter) WithBounds(coldStartLimit, slots int, serviceTime time.Duration) Limiter {
 	updated := NewLimiter(coldStartLimit, slots, serviceTime)
-	updated.limit = min(max(l.limit, updated.minLimit*limitScale), updated.maxLimit*limitScale)
 	updated.averageLatency = l.averageLatency
+	if serviceTime == 0 {
+		return updated
+	}
+	updated.limit = min(max(l.limit, updated.minLimit*limitScale), updated.maxLimit*limitScale)
 	return updated
 }
 
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -164,7 +164,7 @@
 		if !ok {
 			upstream = UpstreamState{announcement: a, limiter: s.newLimiter(a), pacer: NewPacer(s.service(a).ColdStartRate)}
 		}
-		upstream = s.withLeaving(upstream.withAnnouncement(a), now)
+		upstream = s.withBounds(s.withLeaving(upstream.withAnnouncement(a), now))
 		var admitted []Effect
 		s, admitted = s.admitNext(a.Upstream.Name, upstream, now)
 		effects = append(effects, admitted...)
@@ -195,6 +195,16 @@
 	return NewLimiter(service.ColdStartLimit, effectiveSlots(service, a), service.ServiceTime)
 }
 
+// withBounds returns the upstream with the bounds of its limit as the configuration
+// and its announcement set them.
+func (s State) withBounds(upstream UpstreamState) UpstreamState {
+	service := s.service(upstream.announcement)
+	upstream.pacer = upstream.pacer.WithRate(service.ColdStartRate)
+	upstream.limiter = upstream.limiter.WithBounds(
+		service.ColdStartLimit, effectiveSlots(service, upstream.announcement), service.ServiceTime)
+	return upstream
+}
+
 func (s State) service(a blmember.Announcement) blconfig.Service {
 	return s.config.Plan.Services[a.Upstream.Service]
 }
@@ -222,11 +232,7 @@
 	s.config = m.Accepted
 	var effects []Effect
 	for name, upstream := range s.upstreams.All() {
-		service := s.service(upstream.announcement)
-		upstream = s.withLeaving(upstream, now)
-		upstream.pacer = upstream.pacer.WithRate(service.ColdStartRate)
-		upstream.limiter = upstream.limiter.WithBounds(
-			service.ColdStartLimit, effectiveSlots(service, upstream.announcement), service.ServiceTime)
+		upstream = s.withBounds(s.withLeaving(upstream, now))
 		var admitted []Effect
 		s, admitted = s.admitNext(name, upstream, now)
 		effects = append(effects, admitted...)
