Leave a watch alone that has brought the change meanwhile

Found in reading the change: a reread compared what it brought with the configuration in force before it began, so it restarted a watch that had just delivered the same. A lead that read an unchanged configuration kept the time at which a node had reported a later one. A stalled fetch says so (ConfigStalledError; before: 'context canceled'). TestFetchConfigFailures connects before it cuts the link, so that the fetch itself stalls, and TestBrokenBodyEndsOrder waits until the order has arrived: without that it could wait for an order that never came.

--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -47,12 +47,15 @@
 // configSeen adopts a configuration of a later revision; an earlier one is a
 // late answer.
 func (s State[P]) configSeen(m ConfigSeen, now bltimer.Instant) (State[P], []Effect) {
-	if s.authority.Term == 0 || m.Accepted.Revision <= s.config.Revision || m.Accepted.SameAs(s.config) {
+	if s.authority.Term == 0 || m.Accepted.Revision <= s.config.Revision {
+		return s, nil
+	}
+	s.laterConfigAt = 0
+	if m.Accepted.SameAs(s.config) {
 		return s, nil
 	}
 	s.config = m.Accepted
 	s.configAt = now
-	s.laterConfigAt = 0
 	var effects []Effect
 	for name, service := range s.config.Plan.Services {
 		if _, ok := s.services.Get(name); ok || service.Kind != blconfig.ServiceExclusive {
--- a/io/blgrpc/config.go
+++ b/io/blgrpc/config.go
@@ -37,6 +37,15 @@
 	return fmt.Sprintf("configuration exceeds %d bytes", maxConfigBytes)
 }
 
+// ConfigStalledError reports a fetch of which nothing arrived for
+// configProgressTimeout.
+type ConfigStalledError struct{}
+
+// Error implements error.
+func (ConfigStalledError) Error() string {
+	return fmt.Sprintf("no part of the configuration for %s", configProgressTimeout)
+}
+
 // configEncoder compresses configurations and keeps the latest result, since many
 // nodes fetch the same one.
 type configEncoder struct {
@@ -109,35 +118,49 @@
 	if err != nil {
 		return blconfig.Accepted{}, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	progress := time.AfterFunc(configProgressTimeout, cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	progress := time.AfterFunc(configProgressTimeout, func() { cancel(ConfigStalledError{}) })
 	defer progress.Stop()
-	stream, err := node.FetchConfig(ctx, &blproto.FetchConfigRequest{Revision: known.Revision, Digest: known.Digest})
+	revision, compressed, err := receiveConfig(ctx, node, known, progress)
+	if errors.Is(context.Cause(ctx), ConfigStalledError{}) {
+		err = ConfigStalledError{}
+	}
 	if err != nil {
 		return blconfig.Accepted{}, fmt.Errorf("fetch configuration from %s: %w", address, err)
 	}
+	if revision == 0 {
+		return blconfig.Accepted{}, nil
+	}
+	return c.decodeConfig(revision, compressed)
+}
+
+// receiveConfig returns the revision and the compressed text of a node's
+// configuration, and restarts the timer with each part.
+func receiveConfig(
+	ctx context.Context, node blproto.NodeClient, known blconfig.Accepted, progress *time.Timer,
+) (uint64, []byte, error) {
+	stream, err := node.FetchConfig(ctx, &blproto.FetchConfigRequest{Revision: known.Revision, Digest: known.Digest})
+	if err != nil {
+		return 0, nil, err //nolint:wrapcheck // FetchConfig names the call
+	}
 	var revision uint64
 	var compressed []byte
 	for {
 		part, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
-			break
+			return revision, compressed, nil
 		}
 		if err != nil {
-			return blconfig.Accepted{}, fmt.Errorf("fetch configuration from %s: %w", address, err)
+			return 0, nil, err //nolint:wrapcheck // FetchConfig names the call
 		}
 		progress.Reset(configProgressTimeout)
 		revision = part.GetRevision()
 		compressed = append(compressed, part.GetDocument()...)
 		if len(compressed) > maxConfigBytes {
-			return blconfig.Accepted{}, ConfigTooLargeError{}
+			return 0, nil, ConfigTooLargeError{}
 		}
 	}
-	if revision == 0 {
-		return blconfig.Accepted{}, nil
-	}
-	return c.decodeConfig(revision, compressed)
 }
 
 func (c *Client) decodeConfig(revision uint64, compressed []byte) (blconfig.Accepted, error) {
--- a/io/blgrpc/config_test.go
+++ b/io/blgrpc/config_test.go
@@ -92,7 +92,7 @@
 	}{
 		{"not later", config, bllink.Faults{}, blconfig.Accepted{Revision: 7}, wantNothing},
 		{"same text", config, bllink.Faults{}, blconfig.Accepted{Revision: 6, Digest: config.Digest}, wantNothing},
-		{"nothing arrives", config, bllink.Faults{CutBack: true}, blconfig.Accepted{}, wantError},
+		{"nothing arrives", config, bllink.Faults{CutBack: true}, blconfig.Accepted{}, wantStalled},
 		{
 			"too large when decompressed", blconfig.NewAcceptedPlan(7, blconfig.Plan{}, strings.Repeat("x", maxConfigBytes+1)),
 			bllink.Faults{}, blconfig.Accepted{}, func(t *testing.T, _ blconfig.Accepted, err error) {
@@ -108,10 +108,14 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			link := newConfigLink(t, c.config)
+			client := newTestClient(t)
+			if _, err := client.FetchConfig(t.Context(), link.Address(), c.config); err != nil {
+				t.Fatalf("connect: got %v, want nil", err)
+			}
 			link.Set(c.faults)
 			ctx, cancel := context.WithTimeout(t.Context(), 3*configProgressTimeout)
 			defer cancel()
-			got, err := newTestClient(t).FetchConfig(ctx, link.Address(), c.known)
+			got, err := client.FetchConfig(ctx, link.Address(), c.known)
 			if ctx.Err() != nil {
 				t.Errorf("time: got more than %s, want about %s", 3*configProgressTimeout, configProgressTimeout)
 			}
@@ -127,9 +131,9 @@
 	}
 }
 
-func wantError(t *testing.T, _ blconfig.Accepted, err error) {
+func wantStalled(t *testing.T, _ blconfig.Accepted, err error) {
 	t.Helper()
-	if err == nil {
-		t.Error("FetchConfig: got nil, want an error")
+	if !errors.Is(err, ConfigStalledError{}) {
+		t.Errorf("FetchConfig: got %v, want %v", err, ConfigStalledError{})
 	}
 }
--- a/io/blgrpc/deliver_test.go
+++ b/io/blgrpc/deliver_test.go
@@ -43,22 +43,30 @@
 type bodyNode struct {
 	Node
 
-	// read receives the error that ended a body.
-	read chan error
+	// started is closed when the order arrives, and read receives the error that
+	// ended its body.
+	started chan struct{}
+	read    chan error
 }
 
 func (n bodyNode) Deliver(_ context.Context, order bldeliver.Order, _ bldeliver.ResponseWriter) bldeliver.Delivery {
+	close(n.started)
 	_, err := io.Copy(io.Discard, order.Body)
 	n.read <- err
 	return bldeliver.Delivery{Refusal: blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "no answer")}
 }
 
-// brokenBody is a body that ends with an error.
-type brokenBody struct{ io.Reader }
+// brokenBody is a body that ends with an error once the order has arrived.
+type brokenBody struct {
+	io.Reader
+
+	arrived chan struct{}
+}
 
 func (b brokenBody) Read(buffer []byte) (int, error) {
 	count, err := b.Reader.Read(buffer)
 	if errors.Is(err, io.EOF) {
+		<-b.arrived
 		err = io.ErrUnexpectedEOF
 	}
 	return count, err
@@ -68,14 +76,14 @@
 // slot at the owner's node until the deadline of the request.
 func TestBrokenBodyEndsOrder(t *testing.T) {
 	const deadline = 3 * time.Second
-	node := bodyNode{read: make(chan error, 1)}
+	node := bodyNode{started: make(chan struct{}), read: make(chan error, 1)}
 	address := serveNode(t, node)
 	ctx, cancel := context.WithTimeout(t.Context(), deadline)
 	defer cancel()
 	startedAt := time.Now()
 	got := newTestClient(t).Deliver(ctx, bldeliver.Order{
 		Request: blvalue.Request{Method: "POST"}, Target: blroute.Target{Node: blvalue.Host{Address: address}},
-		Body: brokenBody{strings.NewReader("half")}, BodyLength: -1, Timeout: deadline,
+		Body: brokenBody{Reader: strings.NewReader("half"), arrived: node.started}, BodyLength: -1, Timeout: deadline,
 	}, nil)
 	if got.Refusal == nil || got.Refusal.Outcome != blvalue.OutcomeUnknown || got.Refusal.Reason != blvalue.ReasonMalformed {
 		t.Errorf("refusal: got %+v, want %s %s", got.Refusal, blvalue.OutcomeUnknown, blvalue.ReasonMalformed)
--- a/io/blnode/config_work.go
+++ b/io/blnode/config_work.go
@@ -76,18 +76,20 @@
 
 // configReloader rereads the configuration in case a watch has missed a change.
 type configReloader struct {
-	source    ConfigSource
-	outage    *outageLog
-	inForce   func() blconfig.Accepted
-	onConfig  func(blconfig.Accepted)
-	onRead    func(bool)
+	source ConfigSource
+	outage *outageLog
+	// inForce returns the configuration by which the node handles requests.
+	inForce  func() blconfig.Accepted
+	onConfig func(blconfig.Accepted)
+	// onRead is called after each attempt with whether the source answered.
+	onRead func(bool)
+	// onMissed is called with a configuration that no watch has brought.
 	onMissed  func(blconfig.Accepted)
 	countCall func(kind string)
 }
 
 func (r configReloader) perform(job reloadJob) {
-	inForce := r.inForce()
-	if job.revision != 0 && inForce.Revision >= job.revision {
+	if job.revision != 0 && r.inForce().Revision >= job.revision {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), configReadTimeout)
@@ -103,7 +105,7 @@
 	if accepted.Revision == 0 {
 		return
 	}
-	if !accepted.SameAs(inForce) {
+	if !accepted.SameAs(r.inForce()) {
 		r.onMissed(accepted)
 	}
 	r.onConfig(accepted)
