--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -51,7 +51,7 @@
 			bllead.Decide, n.performLead, n.clock),
 		assign: blduty.New("assign", ringCapacity, blassign.New(placement{}).WithSelf(n.self.Incarnation),
 			blassign.Decide[placement], n.performAssign, n.clock),
-		quota: blduty.New("purse", ringCapacity, blquota.New(), blquota.Decide, n.performQuota, n.clock),
+		quota: blduty.New("quota", ringCapacity, blquota.New(), blquota.Decide, n.performQuota, n.clock),
 		member: blduty.New("member", ringCapacity, blmember.New(n.self).WithUpstreamTimeouts(n.platform.UpstreamTimeouts),
 			blmember.Decide, n.performMember, n.clock),
 		grant: blduty.New("grant", ringCapacity, blgrant.New(), blgrant.Decide, n.performGrant, n.clock),
@@ -59,7 +59,7 @@
 		route: blduty.New("route", ringCapacity, blroute.New(selection{Domain: n.self.Domain}),
 			blroute.Decide[selection], n.performRoute, n.clock),
 		deliver: blduty.New("deliver", ringCapacity, bldeliver.New().WithDomain(n.self.Domain), bldeliver.Decide, n.performDeliver, n.clock),
-		reconciler: blduty.New("hold", ringCapacity, blreconciler.New(blreconciler.Timing{
+		reconciler: blduty.New("reconciler", ringCapacity, blreconciler.New(blreconciler.Timing{
 			GrantTTL: n.platform.Timing.GrantTTL, ClockMargin: n.platform.Timing.ClockMargin,
 		}), blreconciler.Decide, n.performReconciler, n.clock),
 	}
@@ -287,7 +287,7 @@
 func (n *Node) performReconciler(effect blreconciler.Effect) {
 	switch e := effect.(type) {
 	case blreconciler.Send:
-		n.logDropped("hold", n.workers.reconciler.Put(e))
+		n.logDropped("reconciler", n.workers.reconciler.Put(e))
 	case blreconciler.HoldingsChanged:
 		n.logDropped("grant", n.duties.grant.Put(e.Holdings))
 	case blreconciler.UpstreamResponded:
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -82,7 +82,7 @@
 		borrow:     blduty.NewWorker("borrow", 1, borrow.perform),
 		nudge:      blduty.NewWorker("nudge", shortQueueCapacity, nudgeSender{client: n.client}.perform),
 		upstream:   blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock).perform),
-		reconciler: blduty.NewWorker("hold", 1, n.sendOrders),
+		reconciler: blduty.NewWorker("reconciler", 1, n.sendOrders),
 		reload: blduty.NewWorker("reload", 1, configReloader{
 			source: n.platform.Config, onConfig: n.publishLocalConfig, onRead: n.configSourceChanged,
 			inForce: n.configInForce, onMissed: current.restart,
