--- /dev/null
+++ b/core/bllead/transfer_test.go
@@ -0,0 +1,251 @@
+package bllead_test
+
+import (
+	"testing"
+	"time"
+
+	"bergamotlead/core/bllead"
+	"bergamotlead/core/blring"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+func TestLeadThatLostTheStoreTransfersToItsStandby(t *testing.T) {
+	answered := bllead.StandbyAnswer{Incarnation: host("b").Incarnation, StoreAnswers: true}
+	cases := []struct {
+		name  string
+		since time.Duration
+		want  bool
+	}{
+		{"store answers the lead as well", 0, false},
+		{"store has not answered the lead", lease * 3 / 4, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.lead()
+			p.now += c.since
+			p.send(bllead.StandbyAnswered{SentAt: p.instant(), Asked: host("b").Incarnation, Answer: answered})
+			call, ok := effect[bllead.AskStandby](p)
+			if got := ok && call.Resigned == p.claim; got != c.want {
+				t.Errorf("transfers to the standby: got %t, want %t", got, c.want)
+			}
+			if got := p.holds(); got == c.want {
+				t.Errorf("holds: got %t, want %t", got, !c.want)
+			}
+		})
+	}
+}
+
+func TestStandbyReplacesOnlyTheResignedLease(t *testing.T) {
+	cases := []struct {
+		name string
+		read bllead.RecordRead
+		want bool
+	}{
+		{"resigned lease", bllead.RecordRead{LeaseHolder: "x_run", LeaseClaim: "x_run#1"}, true},
+		{"later lease of the same process", bllead.RecordRead{LeaseHolder: "x_run", LeaseClaim: "x_run#2"}, false},
+		{"lease of another process", bllead.RecordRead{LeaseHolder: "y_run", LeaseClaim: "y_run#1"}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.send(bllead.StandbyAsked{
+				Term: 3, Lead: host("x"), Standby: "a_run", Resigned: "x_run#1", Reply: blring.NewReply[bllead.StandbyAnswer](),
+			})
+			c.read.Stored, c.read.LeaseRevision = record(3, "x", "a"), 7
+			p.send(c.read)
+			acquire, got := effect[bllead.AcquireLease](p)
+			if got != c.want || got && acquire.Revision != 7 {
+				t.Errorf("acquires the lease: got %t at %d, want %t", got, acquire.Revision, c.want)
+			}
+		})
+	}
+}
+
+func TestIsolatedLeadReleasesTheLead(t *testing.T) {
+	cases := []struct {
+		name          string
+		limit         time.Duration
+		known, active int
+		standby       bool
+		want          bool
+	}{
+		{"no heartbeats from 6 nodes", time.Minute, 6, 0, false, true},
+		{"heartbeats from 1 of 6 nodes", time.Minute, 6, 1, false, true},
+		{"heartbeats from 2 of 6 nodes", time.Minute, 6, 2, false, false},
+		{"no heartbeats, but the standby answers", time.Minute, 6, 0, true, false},
+		{"only one other node known", time.Minute, 1, 0, false, false},
+		{"no other process could take over", 0, 6, 0, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.state = p.state.WithTiming(bllead.Timing{Lease: lease, GrantTTL: ttl, ClockMargin: margin, HoldLimit: c.limit})
+			p.lead()
+			released := false
+			for end := p.now + 4*ttl; p.now < end; p.now += 50 * time.Millisecond {
+				p.send(bllead.LeaseRenewed{SentAt: p.instant(), Lease: "lease_1"})
+				p.send(bllead.PeersSeen{Peers: []blvalue.Host{host("a"), host("b")}, Known: c.known, Active: c.active})
+				if c.standby {
+					p.send(bllead.StandbyAnswered{
+						SentAt: p.instant(), Asked: host("b").Incarnation, Answer: bllead.StandbyAnswer{Incarnation: host("b").Incarnation},
+					})
+				}
+				p.send(bllead.Tick{})
+				if write, ok := effect[bllead.WriteRecord](p); ok && write.Record.Lead.IsZero() {
+					released = true
+					break
+				}
+			}
+			if released != c.want {
+				t.Errorf("releases the lead: got %t, want %t", released, c.want)
+			}
+			if got := p.holds(); got == released {
+				t.Errorf("holds: got %t, want %t", got, !released)
+			}
+		})
+	}
+}
+
+func TestAnyProcessTakesOverAReleasedLead(t *testing.T) {
+	p := newProcess(t)
+	p.send(bllead.RecordRead{Stored: bllead.Stored{Revision: 30, Record: bllead.Record{Term: 3}}})
+	if _, got := effect[bllead.AcquireLease](p); !got {
+		t.Error("takes over: got false, want true")
+	}
+}
+
+func TestHoldingLeadTransfersToANodeThatReachesTheStore(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer bllead.StandbyAnswer
+		want   bool
+	}{
+		{"node reaches the store", bllead.StandbyAnswer{Incarnation: "c_run", StoreAnswers: true}, true},
+		{"node doesn't reach the store either", bllead.StandbyAnswer{Incarnation: "c_run"}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.state = p.state.WithTiming(bllead.Timing{Lease: lease, GrantTTL: ttl, ClockMargin: margin, HoldLimit: time.Minute})
+			p.lead()
+			p.send(bllead.PeersSeen{Peers: []blvalue.Host{host("b"), host("c")}, Known: 2, Active: 2, Candidate: host("c")})
+			p.send(bllead.StandbyAnswered{
+				SentAt: p.instant() + bltimer.Instant(lease/2), Asked: "b_run",
+				Answer: bllead.StandbyAnswer{Incarnation: "b_run", Promised: true},
+			})
+			p.now += lease
+			p.send(bllead.Tick{})
+			if got, want := p.state.Role(), bllead.RoleHolding; got != want {
+				t.Fatalf("role: got %s, want %s", got, want)
+			}
+			probed := false
+			for _, e := range p.effects {
+				ask, ok := e.(bllead.AskStandby)
+				probed = probed || ok && ask.Probe && ask.Standby == host("c")
+			}
+			if !probed {
+				t.Fatalf("effects: got %v, want a probe of c", p.effects)
+			}
+			p.send(bllead.StandbyAnswered{SentAt: p.instant(), Asked: "c_run", Answer: c.answer})
+			call, ok := effect[bllead.AskStandby](p)
+			if got := ok && call.Resigned == p.claim && call.Standby == host("c"); got != c.want {
+				t.Errorf("transfers to the node: got %t, want %t", got, c.want)
+			}
+			if got := p.holds(); got == c.want {
+				t.Errorf("holds: got %t, want %t", got, !c.want)
+			}
+		})
+	}
+}
+
+func TestProcessAskedToTakeOverNeedNotBeNamedInTheRecord(t *testing.T) {
+	cases := []struct {
+		name string
+		term uint64
+		want bool
+	}{{"term of the lead that asked", 3, true}, {"later term", 4, false}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.send(bllead.StandbyAsked{
+				Term: 3, Lead: host("x"), Standby: "a_run", Resigned: "x_run#1", Reply: blring.NewReply[bllead.StandbyAnswer](),
+			})
+			p.send(bllead.RecordRead{Stored: record(c.term, "x", "y")})
+			if _, got := effect[bllead.AcquireLease](p); got != c.want {
+				t.Errorf("takes over: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+func TestResigningLeadLetsAnyProcessTakeOver(t *testing.T) {
+	p := newProcess(t)
+	p.state = p.state.WithTiming(bllead.Timing{Lease: lease, GrantTTL: ttl, ClockMargin: margin, HoldLimit: time.Minute})
+	p.lead()
+	p.send(bllead.Resign{})
+	write, ok := effect[bllead.WriteRecord](p)
+	if !ok || !write.Record.Lead.IsZero() || !write.Record.Standby.IsZero() {
+		t.Errorf("record: got %+v, want one without lead and standby", write.Record)
+	}
+	call, ok := effect[bllead.AskStandby](p)
+	if !ok || call.Resigned == "" || call.Standby != host("b") {
+		t.Errorf("call: got %+v, want one to the standby", call)
+	}
+	if p.holds() {
+		t.Error("holds: got true, want false")
+	}
+}
+
+// TestLeadershipMovesToMoreCapacity checks the start of a fleet of hosts with
+// different capacities: the first process to report becomes standby, and a small
+// host may have become lead.
+func TestLeadershipMovesToMoreCapacity(t *testing.T) {
+	sized := func(name string, capacity int) blvalue.Host {
+		h := host(name)
+		h.Capacity = capacity
+		return h
+	}
+	cases := []struct {
+		name                string
+		self, first, second int
+		after               time.Duration
+		wantStandby         blvalue.HostName
+		wantTransfer        bool
+	}{
+		{"equal capacities", 80, 80, 80, 5 * time.Second, "b", false},
+		{"larger peer reported, before the delay", 80, 16, 80, time.Second, "b", false},
+		{"larger peer reported, after the delay", 80, 16, 80, 3 * time.Second, "c", false},
+		{"capacities unknown", 0, 0, 0, 5 * time.Second, "b", false},
+		{"standby much larger than the lead", 16, 80, 80, 5 * time.Second, "", true},
+		{"standby slightly larger than the lead", 60, 80, 80, 5 * time.Second, "b", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.state = bllead.New(sized("a", c.self), bllead.Timing{Lease: lease, GrantTTL: ttl, ClockMargin: margin})
+			hosts := []blvalue.Host{sized("a", c.self), sized("b", c.first), sized("c", c.second)}
+			p.leadWith(hosts[:2])
+			p.send(bllead.PeersSeen{Peers: hosts})
+			transferred := false
+			for end := p.now + c.after; p.now < end; p.now += 50 * time.Millisecond {
+				p.send(bllead.LeaseRenewed{SentAt: p.instant(), Lease: "lease_1"})
+				standby := p.state.Record().Standby.Incarnation
+				p.send(bllead.StandbyAnswered{
+					SentAt: p.instant(), Asked: standby, Answer: bllead.StandbyAnswer{Incarnation: standby},
+				})
+				p.send(bllead.Tick{})
+				p.confirmWrite()
+				call, ok := effect[bllead.AskStandby](p)
+				transferred = transferred || ok && call.Resigned != ""
+			}
+			if transferred != c.wantTransfer {
+				t.Errorf("transfers the lead: got %t, want %t", transferred, c.wantTransfer)
+			}
+			if got := p.state.Record().Standby.Name; !c.wantTransfer && got != c.wantStandby {
+				t.Errorf("standby: got %s, want %s", got, c.wantStandby)
+			}
+		})
+	}
+}
