--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -173,8 +173,9 @@
 	return alice.New(n.recoverPanic)
 }
 
-// recoverPanic logs a panic of a handler and answers with status 500, so that a
-// fault in one request doesn't terminate the process.
+// recoverPanic logs a panic of a handler and breaks the connection, so that a fault
+// in one request neither terminates the process nor ends a response that has begun
+// as if it were whole.
 func (n *Node) recoverPanic(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer func() {
@@ -186,7 +187,7 @@
 				panic(recovered)
 			}
 			n.logger.Error("panic in HTTP handler", "fault", fmt.Sprint(recovered), "stack", hclog.Stacktrace())
-			w.WriteHeader(http.StatusInternalServerError)
+			panic(http.ErrAbortHandler)
 		}()
 		next.ServeHTTP(w, r)
 	})
