--- a/io/blnode/node_work.go
+++ b/io/blnode/node_work.go
@@ -33,6 +33,12 @@
 	loads func() []blassign.UpstreamLoad
 }
 
+// NotLeadError reports a heartbeat that was answered by a node that isn't lead.
+type NotLeadError struct{}
+
+// Error implements error.
+func (NotLeadError) Error() string { return "the node isn't lead" }
+
 // perform adds the grants held and the upstreams' loads to a heartbeat and sends
 // it.
 func (s heartbeatSender) perform(effect blmember.SendHeartbeat) {
@@ -47,6 +53,9 @@
 			heartbeat.Loads = s.loads()
 			answer.Reply, err = s.client.Heartbeat(ctx, effect.To.Address, heartbeat)
 			answer.Failed = err != nil
+			if err == nil && answer.Reply.Term == 0 {
+				err = NotLeadError{}
+			}
 			s.outage.record(err, "to", string(effect.To.Name))
 		}
 	}
