--- a/io/blstore/transport.go
+++ b/io/blstore/transport.go
@@ -107,7 +107,7 @@
 // the rest of any response, does not arrive, and a TooLargeError for one of more
 // than MaxResponseBytes.
 func (t *Transport) Call(ctx context.Context, method, path string, request, result any) (int, error) {
-	payload := []byte(nil)
+	var payload []byte
 	if request != nil {
 		var err error
 		if payload, err = json.Marshal(request); err != nil {
@@ -146,7 +146,7 @@
 	if !e.headBounded {
 		progress.Stop()
 	}
-	status, body, err := t.exchange(ctx, e, progress)
+	status, body, err := t.roundTrip(ctx, e, progress)
 	if err != nil {
 		return 0, t.failure(ctx, err)
 	}
@@ -173,7 +173,8 @@
 	return err
 }
 
-func (t *Transport) exchange(ctx context.Context, e exchange, progress *time.Timer) (int, []byte, error) {
+// roundTrip sends the request and reads the whole response body.
+func (t *Transport) roundTrip(ctx context.Context, e exchange, progress *time.Timer) (int, []byte, error) {
 	call, err := http.NewRequestWithContext(ctx, e.method, t.base+e.path, bytes.NewReader(e.payload))
 	if err != nil {
 		return 0, nil, fmt.Errorf("build request: %w", err)
