Judge the store by unanswered renewals, not by what is left of the lease

A renewal counted as missed when less than half of the lease was left, which is normal with a slow store; the standby, which read the same store, then answered that it reaches it, and the lead went back and forth. A new lead also waited for a quarter of its lease before it renewed one that was nearly used up.

A renewal is now missed once the store has left renewals unanswered for the time between two of them, or the lease has expired; a new lead renews at once.

TestSlowStoreKeepsTheLead failed before ('role after 0s: got follower'). TestLeadThatLostTheStoreTransfersToItsStandby lets the lead renew at ticks, without which there is no renewal that the store could leave unanswered; same checks.

--- a/core/bllead/helpers_test.go
+++ b/core/bllead/helpers_test.go
@@ -14,6 +14,8 @@
 	lease  = 500 * time.Millisecond
 	ttl    = 900 * time.Millisecond
 	margin = 30 * time.Millisecond
+	// tick is the interval between two ticks.
+	tick = 10 * time.Millisecond
 )
 
 func host(name string) blvalue.Host {
--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -50,6 +50,7 @@
 	effects := []Effect{EndLease{Lease: s.lease}}
 	s.lease = ""
 	s.leaseUntil = 0
+	s.unansweredSince = 0
 	s.promiseUntil = 0
 	s.leadContactAt = 0
 	return s, effects
@@ -60,6 +61,9 @@
 		return s, effects
 	}
 	s.renewedAt = now
+	if s.unansweredSince == 0 {
+		s.unansweredSince = now
+	}
 	if s.lease == "" {
 		s = s.withClaim()
 		return s, append(effects, AcquireLease{Claim: s.claim})
@@ -84,6 +88,7 @@
 	}
 	s.lease = m.Lease
 	s.leaseUntil = m.SentAt.Add(s.timing.Lease - s.timing.ClockMargin)
+	s.unansweredSince = 0
 	return s.withEvent(eventResume), nil
 }
 
@@ -97,6 +102,7 @@
 		return s, nil
 	}
 	s.storeContactAt = now
+	s.unansweredSince = 0
 	if s.Role() == RoleHolding {
 		s = s.withEvent(eventResume)
 	}
--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -26,10 +26,12 @@
 	})
 }
 
-// missedRenewal reports whether so little of the lease remains that a renewal must
-// have failed.
+// missedRenewal reports whether the store has left the renewals unanswered for the
+// time between two of them, or the lease has expired. The lease itself tells less:
+// with a slow store much of it has passed when it is acquired or renewed.
 func (s State) missedRenewal(now bltimer.Instant) bool {
-	return s.leaseUntil.Sub(now) < s.timing.Lease-2*s.timing.renewInterval()
+	unanswered := s.unansweredSince != 0 && now.Sub(s.unansweredSince) >= s.timing.renewInterval()
+	return unanswered || !now.Before(s.leaseUntil)
 }
 
 const (
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -59,9 +59,12 @@
 	// writing is the write of the record whose outcome isn't known yet, or nil.
 	writing *WriteRecord
 	// inDoubt is set when the write was sent and its answer was lost.
-	inDoubt            bool
-	writeTriedAt       bltimer.Instant
-	renewedAt          bltimer.Instant
+	inDoubt      bool
+	writeTriedAt bltimer.Instant
+	renewedAt    bltimer.Instant
+	// unansweredSince is when the first of the renewals that the store has not
+	// answered was sent, or zero.
+	unansweredSince    bltimer.Instant
 	standbyAskedAt     bltimer.Instant
 	publishedAuthority Authority
 	// leadSince is when this process became lead. isolatedSince is since when it
--- a/core/bllead/transfer_test.go
+++ b/core/bllead/transfer_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotlead/core/bllead"
+	"bergamotlead/core/blplatform"
 	"bergamotlead/core/blring"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
@@ -24,7 +25,11 @@
 		t.Run(c.name, func(t *testing.T) {
 			p := newProcess(t)
 			p.lead()
-			p.now += c.since
+			// The lead renews its lease at ticks; the store answers none of the
+			// renewals.
+			for end := p.now + c.since; p.now < end; p.now += tick {
+				p.send(bllead.Tick{})
+			}
 			p.send(bllead.StandbyAnswered{SentAt: p.instant(), Asked: host("b").Incarnation, Answer: answered})
 			call, ok := effect[bllead.AskStandby](p)
 			if got := ok && call.Resigned == p.claim; got != c.want {
@@ -249,3 +254,41 @@
 		})
 	}
 }
+
+// TestSlowStoreKeepsTheLead guards against a store that answers slowly, but each call
+// within its time-out, and makes the lead go back and forth between lead and standby.
+func TestSlowStoreKeepsTheLead(t *testing.T) {
+	const latency = lease / 6
+	p := newProcess(t)
+	p.send(bllead.PeersSeen{Peers: []blvalue.Host{host("a"), host("b")}})
+	p.send(bllead.RecordRead{})
+	// Three calls acquire the lease, and a fourth one writes the record.
+	sentAt := p.instant()
+	p.now += 3 * latency
+	p.send(bllead.LeaseAcquired{SentAt: sentAt, Claim: p.claim, Lease: "lease_1"})
+	write, _ := effect[bllead.WriteRecord](p)
+	p.now += latency
+	p.send(bllead.RecordWritten{
+		WriteID: write.Record.WriteID, Outcome: blplatform.Written, Current: bllead.Stored{Record: write.Record, Revision: 1},
+	})
+	var renewals []time.Duration
+	for end := p.now + 10*lease; p.now < end; p.now += tick {
+		p.send(bllead.Tick{})
+		if _, ok := effect[bllead.RenewLease](p); ok {
+			renewals = append(renewals, p.now)
+		}
+		if call, ok := effect[bllead.AskStandby](p); ok {
+			p.send(bllead.StandbyAnswered{
+				SentAt: p.instant(), Asked: call.Standby.Incarnation,
+				Answer: bllead.StandbyAnswer{Incarnation: call.Standby.Incarnation, StoreAnswers: true},
+			})
+		}
+		if len(renewals) > 0 && p.now >= renewals[0]+latency {
+			p.send(bllead.LeaseRenewed{SentAt: bltimer.Instant(renewals[0]), Lease: "lease_1"})
+			renewals = renewals[1:]
+		}
+		if got, want := p.state.Role(), bllead.RoleLeading; got != want {
+			t.Fatalf("role after %s: got %s, want %s", p.now-(end-10*lease), got, want)
+		}
+	}
+}
--- a/core/bllead/write.go
+++ b/core/bllead/write.go
@@ -71,7 +71,8 @@
 		return stepDown(s)
 	}
 	s = s.withEvent(eventGain)
-	s.renewedAt = now
+	// With a slow store little of the lease may be left, so it is renewed at once.
+	s.renewedAt = 0
 	s.leadSince = now
 	return s, nil
 }
