Let a change wait for the authority of a new lead

Trace: a node had the role of lead, so the record was written; the node that took the change is answered so only if the record names itself while its own duty of ownership has not received the authority yet, which happens between two threads under load. Such a change now waits for the authority, 0.2 s at most. Only the project's own operators' interface is concerned; the users' platform has none.

--- a/io/blnode/status.go
+++ b/io/blnode/status.go
@@ -133,8 +133,11 @@
 // the change is reported as unknown.
 func (n *Node) forwardToLead(ctx context.Context, change blgrpc.Change) blgrpc.ChangeResult {
 	lead := n.knownLead(ctx)
-	if lead.IsZero() || lead.Incarnation == n.self.Incarnation {
-		return blgrpc.ChangeResult{Result: blproto.ApplyReply_RESULT_NOT_LEAD, Detail: "no lead is known"}
+	if lead.IsZero() {
+		return noLeadKnown()
+	}
+	if lead.Incarnation == n.self.Incarnation {
+		return n.applyOnceLead(ctx, change)
 	}
 	result, err := n.client.Apply(ctx, lead.Address, change)
 	if err != nil {
@@ -143,6 +146,32 @@
 	return result
 }
 
+func noLeadKnown() blgrpc.ChangeResult {
+	return blgrpc.ChangeResult{Result: blproto.ApplyReply_RESULT_NOT_LEAD, Detail: "no lead is known"}
+}
+
+// becomeLeadTimeout bounds the wait of a change on a node that the lead record names
+// and that has yet to take up its authority.
+const becomeLeadTimeout = 200 * time.Millisecond
+
+// applyOnceLead applies a change as soon as this node has the authority of the lead.
+func (n *Node) applyOnceLead(ctx context.Context, change blgrpc.Change) blgrpc.ChangeResult {
+	timeout := time.NewTimer(becomeLeadTimeout)
+	defer timeout.Stop()
+	ticker := time.NewTicker(inForcePollInterval)
+	defer ticker.Stop()
+	for !n.duties.assign.View().Authority().Holds(n.clock.Now()) {
+		select {
+		case <-ticker.C:
+		case <-timeout.C:
+			return noLeadKnown()
+		case <-ctx.Done():
+			return noLeadKnown()
+		}
+	}
+	return n.Apply(ctx, change)
+}
+
 // knownLead returns the lead that this node heard from last, or the one named in
 // the store if it has heard from none within leadTimeout. If the store can't be
 // read, it returns the lead of the last lead record that this node has seen.
