Ask an account's delegate for tokens where a node sees few of its requests

Cause: each of 195 nodes borrowed whole tokens from the lead for demands of a twentieth of a token, two for the first request, and held them against the account's burst. The loans of all nodes used up the burst, and requests within the rate were refused. Besides, a node spent fallback tokens when it had merely not asked for 300 ms, and each request for tokens copied the quotas of all accounts.

Change: an account has one delegate for each 40 requests per second of its rate, by rendezvous hashing over the directory. A node with a demand under 4 tokens per lookahead asks it; it borrows from the lead as before, so the lead's accounts stay exact. A delegate that doesn't answer is replaced for 2 s. Where the loans of all nodes fit into the burst (4 tokens a node), and under 8 nodes, each node borrows itself as before. Fallback begins once requests for tokens were unanswered for 250 ms; delegates admit 0.9 of the rate then, by failure domain, so that a domain that is cut off gets its share alone. A new lead's buckets start with a quarter of the overdraft.

--- a/core/bladmit/borrow.go
+++ b/core/bladmit/borrow.go
@@ -21,6 +21,9 @@
 	}
 	var needs []blquota.Need
 	for name, quota := range s.quotas.All() {
+		if quota.idle(now) {
+			continue
+		}
 		quota = quota.withWindow(s.lookahead(), now)
 		if !quota.idle(now) {
 			need := quota.need(name, now)
@@ -34,6 +37,9 @@
 	}
 	s.borrowing = true
 	s.borrowedAt = now
+	if s.unansweredSince == 0 {
+		s.unansweredSince = now
+	}
 	return s, []Effect{Borrow{Needs: needs}}
 }
 
@@ -51,6 +57,9 @@
 // anyShort reports whether an account has run out of tokens or soon will.
 func (s State) anyShort(now bltimer.Instant) bool {
 	for _, quota := range s.quotas.All() {
+		if quota.delegated {
+			continue
+		}
 		if len(quota.waiting) > 0 || quota.available(now) < quota.demand/2 {
 			return true
 		}
@@ -66,7 +75,7 @@
 	if m.Failed {
 		return s, nil
 	}
-	s.lentAt = max(s.lentAt, m.SentAt)
+	s.unansweredSince = 0
 	var effects []Effect
 	for _, loan := range m.Loans {
 		quota, _ := s.quotas.Get(loan.Account)
@@ -82,16 +91,20 @@
 // serve admits waiting requests while tokens last, and refuses those for which
 // the lead was asked in vain.
 func (s State) serve(account blvalue.AccountName, quota Quota, now bltimer.Instant) (Quota, []Effect) {
+	if quota.delegated {
+		return quota, nil
+	}
 	var effects []Effect
 	var remaining []waiter
 	for _, w := range quota.waiting {
-		next, spent := quota.withSpent(now)
+		var spent int64
+		quota, spent = quota.withSpent(w.missing, now)
+		w = w.withTokens(spent)
 		switch {
-		case spent:
-			quota = next
-			effects = append(effects, w.find)
+		case w.missing == 0:
+			effects = append(effects, w.served())
 		case w.requested:
-			effects = append(effects, s.overRate(w.admit, account, quota))
+			effects = append(effects, s.refuseOverRate(w, account, quota))
 		default:
 			remaining = append(remaining, w)
 		}
--- a/core/bladmit/check.go
+++ b/core/bladmit/check.go
@@ -24,26 +24,36 @@
 	if !s.config.Plan.Accounts[find.Find.Account].RateLimited() {
 		return s, []Effect{find}
 	}
-	quota, _ := s.quotas.Get(find.Find.Account)
-	quota = quota.withArrival(s.lookahead(), now)
-	quota, spent := quota.withSpent(now)
-	if !spent {
-		quota, spent = s.withFallbackToken(quota, s.config.Plan.Accounts[find.Find.Account].Rate, now)
-	}
-	if spent {
-		s.quotas = s.quotas.With(find.Find.Account, quota)
+	return s.admitLimited(m, find, now)
+}
+
+// admitLimited admits a request of a rate-limited account, refuses it, or lets it
+// wait for a token.
+func (s State) admitLimited(m Admit, find FindTarget, now bltimer.Instant) (State, []Effect) {
+	name := find.Find.Account
+	quota, _ := s.quotas.Get(name)
+	quota = s.withSource(name, quota.withArrivals(1, s.lookahead(), now), now)
+	quota, spent := quota.withSpent(1, now)
+	admitted := spent == 1
+	if !admitted {
+		quota, admitted = s.withFallbackToken(quota, s.config.Plan.Accounts[name], s.self.Domain, now)
+	}
+	if admitted {
+		s.quotas = s.quotas.With(name, quota)
 		s, effects := s.borrow(now)
 		return s, append(effects, find)
 	}
 	if len(quota.waiting) >= maxWaiting || quota.exhausted(now) {
-		s.quotas = s.quotas.With(find.Find.Account, quota)
-		return s, []Effect{s.overRate(m, find.Find.Account, quota)}
+		s.quotas = s.quotas.With(name, quota)
+		return s, []Effect{s.overRate(m, name, quota)}
 	}
 	wait := min(m.Request.Timeout, s.maxWait(find.Find.Route))
 	quota.waiting = append(quota.waiting[:len(quota.waiting):len(quota.waiting)],
-		waiter{admit: m, find: find, deadline: now.Add(wait)})
-	s.quotas = s.quotas.With(find.Find.Account, quota)
-	return s.borrow(now)
+		waiter{admit: m, find: find, missing: 1, deadline: now.Add(wait)})
+	quota, asked := s.ask(name, quota, now)
+	s.quotas = s.quotas.With(name, quota)
+	s, borrowed := s.borrow(now)
+	return s, append(asked, borrowed...)
 }
 
 // maxWait returns how long a request may wait for tokens: a fraction of its
--- a/core/bladmit/fallback_test.go
+++ b/core/bladmit/fallback_test.go
@@ -1,23 +1,38 @@
 package bladmit_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
 )
 
+// hosts returns the given number of hosts, the first of which is the node's own.
+func hosts(count int) []blvalue.Host {
+	list := make([]blvalue.Host, 0, count)
+	for i := range count {
+		name := "self"
+		if i > 0 {
+			name = fmt.Sprintf("host_%d", i)
+		}
+		list = append(list, blvalue.Host{Name: blvalue.HostName(name), Incarnation: blvalue.Incarnation(name + "-1")})
+	}
+	return list
+}
+
 // admitWithoutLead returns how many requests a node, one of the given number of
 // nodes, admits during the given time while no lead lends tokens.
 // With directories, it receives a new directory five times a second.
 func admitWithoutLead(nodes int, length time.Duration, directories bool) int {
 	n := newNode()
-	n.send(bladmit.NodeCountChanged{Count: nodes})
+	n.send(bladmit.NodesChanged{Nodes: hosts(nodes)})
 	admitted := 0
 	for end := n.now.Add(length); n.now.Before(end); n.now = n.now.Add(20 * time.Millisecond) {
 		if directories && n.now%bltimer.Instant(200*time.Millisecond) == 0 {
-			n.send(bladmit.NodeCountChanged{Count: nodes})
+			n.send(bladmit.NodesChanged{Nodes: hosts(nodes)})
 		}
 		n.send(bladmit.BorrowCompleted{SentAt: n.now, Failed: true})
 		n.send(bladmit.LeadResponded{SentAt: n.now})
--- a/core/bladmit/messages.go
+++ b/core/bladmit/messages.go
@@ -55,22 +55,57 @@
 	Failed bool
 }
 
-// NodeCountChanged sets the number of nodes that share the rates while no lead
-// lends tokens.
-type NodeCountChanged struct{ Count int }
+// NodesChanged sets the nodes of the fleet, including this one: the delegates of
+// accounts, and the nodes that share the rates while no lead lends tokens.
+type NodesChanged struct{ Nodes []blvalue.Host }
 
-func (NodeCountChanged) admitMessage() {}
+// Spend asks this node for tokens of an account on behalf of another node. This
+// node borrows them from the lead if it has none.
+type Spend struct {
+	Account blvalue.AccountName
+	Tokens  int64
+	// Domain is the failure domain of the other node.
+	Domain blvalue.DomainName
+	// Wait is how long the answer may take.
+	Wait  time.Duration
+	Reply blring.Reply[SpendAnswer]
+}
+
+// SpendAnswer is the answer to Spend.
+type SpendAnswer struct {
+	// Tokens is the number of tokens spent on behalf of the other node.
+	Tokens int64
+	// RetryAfter is the time until a token is available, if Tokens is less than
+	// requested because the account is over its rate.
+	RetryAfter time.Duration
+	// TimedOut is set when no lead lent any tokens in time.
+	TimedOut bool
+	// Unavailable is set when this node can't be the delegate of the account.
+	Unavailable bool
+}
+
+// DelegateAnswered carries the answer to AskDelegate.
+type DelegateAnswered struct {
+	Account  blvalue.AccountName
+	Delegate blvalue.Host
+	Answer   SpendAnswer
+	// Failed is set when the delegate didn't answer or can't be one.
+	Failed bool
+}
 
 // Leave makes this node refuse new requests.
 type Leave struct{}
 
-func (Tick) admitMessage()            {}
-func (Admit) admitMessage()           {}
-func (Recheck) admitMessage()         {}
-func (ConfigChanged) admitMessage()   {}
-func (LeadResponded) admitMessage()   {}
-func (BorrowCompleted) admitMessage() {}
-func (Leave) admitMessage()           {}
+func (Tick) admitMessage()             {}
+func (Admit) admitMessage()            {}
+func (Recheck) admitMessage()          {}
+func (ConfigChanged) admitMessage()    {}
+func (LeadResponded) admitMessage()    {}
+func (BorrowCompleted) admitMessage()  {}
+func (Leave) admitMessage()            {}
+func (NodesChanged) admitMessage()     {}
+func (Spend) admitMessage()            {}
+func (DelegateAnswered) admitMessage() {}
 
 // Effect is an output of the admission duty.
 type Effect interface{ admitEffect() }
@@ -97,7 +132,24 @@
 // Borrow reports usage to the lead and requests tokens.
 type Borrow struct{ Needs []blquota.Need }
 
+// AskDelegate requests tokens from the delegate of an account. The answer is due
+// within Wait.
+type AskDelegate struct {
+	Delegate blvalue.Host
+	Account  blvalue.AccountName
+	Tokens   int64
+	Wait     time.Duration
+}
+
+// AnswerSpend is the answer to Spend.
+type AnswerSpend struct {
+	Reply  blring.Reply[SpendAnswer]
+	Answer SpendAnswer
+}
+
 func (FindTarget) admitEffect()    {}
+func (AskDelegate) admitEffect()   {}
+func (AnswerSpend) admitEffect()   {}
 func (Refuse) admitEffect()        {}
 func (AnswerRecheck) admitEffect() {}
 func (Borrow) admitEffect()        {}
--- a/core/bladmit/quota.go
+++ b/core/bladmit/quota.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotlead/core/blquota"
+	"bergamotlead/core/bltable"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 )
@@ -26,8 +27,14 @@
 	term uint64
 	// spent counts the tokens spent since the last report to the lead.
 	spent int64
-	// waiting holds requests that wait for the lead's next answer.
+	// waiting holds requests that wait for the next answer of the lead or of the
+	// delegate.
 	waiting []waiter
+	// delegated is set while the tokens are requested from delegate instead of the
+	// lead, and asking while such a request is in flight.
+	delegated bool
+	delegate  blvalue.Host
+	asking    bool
 	// arrived counts the requests of the current window. demand is the number of
 	// tokens needed for the lookahead at the request rate of the previous window.
 	arrived       int64
@@ -37,17 +44,9 @@
 	// exhaustedUntil is when the lead is likely to have tokens again, after it
 	// lent none.
 	exhaustedUntil bltimer.Instant
-	// fallback holds the tokens that the node may spend while no lead lends.
-	fallback fallbackBucket
-}
-
-// waiter is a request that waits for a token.
-type waiter struct {
-	admit    Admit
-	find     FindTarget
-	deadline bltimer.Instant
-	// requested is set once a token was requested from the lead for it.
-	requested bool
+	// fallback holds the tokens that the node may spend while no lead lends, for the
+	// requests from each failure domain.
+	fallback bltable.Table[blvalue.DomainName, fallbackBucket]
 }
 
 // available returns the tokens that have not expired at now.
@@ -58,20 +57,19 @@
 	return q.tokens
 }
 
-// withSpent returns the quota after one request and whether it had a token.
-func (q Quota) withSpent(now bltimer.Instant) (Quota, bool) {
-	if q.available(now) == 0 {
-		return q, false
-	}
-	q.tokens--
-	q.spent++
-	return q, true
+// withSpent returns the quota after it spent up to the given number of tokens, and
+// the number spent.
+func (q Quota) withSpent(tokens int64, now bltimer.Instant) (Quota, int64) {
+	tokens = min(tokens, q.available(now))
+	q.tokens -= tokens
+	q.spent += tokens
+	return q, tokens
 }
 
-// withArrival counts a request towards the demand.
-func (q Quota) withArrival(lookahead time.Duration, now bltimer.Instant) Quota {
+// withArrivals counts requests towards the demand.
+func (q Quota) withArrivals(requests int64, lookahead time.Duration, now bltimer.Instant) Quota {
 	q = q.withWindow(lookahead, now)
-	q.arrived++
+	q.arrived += requests
 	return q
 }
 
@@ -90,9 +88,13 @@
 }
 
 // need returns the usage report and token request for the lead. It requests tokens
-// for the waiting requests and for the demand, and returns any that exceed this.
+// for the waiting requests and for the demand, and returns any that exceed this. A
+// quota with a delegate requests none.
 func (q Quota) need(account blvalue.AccountName, now bltimer.Instant) blquota.Need {
-	target := int64(len(q.waiting)) + max(q.demand, q.arrived)
+	var target int64
+	if !q.delegated {
+		target = q.missing() + max(q.demand, q.arrived)
+	}
 	held := q.available(now)
 	return blquota.Need{
 		Account:  account,
@@ -102,13 +104,36 @@
 	}
 }
 
+// missing returns the number of tokens for which requests wait.
+func (q Quota) missing() int64 {
+	var tokens int64
+	for _, w := range q.waiting {
+		tokens += w.missing
+	}
+	return tokens
+}
+
 // withRequested returns the quota after need was sent to the lead.
 func (q Quota) withRequested(need blquota.Need) Quota {
 	q.spent = 0
 	q.tokens -= need.Returned
+	if q.delegated {
+		return q
+	}
+	return q.withAllRequested(true)
+}
+
+// withoutRequested returns the quota after a request for tokens failed.
+func (q Quota) withoutRequested() Quota {
+	return q.withAllRequested(false)
+}
+
+// withAllRequested returns the quota with the same state of request for all waiting
+// requests.
+func (q Quota) withAllRequested(requested bool) Quota {
 	waiting := make([]waiter, len(q.waiting))
 	for i, w := range q.waiting {
-		w.requested = true
+		w.requested = requested
 		waiting[i] = w
 	}
 	q.waiting = waiting
@@ -134,25 +159,34 @@
 		q.tokens += loan.Tokens
 		q.expiresAt = expiresAt
 	}
-	q.retryAfter = loan.RetryAfter
+	return q.withAnswer(loan.Tokens, loan.RetryAfter, now)
+}
+
+// withAnswer returns the quota after the lead or the delegate gave it tokens, and
+// the time until the next one if these were fewer than requested.
+func (q Quota) withAnswer(tokens int64, retryAfter time.Duration, now bltimer.Instant) Quota {
+	q.retryAfter = retryAfter
 	q.exhaustedUntil = 0
-	if loan.Tokens == 0 && loan.RetryAfter > 0 {
-		q.exhaustedUntil = now.Add(min(loan.RetryAfter, maxExhaustedTime))
+	if tokens == 0 && retryAfter > 0 {
+		q.exhaustedUntil = now.Add(min(retryAfter, maxExhaustedTime))
 	}
 	return q
 }
 
 // maxExhaustedTime limits how long a node treats an account as exhausted without
-// asking the lead again.
+// asking again.
 const maxExhaustedTime = 250 * time.Millisecond
 
-// exhausted reports whether the lead recently answered that the account has no
-// tokens left.
+// exhausted reports whether the lead or the delegate recently answered that the
+// account has no tokens left.
 func (q Quota) exhausted(now bltimer.Instant) bool {
 	return now.Before(q.exhaustedUntil)
 }
 
 // idle reports whether there is nothing to report to or request from the lead.
 func (q Quota) idle(now bltimer.Instant) bool {
+	if q.delegated {
+		return q.spent == 0 && q.available(now) == 0
+	}
 	return q.spent == 0 && len(q.waiting) == 0 && q.available(now) == 0 && q.demand == 0 && q.arrived == 0
 }
--- a/core/bladmit/state.go
+++ b/core/bladmit/state.go
@@ -39,21 +39,31 @@
 	// when the last one was sent.
 	borrowing  bool
 	borrowedAt bltimer.Instant
-	// lentAt is when the last answered request for tokens was sent, and nodesKnownAt
-	// when the number of nodes became known.
-	lentAt       bltimer.Instant
-	nodesKnownAt bltimer.Instant
-	// nodes is the number of nodes that share a rate while no lead lends. Zero
-	// disables the fallback, so that requests wait for a lead.
-	nodes int
+	// unansweredSince is when the first request for tokens after the last answered
+	// one was sent, or zero if there is none. nodesKnownAt is when the nodes became
+	// known.
+	unansweredSince bltimer.Instant
+	nodesKnownAt    bltimer.Instant
+	self            blvalue.Host
+	fleet           fleet
+	// fallback enables the fallback rate while no lead lends. Otherwise requests
+	// wait for a lead.
+	fallback bool
 	// requests counts the requests. It selects among the services that share a
 	// route.
 	requests uint64
 }
 
 // New returns the state of a node that has no configuration yet.
-func New() State {
-	return State{}
+func New(self blvalue.Host) State {
+	return State{self: self}
+}
+
+// WithFallback returns the state of a node that admits requests at a fallback rate
+// while no lead lends tokens.
+func (s State) WithFallback() State {
+	s.fallback = true
+	return s
 }
 
 // Config returns the configuration in force at this node.
@@ -65,7 +75,7 @@
 // lead.
 func (s State) Busy(now bltimer.Instant) bool {
 	for _, quota := range s.quotas.All() {
-		if !quota.idle(now) {
+		if len(quota.waiting) > 0 || !quota.idle(now) {
 			return true
 		}
 	}
@@ -89,12 +99,16 @@
 		return s, nil
 	case BorrowCompleted:
 		return s.borrowCompleted(m, now)
-	case NodeCountChanged:
-		if s.nodes == 0 {
+	case NodesChanged:
+		if len(s.fleet.nodes) == 0 {
 			s.nodesKnownAt = now
 		}
-		s.nodes = m.Count
+		s.fleet = s.fleet.withNodes(s.self.Name, m.Nodes)
 		return s, nil
+	case Spend:
+		return s.spend(m, now)
+	case DelegateAnswered:
+		return s.delegateAnswered(m, now)
 	case Leave:
 		s.leaving = true
 		return s, nil
@@ -113,7 +127,7 @@
 	for name, quota := range s.quotas.All() {
 		var remaining []waiter
 		for _, w := range quota.waiting {
-			if s.config.Plan.Digests[w.admit.Request.KeyDigest] == name {
+			if w.ofNode() || s.config.Plan.Digests[w.admit.Request.KeyDigest] == name {
 				remaining = append(remaining, w)
 				continue
 			}
@@ -129,32 +143,53 @@
 }
 
 // tick ends the wait of requests past their deadline, which take a fallback token
-// or are refused, and reports to the lead.
+// or are refused, and requests tokens for the others.
 func (s State) tick(now bltimer.Instant) (State, []Effect) {
 	var effects []Effect
 	for name, quota := range s.quotas.All() {
 		if len(quota.waiting) == 0 {
 			continue
 		}
-		var remaining []waiter
-		for _, w := range quota.waiting {
-			if now.Before(w.deadline) {
-				remaining = append(remaining, w)
-				continue
-			}
-			var spent bool
-			if quota, spent = s.withFallbackToken(quota, s.config.Plan.Accounts[name].Rate, now); spent {
-				effects = append(effects, w.find)
-				continue
-			}
-			effects = append(effects, Refuse{
-				Reply:   w.admit.Reply,
-				Refusal: blvalue.NotRun(blvalue.ReasonStale, "no lead lent tokens in time"),
-			})
-		}
-		quota.waiting = remaining
+		var ended, asked []Effect
+		quota, ended = s.withoutExpired(name, quota, now)
+		quota, asked = s.ask(name, quota, now)
 		s.quotas = s.quotas.With(name, quota)
+		effects = append(append(effects, ended...), asked...)
 	}
 	s, borrowed := s.borrow(now)
 	return s, append(effects, borrowed...)
 }
+
+// withoutExpired returns the quota without the waiting requests past their
+// deadline, and the effects that end these.
+func (s State) withoutExpired(account blvalue.AccountName, quota Quota, now bltimer.Instant) (Quota, []Effect) {
+	var effects []Effect
+	var remaining []waiter
+	for _, w := range quota.waiting {
+		if now.Before(w.deadline) {
+			remaining = append(remaining, w)
+			continue
+		}
+		quota, w = s.withFallbackTokens(account, quota, w, now)
+		if w.missing == 0 {
+			effects = append(effects, w.served())
+			continue
+		}
+		effects = append(effects, w.expired())
+	}
+	quota.waiting = remaining
+	return quota, effects
+}
+
+// withFallbackTokens returns the quota and the waiter after it took the fallback
+// tokens that it needs and that are available.
+func (s State) withFallbackTokens(account blvalue.AccountName, quota Quota, w waiter, now bltimer.Instant) (Quota, waiter) {
+	spent := true
+	for w.missing > 0 && spent {
+		quota, spent = s.withFallbackToken(quota, s.config.Plan.Accounts[account], w.domain(s.self), now)
+		if spent {
+			w = w.withTokens(1)
+		}
+	}
+	return quota, w
+}
--- a/core/bladmit/state_test.go
+++ b/core/bladmit/state_test.go
@@ -38,7 +38,7 @@
 }
 
 func newNode() *node {
-	n := &node{state: bladmit.New(), now: bltimer.Instant(time.Minute)}
+	n := &node{state: bladmit.New(blvalue.Host{Name: "self", Incarnation: "self-1"}).WithFallback(), now: bltimer.Instant(time.Minute)}
 	n.send(bladmit.ConfigChanged{Accepted: accepted(1, "digest")})
 	n.send(bladmit.LeadResponded{SentAt: n.now})
 	return n
--- a/core/blmember/messages.go
+++ b/core/blmember/messages.go
@@ -146,11 +146,10 @@
 // DirectoryChanged carries changes to the directory.
 type DirectoryChanged struct{ Directory blassign.Directory }
 
-// NodeCountChanged reports the number of known nodes in the directory, including
-// this one.
-type NodeCountChanged struct{ Count int }
+// NodesChanged reports the known nodes in the directory, including this one.
+type NodesChanged struct{ Nodes []blvalue.Host }
 
-func (NodeCountChanged) memberEffect() {}
+func (NodesChanged) memberEffect() {}
 
 // LeadResponded reports that a lead answered the heartbeat sent at SentAt.
 type LeadResponded struct {
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -312,8 +312,10 @@
 	}
 	if directory := m.Reply.Directory; directory != nil {
 		s.directory = directory.Version
-		s = s.withNodes(*directory)
-		effects = append(effects, NodeCountChanged{Count: len(s.nodes) + 1})
+		if directory.Full || len(directory.Entries) > 0 {
+			s = s.withNodes(*directory)
+			effects = append(effects, NodesChanged{Nodes: append([]blvalue.Host{s.self}, s.nodes...)})
+		}
 		effects = append(effects, DirectoryChanged{Directory: *directory})
 	}
 	return s, effects
--- a/core/blmember/state_test.go
+++ b/core/blmember/state_test.go
@@ -203,8 +203,8 @@
 		sent, _ := n.tick(2 * time.Second)
 		n.send(blmember.HeartbeatAnswered{SentAt: sent.SentAt, From: sent.To, Reply: blassign.HeartbeatReply{Term: 3, Directory: &directory}})
 		for _, effect := range n.effects {
-			if changed, ok := effect.(blmember.NodeCountChanged); ok {
-				return changed.Count
+			if changed, ok := effect.(blmember.NodesChanged); ok {
+				return len(changed.Nodes)
 			}
 		}
 		return 0
--- a/core/blmember/upstreams.go
+++ b/core/blmember/upstreams.go
@@ -84,18 +84,19 @@
 
 // withNodes keeps the nodes of a directory, any of which may know the lead.
 func (s State) withNodes(directory blassign.Directory) State {
+	nodes := slices.Clone(s.nodes)
 	if directory.Full {
-		s.nodes = nil
+		nodes = nil
 	}
 	for _, entry := range directory.Entries {
 		if entry.Node.Name == s.self.Name {
 			continue
 		}
-		nodes := slices.DeleteFunc(slices.Clone(s.nodes), func(h blvalue.Host) bool { return h.Name == entry.Node.Name })
+		nodes = slices.DeleteFunc(nodes, func(h blvalue.Host) bool { return h.Name == entry.Node.Name })
 		if !entry.Gone && len(nodes) < maxKnownNodes {
 			nodes = append(nodes, entry.Node)
 		}
-		s.nodes = nodes
 	}
+	s.nodes = nodes
 	return s
 }
--- a/core/blquota/bucket.go
+++ b/core/blquota/bucket.go
@@ -59,9 +59,15 @@
 	outstanding int64
 }
 
-// NewBucket returns an empty bucket with the account's rate and burst.
+// overdraftDivisor gives the part of an account's overdraft, one in four, with which
+// a bucket starts, so that the overdraft covers several leads in succession.
+const overdraftDivisor = 4
+
+// NewBucket returns a bucket with the account's rate and burst. It holds a part of
+// the account's overdraft: loans of an earlier lead may hold the whole burst.
 func NewBucket(account blconfig.Account, now bltimer.Instant) Bucket {
-	return Bucket{rate: account.Rate, burst: account.Burst, refilledAt: now}
+	level := min(account.Overdraft/overdraftDivisor, account.Burst) * tokenUnit
+	return Bucket{rate: account.Rate, burst: account.Burst, level: level, refilledAt: now}
 }
 
 // Level returns the number of whole tokens in the bucket.
--- a/core/blroute/choose.go
+++ b/core/blroute/choose.go
@@ -1,12 +1,9 @@
 package blroute
 
 import (
-	"encoding/binary"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/bltable"
 	"bergamotlead/core/bltimer"
@@ -59,12 +56,12 @@
 	candidates []blassign.Entry, healths Healths, draw uint64, now bltimer.Instant,
 ) blassign.Entry {
 	count := uint64(len(candidates))
-	position := mix(draw) % count
+	position := blvalue.Mix(draw) % count
 	first := candidates[position]
 	if count == 1 {
 		return first
 	}
-	second := candidates[(position+1+mix(^draw)%(count-1))%count]
+	second := candidates[(position+1+blvalue.Mix(^draw)%(count-1))%count]
 	if cost(healths, second, now) < cost(healths, first, now) {
 		return second
 	}
@@ -124,13 +121,6 @@
 	return max(h.Outstanding, h.Load.Running+h.Load.Waiting)
 }
 
-// mix hashes draw so that consecutive values differ in all bits.
-func mix(draw uint64) uint64 {
-	var bytes [8]byte
-	binary.LittleEndian.PutUint64(bytes[:], draw)
-	return xxhash.Sum64(bytes[:])
-}
-
 // minLatency is the lowest latency used in costs, and the one assumed of an
 // upstream that has not answered yet.
 const minLatency = time.Millisecond
--- a/io/blgrpc/client.go
+++ b/io/blgrpc/client.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"bergamotlead/core/bladmit"
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/blquota"
@@ -118,6 +119,24 @@
 	return blquota.BorrowAnswer{Term: answer.GetTerm(), Loans: loansFromProto(answer.GetLoans())}, nil
 }
 
+// Spend asks the delegate of an account for tokens.
+func (c *Client) Spend(ctx context.Context, ask bladmit.AskDelegate, domain blvalue.DomainName) (bladmit.SpendAnswer, error) {
+	delegate, err := c.nodeClient(ask.Delegate.Address)
+	if err != nil {
+		return bladmit.SpendAnswer{}, err
+	}
+	answer, err := delegate.Spend(ctx, &blproto.SpendRequest{
+		Account: string(ask.Account), Tokens: ask.Tokens, Domain: string(domain), WaitMs: milliseconds(ask.Wait),
+	})
+	if err != nil {
+		return bladmit.SpendAnswer{}, fmt.Errorf("ask delegate %s: %w", ask.Delegate.Address, err)
+	}
+	return bladmit.SpendAnswer{
+		Tokens: answer.GetTokens(), RetryAfter: duration(answer.GetRetryAfterMs()),
+		TimedOut: answer.GetTimedOut(), Unavailable: answer.GetUnavailable(),
+	}, nil
+}
+
 // AskStandby sends a request of the lead to its standby.
 func (c *Client) AskStandby(
 	ctx context.Context, self blvalue.Host, asked bllead.AskStandby,
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"bergamotlead/core/bladmit"
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bldeliver"
@@ -43,6 +44,8 @@
 	Self() blvalue.Host
 	Heartbeat(ctx context.Context, heartbeat blassign.Heartbeat) (blassign.HeartbeatReply, error)
 	Borrow(ctx context.Context, node blvalue.Incarnation, needs []blquota.Need) (blquota.BorrowAnswer, error)
+	// Spend spends tokens on behalf of another node. It sets the reply of the message.
+	Spend(ctx context.Context, spend bladmit.Spend) (bladmit.SpendAnswer, error)
 	AskStandby(ctx context.Context, asked bllead.StandbyAsked) (bllead.StandbyAnswer, error)
 	Nudge()
 	Apply(ctx context.Context, change Change) ChangeResult
@@ -114,6 +117,24 @@
 	return &blproto.BorrowReply{Term: answer.Term, Loans: loansToProto(answer.Loans)}, nil
 }
 
+// Spend implements the Node service.
+func (s *Server) Spend(ctx context.Context, r *blproto.SpendRequest) (*blproto.SpendReply, error) {
+	if r.GetTokens() <= 0 {
+		return nil, status.Error(codes.InvalidArgument, "the number of tokens isn't positive")
+	}
+	answer, err := s.node.Spend(ctx, bladmit.Spend{
+		Account: blvalue.AccountName(r.GetAccount()), Tokens: r.GetTokens(),
+		Domain: blvalue.DomainName(r.GetDomain()), Wait: duration(r.GetWaitMs()),
+	})
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return &blproto.SpendReply{
+		Tokens: answer.Tokens, RetryAfterMs: milliseconds(answer.RetryAfter),
+		TimedOut: answer.TimedOut, Unavailable: answer.Unavailable,
+	}, nil
+}
+
 // AskStandby implements the Node service.
 func (s *Server) AskStandby(ctx context.Context, r *blproto.AskStandbyRequest) (*blproto.AskStandbyReply, error) {
 	answer, err := s.node.AskStandby(ctx, bllead.StandbyAsked{
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/justinas/alice"
 
+	"bergamotlead/core/bladmit"
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bldeliver"
@@ -52,6 +53,15 @@
 	return await(ctx, reply)
 }
 
+// Spend answers another node's request for tokens of an account.
+func (n *Node) Spend(ctx context.Context, spend bladmit.Spend) (bladmit.SpendAnswer, error) {
+	spend.Reply = blring.NewReply[bladmit.SpendAnswer]()
+	if err := n.duties.admit.Put(spend); err != nil {
+		return bladmit.SpendAnswer{}, fmt.Errorf("spend tokens: %w", err)
+	}
+	return await(ctx, spend.Reply)
+}
+
 // AskStandby answers a request of the lead to this node as its standby.
 func (n *Node) AskStandby(ctx context.Context, asked bllead.StandbyAsked) (bllead.StandbyAnswer, error) {
 	asked.Reply = blring.NewReply[bllead.StandbyAnswer]()
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -55,7 +55,7 @@
 		member: blduty.New("member", ringCapacity, blmember.New(n.self).WithUpstreamTimeouts(n.platform.UpstreamTimeouts),
 			blmember.Decide, n.performMember, n.clock),
 		grant: blduty.New("grant", ringCapacity, blgrant.New(), blgrant.Decide, n.performGrant, n.clock),
-		admit: blduty.New("admit", ringCapacity, bladmit.New(), bladmit.Decide, n.performAdmit, n.clock),
+		admit: blduty.New("admit", ringCapacity, n.newAdmission(), bladmit.Decide, n.performAdmit, n.clock),
 		route: blduty.New("route", ringCapacity, blroute.New(selection{Domain: n.self.Domain}),
 			blroute.Decide[selection], n.performRoute, n.clock),
 		deliver: blduty.New("deliver", ringCapacity, bldeliver.New().WithDomain(n.self.Domain), bldeliver.Decide, n.performDeliver, n.clock),
@@ -65,6 +65,17 @@
 	}
 }
 
+// newAdmission returns the initial state of the admission duty. Where only the lead
+// reads configurations, requests wait for a lead, since a node without one doesn't
+// know of withdrawn keys.
+func (n *Node) newAdmission() bladmit.State {
+	admission := bladmit.New(n.self)
+	if n.platform.AllNodesReadConfig {
+		return admission.WithFallback()
+	}
+	return admission
+}
+
 func (d duties) start() {
 	d.lead.Start()
 	d.assign.Start()
@@ -208,10 +219,8 @@
 		n.logDropped("fetch", n.workers.fetch.Put(fetchJob{from: e.From, known: n.configInForce}))
 	case blmember.DirectoryChanged:
 		blduty.PutBlocking[blroute.Message](n.duties.route.Put, blroute.DirectoryChanged{Directory: e.Directory})
-	case blmember.NodeCountChanged:
-		if n.platform.AllNodesReadConfig {
-			n.logDropped("admit", n.duties.admit.Put(bladmit.NodeCountChanged{Count: e.Count}))
-		}
+	case blmember.NodesChanged:
+		blduty.PutBlocking[bladmit.Message](n.duties.admit.Put, bladmit.NodesChanged{Nodes: e.Nodes})
 	case blmember.LeadResponded:
 		n.stateLog.logLead(e.Lead, e.Term)
 		n.logDropped("lead", n.duties.lead.Put(bllead.LeadResponded{Term: e.Term}))
@@ -309,6 +318,19 @@
 		e.Reply.Put(e.Refusal)
 	case bladmit.Borrow:
 		n.logDropped("borrow", n.workers.borrow.Put(e))
+	case bladmit.AnswerSpend:
+		e.Reply.Put(e.Answer)
+	case bladmit.AskDelegate:
+		n.askDelegate(e)
+	}
+}
+
+// askDelegate queues a request to a delegate. A request that is dropped counts as
+// one that the delegate didn't answer.
+func (n *Node) askDelegate(ask bladmit.AskDelegate) {
+	if err := n.workers.delegates.put(ask); err != nil {
+		n.logDropped("delegate", err)
+		n.logDropped("admit", n.duties.admit.Put(bladmit.DelegateAnswered{Account: ask.Account, Delegate: ask.Delegate, Failed: true}))
 	}
 }
 
--- a/io/blnode/node_work.go
+++ b/io/blnode/node_work.go
@@ -136,6 +136,28 @@
 	_ = b.put(completed)
 }
 
+// delegateAsker asks delegates for tokens.
+type delegateAsker struct {
+	client *blgrpc.Client
+	domain blvalue.DomainName
+	put    func(bladmit.Message) error
+	outage *outageLog
+}
+
+// askMargin is how much longer a node waits for the answer of a delegate than the
+// delegate may wait for the lead.
+const askMargin = 100 * time.Millisecond
+
+func (d delegateAsker) perform(ask bladmit.AskDelegate) {
+	ctx, cancel := context.WithTimeout(context.Background(), ask.Wait+askMargin)
+	defer cancel()
+	answer, err := d.client.Spend(ctx, ask, d.domain)
+	d.outage.record(err, "delegate", string(ask.Delegate.Name))
+	_ = d.put(bladmit.DelegateAnswered{
+		Account: ask.Account, Delegate: ask.Delegate, Answer: answer, Failed: err != nil || answer.Unavailable,
+	})
+}
+
 // nudgeSender asks nodes to send a heartbeat immediately.
 type nudgeSender struct {
 	client *blgrpc.Client
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -32,6 +32,7 @@
 	watch      *blduty.Worker[watchJob]
 	heartbeat  *blduty.Worker[blmember.SendHeartbeat]
 	borrow     *blduty.Worker[bladmit.Borrow]
+	delegates  delegateWorkers
 	nudge      *blduty.Worker[blassign.Nudge]
 	upstream   *blduty.Worker[grantJob]
 	reconciler *blduty.Worker[blreconciler.Send]
@@ -72,6 +73,10 @@
 		lead: func() blvalue.Host { return n.duties.member.View().Lead() },
 		put:  func(m bladmit.Message) error { return n.duties.admit.Put(m) },
 	}
+	delegate := delegateAsker{
+		client: n.client, domain: n.self.Domain, put: func(m bladmit.Message) error { return n.duties.admit.Put(m) },
+		outage: n.newOutageLog("delegate didn't answer", "delegates answer again"),
+	}
 	n.workers = workers{
 		lease:      blduty.NewWorker("lease", shortQueueCapacity, lead.perform),
 		record:     blduty.NewWorker("record", shortQueueCapacity, lead.perform),
@@ -80,6 +85,7 @@
 		watch:      blduty.NewWorker("watch", 1, watch.perform),
 		heartbeat:  blduty.NewWorker("heartbeat", 1, heartbeat.perform),
 		borrow:     blduty.NewWorker("borrow", 1, borrow.perform),
+		delegates:  newDelegateWorkers(delegate.perform),
 		nudge:      blduty.NewWorker("nudge", shortQueueCapacity, nudgeSender{client: n.client}.perform),
 		upstream:   blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock).perform),
 		reconciler: blduty.NewWorker("reconciler", 1, n.sendOrders),
@@ -108,6 +114,7 @@
 	w.watch.Start()
 	w.heartbeat.Start()
 	w.borrow.Start()
+	w.delegates.start()
 	w.nudge.Start()
 	w.upstream.Start()
 	w.reconciler.Start()
@@ -124,6 +131,7 @@
 	w.assign.Stop()
 	w.heartbeat.Stop()
 	w.borrow.Stop()
+	w.delegates.stop()
 	w.nudge.Stop()
 	w.upstream.Stop()
 	w.reconciler.Stop()
