Don't take a refusal that is written once more for a request's answer

Cause: on a kept connection the pool accepted a response without a request ID, and one with the ID of an earlier attempt of the same request. A faulty upstream that wrote an earlier refusal once more thus had a request reported as not run that it ran, and it ran at a second upstream.

Change: on a connection that has had a response, a response has to carry the request's ID. A connection on which a request failed carries no other attempt of it.

--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,8 @@
 	idleTimeoutMargin = time.Second
 	// maxHeaderBytes limits the head of a response.
 	maxHeaderBytes = 64 << 10
+	// maxFailedIDs limits the IDs that a connection keeps. One with more is not reused.
+	maxFailedIDs = 32
 	// maxSkippedResponses limits the responses read to find the one that
 	// matches the request: informational ones and those to other requests.
 	maxSkippedResponses = 8
@@ -46,7 +49,9 @@
 
 // Pool is an HTTP transport with a pool of connections to upstreams. It never
 // sends a request twice, and it accepts no response that carries the ID of
-// another request.
+// another request, or none on a connection that has had other responses. A failure
+// may be written once more, so a connection that had one for a request carries no
+// other attempt of the same request.
 type Pool struct {
 	// idHeader is the header field with the request ID, by which a response is
 	// matched to its request. If it is empty, responses are not checked.
@@ -79,6 +84,10 @@
 	limit   *io.LimitedReader
 	expires time.Time
 	closed  atomic.Bool
+	// reused is set when the connection has had a response.
+	reused bool
+	// failedIDs holds the IDs of the requests that were answered with a failure.
+	failedIDs []string
 }
 
 func (c *connection) close() {
@@ -90,7 +99,8 @@
 // RoundTrip implements http.RoundTripper.
 func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
 	ctx := request.Context()
-	c, err := p.get(ctx, request.URL.Host)
+	id := p.requestID(request)
+	c, err := p.get(ctx, request.URL.Host, id)
 	if err != nil {
 		return nil, err
 	}
@@ -109,6 +119,9 @@
 		}
 		return nil, fmt.Errorf("exchange with upstream: %w", err)
 	}
+	if id != "" && response.StatusCode >= http.StatusBadRequest {
+		c.failedIDs = append(c.failedIDs, id)
+	}
 	response.Body = &responseBody{
 		ReadCloser: response.Body, pool: p, connection: c, address: request.URL.Host, stopCancel: stopCancel,
 		reusable: writer.written() && !response.Close, idleTimeout: idleTimeout(response.Header),
@@ -166,7 +179,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if !p.mismatched(request, response) {
+		if !p.mismatched(c, request, response) {
 			return response, nil
 		}
 		if response.Close {
@@ -196,17 +209,29 @@
 	return err == nil && count <= maxDiscardBytes
 }
 
-func (p *Pool) mismatched(request *http.Request, response *http.Response) bool {
+// requestID returns the ID of a request, or nothing if responses are not checked.
+func (p *Pool) requestID(request *http.Request) string {
+	if p.idHeader == "" {
+		return ""
+	}
+	return request.Header.Get(p.idHeader)
+}
+
+// mismatched reports whether a response may belong to another request.
+func (p *Pool) mismatched(c *connection, request *http.Request, response *http.Response) bool {
 	if p.idHeader == "" {
 		return false
 	}
 	id := response.Header.Get(p.idHeader)
-	return id != "" && id != request.Header.Get(p.idHeader)
+	if id == "" {
+		return c.reused
+	}
+	return id != p.requestID(request)
 }
 
-func (p *Pool) get(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) get(ctx context.Context, address, id string) (*connection, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, id)
 		if c == nil {
 			return dial(ctx, address)
 		}
@@ -217,16 +242,20 @@
 	}
 }
 
-func (p *Pool) popIdle(address string) *connection {
+// popIdle returns the idle connection used last, among those on which no request
+// with the ID has failed, or nil if there is none.
+func (p *Pool) popIdle(address, id string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if id == "" || !slices.Contains(c.failedIDs, id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	last := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return last
+	return nil
 }
 
 func (p *Pool) putIdle(address string, c *connection) {
@@ -293,10 +322,11 @@
 }
 
 func (b *responseBody) release(reuse bool) {
-	if !b.stopCancel() || !reuse || b.connection.closed.Load() {
+	if !b.stopCancel() || !reuse || b.connection.closed.Load() || len(b.connection.failedIDs) > maxFailedIDs {
 		b.connection.close()
 		return
 	}
+	b.connection.reused = true
 	b.connection.expires = time.Now().Add(b.idleTimeout)
 	b.pool.putIdle(b.address, b.connection)
 }
