Reject announcements whose numbers or address can't be those of an upstream

Cause: an announcement of another writer was taken as it was. One with a start time or a sequence near the end of its range made each later announcement of the upstream count as out of date; a port out of range or a negative number of slots became an upstream to use. A rejected announcement left no log line.

--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -132,6 +132,15 @@
 	return n.duties.member.Put(blmember.Announced{Announcement: announcement})
 }
 
+// logRejectedAnnouncement logs why an announcement was rejected. The number of lines
+// per second is limited.
+func (n *Node) logRejectedAnnouncement(err error) {
+	allowed, suppressed := n.logLimiter.Allow("announcement", time.Now())
+	if allowed {
+		n.logger.Warn("announcement rejected", "error", err, "left_out", suppressed)
+	}
+}
+
 // keepOwnership waits, while this node still owns its partitions, until
 // typicalHandOverTime before the platform has redirected callers.
 func (n *Node) keepOwnership(ctx context.Context) {
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -146,7 +146,7 @@
 	}
 	handlers := map[string]http.Handler{
 		n.settings.CallerListen:   n.callerHandler(),
-		n.settings.UpstreamListen: n.platform.Announcements(n.announce, n.chain()),
+		n.settings.UpstreamListen: n.platform.Announcements(n.announce, n.logRejectedAnnouncement, n.chain()),
 		n.settings.OperatorListen: operators,
 	}
 	if n.settings.ReadyListen != "" {
--- a/io/blnode/platform.go
+++ b/io/blnode/platform.go
@@ -55,8 +55,9 @@
 	Transport http.RoundTripper
 	// Orders is nil on platforms where no upstream keeps its grants itself.
 	Orders OrderSender
-	// Announcements returns the HTTP handler for the upstreams' announcements.
-	Announcements func(announce func(blmember.Announcement) error, chain alice.Chain) http.Handler
+	// Announcements returns the HTTP handler for the upstreams' announcements. It
+	// calls rejected with the reason why it rejected one.
+	Announcements func(announce func(blmember.Announcement) error, rejected func(error), chain alice.Chain) http.Handler
 	// ReadinessPath is the path of the platform's readiness probe.
 	ReadinessPath string
 	// Timing applies until a configuration is known.
--- a/io/blupstream/announce.go
+++ b/io/blupstream/announce.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -49,20 +50,20 @@
 const maxAnnouncementBytes = 16 << 10
 
 // AnnounceHandler returns the handler that receives the announcements of the
-// upstreams local to the node.
-func AnnounceHandler(announce func(blmember.Announcement) error, chain alice.Chain) http.Handler {
+// upstreams local to the node. It calls rejected with the reason why an announcement
+// was rejected.
+func AnnounceHandler(
+	announce func(blmember.Announcement) error, rejected func(error), chain alice.Chain,
+) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /announce", func(w http.ResponseWriter, r *http.Request) {
-		var body announcementBody
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)).Decode(&body); err != nil {
-			http.Error(w, "read announcement: "+err.Error(), http.StatusBadRequest)
+		announcement, err := readAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+		if err != nil {
+			rejected(err)
+			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		if body.Name == "" || body.Incarnation == "" || body.Service == "" || body.Address == "" {
-			http.Error(w, "name, incarnation, service and address are required", http.StatusBadRequest)
-			return
-		}
-		if err := announce(body.announcement()); err != nil {
+		if err := announce(announcement); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
@@ -71,6 +72,15 @@
 	return chain.Then(mux)
 }
 
+func readAnnouncement(body io.Reader) (blmember.Announcement, error) {
+	var decoded announcementBody
+	if err := json.NewDecoder(body).Decode(&decoded); err != nil {
+		return blmember.Announcement{}, fmt.Errorf("read announcement: %w", err)
+	}
+	announcement := decoded.announcement()
+	return announcement, announcement.Check() //nolint:wrapcheck // the error names the field and the reason
+}
+
 func (b announcementBody) announcement() blmember.Announcement {
 	return blmember.Announcement{
 		Upstream: blvalue.Upstream{
