--- a/core/blconfig/document.go
+++ b/core/blconfig/document.go
@@ -117,6 +117,15 @@
 	// Digest is the hash of Source. It identifies the text, since different
 	// readers may have different revisions of the same text.
 	Digest uint64
+	// Ignored holds the reasons why entries of the configuration were left out.
+	Ignored []error
+}
+
+// WithIgnored returns the configuration with the reasons why entries of it were left
+// out.
+func (a Accepted) WithIgnored(ignored []error) Accepted {
+	a.Ignored = ignored
+	return a
 }
 
 // SameAs reports whether both have the same source text.
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -270,9 +270,16 @@
 		HoldLimit: n.platform.Timing.HoldLimit,
 	}})
 	n.logger.Info("configuration in force", "revision", accepted.Revision, "routes", len(accepted.Plan.Routes),
-		"accounts", len(accepted.Plan.Accounts), "origin", string(change.Origin), "bytes", len(accepted.Source))
+		"accounts", len(accepted.Plan.Accounts), "origin", string(change.Origin), "bytes", len(accepted.Source),
+		"ignored", len(accepted.Ignored))
+	for _, reason := range accepted.Ignored[:min(len(accepted.Ignored), maxIgnoredLines)] {
+		n.logger.Warn("configuration entry ignored", "revision", accepted.Revision, "error", reason)
+	}
 }
 
+// maxIgnoredLines limits the log lines about ignored entries of one configuration.
+const maxIgnoredLines = 20
+
 func (n *Node) performGrant(effect blgrant.Effect) {
 	switch e := effect.(type) {
 	case blgrant.AnswerBegin:
