Let a lead be found although a stored record is unreadable

Cause: an entry of another writer in place of the lead record, the list of lost hosts or an assignment counted as a store that doesn't answer. No process could become lead, or no upstream owner, until somebody removed it. A term out of range was adopted and would have led to fences that JSON can't hold.

Change: an unreadable lead record names nobody; its term is its revision, which is not below any earlier term. An unreadable assignment has no owners, and its partitions may be in use by an unknown earlier one, so that they are granted only when all earlier grants have expired. Both are logged.

Not covered: an odd entry in place of the lead's lease.

--- a/io/blnode/assign_work.go
+++ b/io/blnode/assign_work.go
@@ -54,12 +54,23 @@
 	s.countCall("get")
 	entry, err := s.store.Get(ctx, s.keys.Chunk(e.ID))
 	if err == nil {
-		result.Chunk, err = blstore.DecodeChunk(entry)
+		result.Chunk = s.decodeChunk(e.ID, entry)
 	}
 	result.Failed = err != nil
 	return result
 }
 
+// decodeChunk decodes a chunk. One that another writer has made unreadable is logged
+// and counts as a chunk without owners, which the lead then writes anew.
+func (s assignStore) decodeChunk(id blassign.ChunkID, entry blplatform.Entry) blassign.Chunk {
+	chunk, err := blstore.DecodeChunk(entry)
+	if err != nil {
+		s.logger.Warn("assignment not readable", "service", string(id.Service), "chunk", id.Index, "revision", entry.Revision, "error", err)
+		return blstore.UnreadableChunk(entry)
+	}
+	return chunk
+}
+
 func (s assignStore) writeChunk(e blassign.WriteChunk) blassign.ChunkWritten {
 	result := blassign.ChunkWritten{
 		Term: e.Chunk.Term, ID: e.ID, WriteID: e.Chunk.WriteID, Outcome: blplatform.NotSent,
@@ -73,9 +84,6 @@
 	s.countCall("swap")
 	written, _ := blplatform.Write(ctx, s.store, s.keys.Chunk(e.ID), e.Base, value)
 	result.Outcome = written.Outcome
-	result.Current, err = blstore.DecodeChunk(written.Entry)
-	if err != nil {
-		result.Outcome = blplatform.Unresolved
-	}
+	result.Current = s.decodeChunk(e.ID, written.Entry)
 	return result
 }
--- a/io/blnode/lead_work.go
+++ b/io/blnode/lead_work.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/blplatform"
 	"bergamotlead/core/bltimer"
@@ -32,6 +34,7 @@
 	leaseTTL  func() time.Duration
 	put       func(bllead.Message) error
 	countCall func(kind string)
+	logger    hclog.Logger
 }
 
 // storeContext returns the context of one store call that the lead depends on.
@@ -63,15 +66,35 @@
 		lease := entries[s.keys.LeadLease()]
 		result.LeaseClaim, result.LeaseRevision = bllead.Claim(lease.Value), lease.Revision
 		result.LeaseHolder = result.LeaseClaim.Holder()
-		result.Stored, err = blstore.DecodeRecord(entries[s.keys.LeadRecord()])
-	}
-	if err == nil {
-		result.Lost, err = blstore.DecodeLost(entries[s.keys.LostHosts()])
+		result.Stored = s.decodeRecord(entries[s.keys.LeadRecord()])
+		result.Lost = s.decodeLost(entries[s.keys.LostHosts()])
 	}
 	result.Failed = err != nil
 	return result
 }
 
+// decodeRecord decodes the lead record. One that another writer has made unreadable
+// is logged and names nobody, so that a lead is found and writes it anew.
+func (s leadStore) decodeRecord(entry blplatform.Entry) bllead.Stored {
+	stored, err := blstore.DecodeRecord(entry)
+	if err != nil {
+		s.logger.Warn("lead record not readable", "revision", entry.Revision, "error", err)
+		return blstore.UnreadableRecord(entry)
+	}
+	return stored
+}
+
+// decodeLost decodes the list of lost hosts. An unreadable one is logged and names
+// none.
+func (s leadStore) decodeLost(entry blplatform.Entry) []blvalue.Incarnation {
+	lost, err := blstore.DecodeLost(entry)
+	if err != nil {
+		s.logger.Warn("lost hosts not readable", "revision", entry.Revision, "error", err)
+		return nil
+	}
+	return lost
+}
+
 // readLead returns the entries of the lead by key, with a single call if the
 // store can list them. Otherwise it reads them in turn, the lease before the
 // record.
@@ -121,11 +144,7 @@
 	if err != nil {
 		return bllead.Stored{}, err
 	}
-	stored, err := blstore.DecodeRecord(entry)
-	if err != nil {
-		return bllead.Stored{}, fmt.Errorf("read lead record: %w", err)
-	}
-	return stored, nil
+	return s.decodeRecord(entry), nil
 }
 
 // acquireLease opens a lease, attaches the lead key to it and reads the record.
@@ -197,9 +216,6 @@
 	s.countCall("swap")
 	written, _ := blplatform.Write(ctx, s.store, s.keys.LeadRecord(), e.Base, value)
 	result.Outcome = written.Outcome
-	result.Current, err = blstore.DecodeRecord(written.Entry)
-	if err != nil {
-		result.Outcome = blplatform.Unresolved
-	}
+	result.Current = s.decodeRecord(written.Entry)
 	return result
 }
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -44,7 +44,7 @@
 	lead := leadStore{
 		store: n.store, keys: n.keys, self: n.self, clock: n.clock, leaseTTL: n.leaseTTL,
 		put:       func(m bllead.Message) error { return n.duties.lead.Put(m) },
-		countCall: n.metrics.StoreCall,
+		countCall: n.metrics.StoreCall, logger: n.logger,
 	}
 	peer := peerCaller{
 		client: n.client, clock: n.clock, self: n.self,
--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -72,6 +72,45 @@
 	return body, nil
 }
 
+// maxTerm is the highest term. Upstreams compare fences as numbers in JSON, in which
+// higher ones are not exact.
+const maxTerm = 1 << 28
+
+// TermError reports a term that no lead can have written.
+type TermError struct {
+	Term uint64
+}
+
+// Error implements error.
+func (e TermError) Error() string {
+	return fmt.Sprintf("term %d isn't from 0 to %d", e.Term, maxTerm)
+}
+
+func checkTerm(term uint64) error {
+	if term > maxTerm {
+		return TermError{Term: term}
+	}
+	return nil
+}
+
+// UnreadableRecord returns what an entry that is no lead record says: neither who is
+// lead nor who is standby. Each term took at least one write, so the revision of the
+// entry is not below any earlier term.
+func UnreadableRecord(entry blplatform.Entry) bllead.Stored {
+	return bllead.Stored{Record: bllead.Record{Term: entry.Revision}, Revision: entry.Revision}
+}
+
+// unreadableOwner stands for the unknown earlier owners of an unreadable chunk.
+const unreadableOwner blvalue.UpstreamName = "unreadable"
+
+// UnreadableChunk returns what an entry that is no chunk says: no partition has an
+// owner, and each may still be in use by an unknown earlier one.
+func UnreadableChunk(entry blplatform.Entry) blassign.Chunk {
+	return blassign.Chunk{
+		Revision: entry.Revision, Previous: slices.Repeat([]blvalue.UpstreamName{unreadableOwner}, blassign.ChunkSize),
+	}
+}
+
 // DecodeRecord decodes a lead record. For a missing entry it returns the zero
 // value.
 func DecodeRecord(entry blplatform.Entry) (bllead.Stored, error) {
@@ -82,6 +121,9 @@
 	if err := json.Unmarshal(entry.Value, &body); err != nil {
 		return bllead.Stored{}, fmt.Errorf("decode lead record: %w", err)
 	}
+	if err := checkTerm(body.Term); err != nil {
+		return bllead.Stored{}, fmt.Errorf("decode lead record: %w", err)
+	}
 	return bllead.Stored{
 		Record: bllead.Record{
 			Term: body.Term, Lead: blvalue.Host(body.Lead), Standby: blvalue.Host(body.Standby), WriteID: body.WriteID,
@@ -158,6 +200,9 @@
 	if err := json.Unmarshal(entry.Value, &body); err != nil {
 		return blassign.Chunk{}, fmt.Errorf("decode chunk: %w", err)
 	}
+	if err := checkTerm(body.Term); err != nil {
+		return blassign.Chunk{}, fmt.Errorf("decode chunk: %w", err)
+	}
 	return blassign.Chunk{
 		Revision: entry.Revision, Term: body.Term, WriteID: body.WriteID, Owners: decodeOwners(body.Names, body.Owners),
 		Previous: decodeOwners(body.Names, body.Previous),
