Let any node replace a lead without a standby; tell late identities apart

Cause: when a lead was lost for good before it had named a standby, every other node waited for the hold limit and a lease, 10.6 s on the users' platform, although a lead without a standby has nobody to promise anything and can't go on without its lease. All grants expire meanwhile.

Besides, a promise of the former standby still counted while the write that names another one was under way.

Change: a record without a standby lets any node take over once the lease is gone. The answer names the run that was asked about. A promise ends with the write.

Measured: TestTakeOver/no_standby_named and TestLateIdentityOfEarlierRunEndsNobody fail on the former code.

--- a/core/bllead/messages.go
+++ b/core/bllead/messages.go
@@ -102,9 +102,10 @@
 	Failed bool
 }
 
-// Identified reports the incarnation that answers at an address.
+// Identified reports the incarnation that answered at the address of a process.
 type Identified struct {
-	Address     string
+	// Asked is the incarnation that was expected there when the call was made.
+	Asked       blvalue.Incarnation
 	Incarnation blvalue.Incarnation
 }
 
@@ -125,6 +126,9 @@
 	// Candidate is the node best suited to lead among those that report that they
 	// reach the store, or zero.
 	Candidate blvalue.Host
+	// Retiring is set while this process's host has no upstream that serves, and
+	// other hosts have: the host is likely to be removed for good.
+	Retiring bool
 }
 
 // TimingChanged carries the timing of an accepted configuration.
@@ -207,8 +211,8 @@
 	Answer StandbyAnswer
 }
 
-// Identify asks which process answers at an address.
-type Identify struct{ Address string }
+// Identify asks which process answers at the address of a host.
+type Identify struct{ Host blvalue.Host }
 
 // AuthorityChanged informs the ownership duty of this process's authority.
 type AuthorityChanged struct{ Authority Authority }
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -20,7 +20,7 @@
 	effects := []Effect{ReadRecord{}}
 	for _, host := range []blvalue.Host{s.stored.Record.Lead, s.stored.Record.Standby} {
 		if !host.IsZero() && host.Incarnation != s.self.Incarnation && !s.hasEnded(host.Incarnation) {
-			effects = append(effects, Identify{Address: host.Address})
+			effects = append(effects, Identify{Host: host})
 		}
 	}
 	return s, effects
@@ -147,9 +147,10 @@
 const fullCapacity = 100
 
 // mayLead reports whether this process is eligible to lead. It is if the record
-// doesn't exist, names no lead or names this process, if the lead has asked it to
-// take over, or if the hold limit has passed. Otherwise lead and standby must both
-// have terminated, or the lead alone where the hold is bounded.
+// doesn't exist, names no lead, no standby or names this process, if the lead has
+// asked it to take over, or if the hold limit has passed. Otherwise lead and standby
+// must both have terminated, or the lead alone where the hold is bounded. A lead
+// without a standby can't go on without its lease: nobody gives it a promise.
 func (s State) mayLead(now bltimer.Instant) bool {
 	asked := s.resigned != "" && s.resignedTerm == s.stored.Record.Term &&
 		s.resigned.Holder() == s.stored.Record.Lead.Incarnation
@@ -157,12 +158,15 @@
 		return true
 	}
 	record := s.stored.Record
+	if record.Standby.IsZero() {
+		return true
+	}
 	if !s.hasEnded(record.Lead.Incarnation) {
 		return false
 	}
 	// Where the hold is bounded, a terminated lead is enough: only a lead continues
 	// without the store, never its standby.
-	return s.timing.HoldLimit > 0 || record.Standby.IsZero() || s.hasEnded(record.Standby.Incarnation)
+	return s.timing.HoldLimit > 0 || s.hasEnded(record.Standby.Incarnation)
 }
 
 func leaseAcquired(s State, m LeaseAcquired, now bltimer.Instant) (State, []Effect) {
@@ -198,14 +202,13 @@
 	return s, []Effect{EndLease{Lease: m.Lease}}
 }
 
-// identified marks lead or standby as terminated when another incarnation answers
-// at its address.
+// identified marks a process as terminated when another incarnation answered at its
+// address. An answer that arrives late says nothing about an incarnation that the
+// record names only since.
 func identified(s State, m Identified, now bltimer.Instant) (State, []Effect) {
 	before := s.ended.Len()
-	for _, host := range []blvalue.Host{s.stored.Record.Lead, s.stored.Record.Standby} {
-		if host.Address == m.Address && host.Incarnation != m.Incarnation && m.Incarnation != "" {
-			s = s.withEnded(host.Incarnation)
-		}
+	if m.Incarnation != m.Asked && m.Incarnation != "" {
+		s = s.withEnded(m.Asked)
 	}
 	if s.ended.Len() == before || s.Role() != RoleFollower || s.leaving {
 		return s, nil
--- a/core/bllead/takeover_test.go
+++ b/core/bllead/takeover_test.go
@@ -22,6 +22,8 @@
 		{"not named", bllead.RecordRead{Stored: record(3, "x", "y")}, false},
 		{"only the lead lost", bllead.RecordRead{Stored: record(3, "x", "y"), Lost: []blvalue.Incarnation{"x_run"}}, false},
 		{"only the standby lost", bllead.RecordRead{Stored: record(3, "x", "y"), Lost: []blvalue.Incarnation{"y_run"}}, false},
+		{"no standby named", bllead.RecordRead{Stored: record(3, "x", "")}, true},
+		{"no standby named, lease held", bllead.RecordRead{Stored: record(3, "x", ""), LeaseHolder: "x_run"}, false},
 		{"both lost", bllead.RecordRead{Stored: record(3, "x", "y"), Lost: []blvalue.Incarnation{"x_run", "y_run"}}, true},
 		{"store read failed", bllead.RecordRead{Stored: record(3, "x", "a"), Failed: true}, false},
 	}
@@ -39,23 +41,36 @@
 func TestTakeOverOnceLeadAndStandbyTerminated(t *testing.T) {
 	p := newProcess(t)
 	p.send(bllead.RecordRead{Stored: record(3, "x", "y"), LeaseHolder: "x_run"})
-	p.send(bllead.Identified{Address: "x", Incarnation: "x_again"})
+	p.send(bllead.Identified{Asked: "x_run", Incarnation: "x_again"})
 	p.send(bllead.RecordRead{Stored: record(3, "x", "y")})
 	if _, got := effect[bllead.AcquireLease](p); got {
 		t.Error("takes over when only the lead has terminated: got true, want false")
 	}
-	p.send(bllead.Identified{Address: "y", Incarnation: "y_run"})
+	p.send(bllead.Identified{Asked: "y_run", Incarnation: "y_run"})
 	p.send(bllead.RecordRead{Stored: record(3, "x", "y")})
 	if _, got := effect[bllead.AcquireLease](p); got {
 		t.Error("takes over when the standby answers: got true, want false")
 	}
-	p.send(bllead.Identified{Address: "y", Incarnation: "y_again"})
+	p.send(bllead.Identified{Asked: "y_run", Incarnation: "y_again"})
 	p.send(bllead.RecordRead{Stored: record(3, "x", "y")})
 	if _, got := effect[bllead.AcquireLease](p); !got {
 		t.Error("takes over when both have terminated: got false, want true")
 	}
 }
 
+// TestLateIdentityOfEarlierRunEndsNobody guards against an answer of an earlier run
+// of the lead's host that arrives once the record names the later run. It made the
+// running lead count as terminated, and its standby replace it at once.
+func TestLateIdentityOfEarlierRunEndsNobody(t *testing.T) {
+	p := newProcess(t)
+	p.send(bllead.RecordRead{Stored: record(3, "x", "a"), LeaseHolder: "x_run"})
+	p.send(bllead.Identified{Asked: "x_earlier", Incarnation: "x_before"})
+	p.send(bllead.RecordRead{Stored: record(3, "x", "a"), LeaseHolder: "x_run"})
+	if _, got := effect[bllead.AcquireLease](p); got {
+		t.Error("takes over while the lead's lease is held: got true, want false")
+	}
+}
+
 func TestPromisePreventsTakeover(t *testing.T) {
 	p := newProcess(t)
 	p.send(bllead.StandbyAsked{Term: 3, Standby: "a_run", WantPromise: true, Reply: blring.NewReply[bllead.StandbyAnswer]()})
--- a/core/bllead/write.go
+++ b/core/bllead/write.go
@@ -18,7 +18,10 @@
 	return s, []Effect{*s.writing}
 }
 
+// withWrite returns the state with a write of the record under way. The write may
+// appoint another standby, which has promised nothing, so an earlier promise ends.
 func (s State) withWrite(record Record) (State, WriteRecord) {
+	s.promiseUntil = 0
 	s.writeSeq++
 	record.WriteID = fmt.Sprintf("%s.%d", s.self.Incarnation, s.writeSeq)
 	write := WriteRecord{Base: s.stored.Revision, Record: record}
--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -224,17 +224,17 @@
 func (n *node) identify(e bllead.Identify) {
 	generation := n.generation
 	replied := false
-	n.sendTo(e.Address, func(other *node) {
+	n.sendTo(e.Host.Address, func(other *node) {
 		incarnation := other.host.Incarnation
 		n.receiveReply(other, generation, func() {
 			replied = true
-			n.deliverToLead(bllead.Identified{Address: e.Address, Incarnation: incarnation})
+			n.deliverToLead(bllead.Identified{Asked: e.Host.Incarnation, Incarnation: incarnation})
 		})
 	})
 	if n.sim.mutation.silenceMeansTerminated {
 		n.scheduleStep(callTimeout, func() {
 			if !replied {
-				n.deliverToLead(bllead.Identified{Address: e.Address, Incarnation: "nobody"})
+				n.deliverToLead(bllead.Identified{Asked: e.Host.Incarnation, Incarnation: "nobody"})
 			}
 		})
 	}
@@ -261,7 +261,7 @@
 			n.sendTo(host.Address, func(other *node) { other.deliverToMember(blmember.HeartbeatRequested{}) })
 		}
 	case blassign.PeersSeen:
-		n.deliverToLead(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Active: e.Active, Candidate: e.Candidate})
+		n.deliverToLead(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Active: e.Active, Candidate: e.Candidate, Retiring: e.Retiring})
 	case blassign.AnswerHeartbeat:
 		e.Reply.Put(e.HeartbeatReply)
 	}
--- a/io/blnode/node_work.go
+++ b/io/blnode/node_work.go
@@ -106,11 +106,11 @@
 func (c peerCaller) identify(e bllead.Identify) {
 	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
 	defer cancel()
-	host, err := c.client.Identify(ctx, e.Address)
+	host, err := c.client.Identify(ctx, e.Host.Address)
 	if err != nil {
 		return
 	}
-	_ = c.put(bllead.Identified{Address: e.Address, Incarnation: host.Incarnation})
+	_ = c.put(bllead.Identified{Asked: e.Host.Incarnation, Incarnation: host.Incarnation})
 }
 
 // tokenBorrower borrows rate-limit tokens from the lead.
