Keep the lead off hosts that are about to be removed

Cause: a host whose upstream leaves is removed for good a few seconds later, with or without a signal, but could be lead or standby until then. A lead and a standby that go together leave the fleet without a lead for the hold limit. The lead also heard of a change of its peers only when their number changed.

Change: hosts without a serving upstream are no candidates for the standby while others are; a standby that is no candidate any more is replaced; a lead on such a host transfers to its standby.

--- a/core/blassign/messages.go
+++ b/core/blassign/messages.go
@@ -141,7 +141,8 @@
 // PeersSeen tells the lead duty which nodes are up.
 type PeersSeen struct {
 	// Peers are the candidates for the standby: nodes that aren't leaving and whose
-	// latest heartbeat is younger than the time to live of a grant.
+	// latest heartbeat is younger than the time to live of a grant. Those whose host
+	// has no serving upstream are left out while others have one.
 	Peers []blvalue.Host
 	// Known counts the other nodes that have sent a heartbeat within
 	// knownPeerWindow, and Active those that have within activePeerWindow.
@@ -151,6 +152,9 @@
 	// the configuration themselves, or zero. A lead that can't reach the store may
 	// transfer its role to it.
 	Candidate blvalue.Host
+	// Retiring is set while the lead's own host has no serving upstream and others
+	// have one.
+	Retiring bool
 }
 
 // Nudge asks nodes to report at once, since partitions have been assigned to
--- a/core/blassign/place.go
+++ b/core/blassign/place.go
@@ -58,46 +58,6 @@
 	return s, effects
 }
 
-// reportPeers tells the lead duty which nodes are up whenever the summary of
-// the other nodes changes.
-func (s State[P]) reportPeers(now bltimer.Instant) (State[P], []Effect) {
-	seen := PeersSeen{Peers: s.peers(now)}
-	for _, member := range s.members.All() {
-		sinceHeartbeat := now.Sub(member.LastHeartbeatAt)
-		if member.Leaving || sinceHeartbeat > knownPeerWindow || member.Host.Incarnation == s.self {
-			continue
-		}
-		seen.Known++
-		if sinceHeartbeat > activePeerWindow {
-			continue
-		}
-		seen.Active++
-		if member.ReadsConfig && member.Host.Capacity >= seen.Candidate.Capacity {
-			seen.Candidate = member.Host
-		}
-	}
-	summary := peerSummary{peers: len(seen.Peers), known: seen.Known, active: seen.Active, candidate: seen.Candidate.Incarnation}
-	if summary == s.reportedPeers {
-		return s, nil
-	}
-	s.reportedPeers = summary
-	return s, []Effect{seen}
-}
-
-const (
-	// knownPeerWindow is how long a node counts as known after its last heartbeat.
-	knownPeerWindow = 20 * time.Second
-	// activePeerWindow is how long a node counts as active after its last
-	// heartbeat.
-	activePeerWindow = 1500 * time.Millisecond
-)
-
-// peerSummary holds the parts of PeersSeen whose change triggers a new report.
-type peerSummary struct {
-	peers, known, active int
-	candidate            blvalue.Incarnation
-}
-
 // withoutExpiredMembers frees the partitions of nodes whose grants have
 // expired. A node stays a member for as long as it may go on admitting
 // requests. Grants of earlier incarnations of a node are dropped once they have
--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -58,7 +58,7 @@
 		return leadResponded(s, m, now), nil
 	case PeersSeen:
 		s.peers, s.knownPeers, s.activePeers, s.candidate = m.Peers, m.Known, m.Active, m.Candidate
-		return s, nil
+		return s.withRetiring(m.Retiring, now), nil
 	case TimingChanged:
 		return s.WithTiming(m.Timing), nil
 	case Resign:
--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -1,6 +1,7 @@
 package bllead
 
 import (
+	"slices"
 	"time"
 
 	"bergamotlead/core/bltimer"
@@ -58,18 +59,49 @@
 	return keepsDomain && outranks(chosen, current) && now.Sub(s.leadSince) > capacityMoveDelay
 }
 
-// shouldTransferLead reports whether the standby answers and has so much more
-// capacity that it should become lead.
+const (
+	// retiringDelay is how long the host of a lead has to be about to be removed
+	// before the lead moves.
+	retiringDelay = time.Second
+	// peerReportTime is the time in which the nodes of a fleet report to a new lead.
+	peerReportTime = 2 * time.Second
+)
+
+// withRetiring tracks since when the host of this process is likely to be removed.
+func (s State) withRetiring(retiring bool, now bltimer.Instant) State {
+	switch {
+	case !retiring:
+		s.retiringSince = 0
+	case s.retiringSince == 0:
+		s.retiringSince = now
+	}
+	return s
+}
+
+// retires reports whether this process should leave the lead to the standby because
+// its host is likely to be removed for good.
+func (s State) retires(standby blvalue.Host, now bltimer.Instant) bool {
+	return s.retiringSince != 0 && now.Sub(s.retiringSince) > retiringDelay && s.isPeer(standby)
+}
+
+// isPeer reports whether the host is among the candidates for the standby.
+func (s State) isPeer(host blvalue.Host) bool {
+	return slices.ContainsFunc(s.peers, func(peer blvalue.Host) bool { return peer.Incarnation == host.Incarnation })
+}
+
+// shouldTransferLead reports whether the standby answers and should become lead: it
+// has much more capacity, or the host of this process is likely to be removed.
 func (s State) shouldTransferLead(now bltimer.Instant) bool {
 	standby, ok := s.standby()
-	if !ok || s.Role() != RoleLeading || s.writing != nil || !outranks(standby, s.self) {
+	if !ok || s.Role() != RoleLeading || s.writing != nil || !outranks(standby, s.self) && !s.retires(standby, now) {
 		return false
 	}
 	return now.Sub(s.leadSince) > 2*capacityMoveDelay && now.Sub(s.standbyContactAt) < s.timing.Lease && !s.missedRenewal(now)
 }
 
 // updateStandby writes a record with another standby when the current one doesn't
-// answer or a peer has far more capacity. It requires the lease of the store.
+// answer or is no candidate any more, or a peer has far more capacity. It requires
+// the lease of the store.
 func updateStandby(s State, effects []Effect, now bltimer.Instant) (State, []Effect) {
 	if s.writing != nil || !now.Before(s.leaseUntil) || s.leaving {
 		return s, effects
@@ -79,7 +111,8 @@
 	if chosen.IsZero() {
 		return s, effects
 	}
-	if ok && now.Sub(s.standbyContactAt) < standbyTimeout && !s.shouldReplaceStandby(chosen, current, now) {
+	suited := s.isPeer(current) || now.Sub(s.leadSince) < peerReportTime
+	if ok && suited && now.Sub(s.standbyContactAt) < standbyTimeout && !s.shouldReplaceStandby(chosen, current, now) {
 		return s, effects
 	}
 	var write WriteRecord
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -43,6 +43,9 @@
 	// candidate is a node that may reach the store. It was last probed at probedAt.
 	candidate blvalue.Host
 	probedAt  bltimer.Instant
+	// retiringSince is since when the host of this process is likely to be removed,
+	// or zero.
+	retiringSince bltimer.Instant
 	// ended holds the incarnations that are known to have terminated.
 	ended    bltable.Table[blvalue.Incarnation, bool]
 	writeSeq uint64
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -175,7 +175,7 @@
 	case blassign.AnswerHeartbeat:
 		e.Reply.Put(e.HeartbeatReply)
 	case blassign.PeersSeen:
-		n.logDropped("lead", n.duties.lead.Put(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Active: e.Active, Candidate: e.Candidate}))
+		n.logDropped("lead", n.duties.lead.Put(bllead.PeersSeen{Peers: e.Peers, Known: e.Known, Active: e.Active, Candidate: e.Candidate, Retiring: e.Retiring}))
 	case blassign.LoadConfig:
 		n.loadConfig(e)
 	case blassign.ReloadConfig:
