--- a/io/blsettings/process.go
+++ b/io/blsettings/process.go
@@ -77,7 +77,7 @@
 	// RetryRatio is the fraction of a service's requests that may be retried, over
 	// all nodes, in addition to RetryReserve retries in total.
 	RetryRatio   float64 `toml:"retry_ratio"`
-	RetryReserve int64   `toml:"retry_reserve"`
+	RetryReserve float64 `toml:"retry_reserve"`
 	// QuotaExcess is the fraction by which an account may exceed its rate and burst
 	// in each QuotaWindow, and QuotaSlack a number of requests in addition to it,
 	// over all nodes.
--- a/io/blsettings/process_test.go
+++ b/io/blsettings/process_test.go
@@ -44,3 +44,30 @@
 		})
 	}
 }
+
+// TestPlatformFiguresMayBeFractions guards against a process that ends at its start
+// because a figure of the platform isn't a whole number.
+func TestPlatformFiguresMayBeFractions(t *testing.T) {
+	platform := `
+[platform]
+service = "pot"
+failure_domains = ["a"]
+upstream_heartbeat = "1.5s"
+shortest_lease = "1s"
+longest_grant = "10s"
+drain = "2s"
+grace = "6s"
+retry_ratio = 1
+retry_reserve = 30.714285
+quota_excess = 0
+quota_window = "2.5s"
+quota_slack = 1.4285
+`
+	settings, err := blsettings.ParseProcess([]byte(validProcess + platform))
+	if err != nil {
+		t.Fatalf("ParseProcess: got %v, want nil", err)
+	}
+	if got, want := settings.Platform.RetryReserve, 30.714285; got != want {
+		t.Errorf("retry reserve: got %v, want %v", got, want)
+	}
+}
