Reread the store less in a large fleet

Cause: at 195 hosts heartbeats are 1.17 s apart, but a node counted the lead as unavailable 1 s after its last answer and reread the configuration then, before each heartbeat: some 60 calls a second in calm. Without a lead each node reread the configuration every 0.6 s and the lead record every 0.1 to 0.4 s, however many nodes shared the store.

Change: the lead is unavailable once a heartbeat that was due is unanswered for 0.75 s. Without a lead the intervals of both rereads grow with the fleet, up to 2 s; the standby reads as often as before.

--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -11,11 +11,14 @@
 	// before the lead appoints another one.
 	standbyTimeout = time.Second
 	// followerReadInterval is the interval between reads of the lead record in a
-	// follower that has lost contact with the lead.
+	// follower that has lost contact with the lead. Beyond nodesPerReadInterval nodes
+	// it grows with their number, since all of them read the record.
 	followerReadInterval = 400 * time.Millisecond
 	// leadEndedReadInterval replaces followerReadInterval in a follower that knows
 	// that the lead's process has terminated.
 	leadEndedReadInterval = 100 * time.Millisecond
+	nodesPerReadInterval  = 50
+	maxReadInterval       = 2 * time.Second
 	// standbyReadInterval replaces followerReadInterval in the standby.
 	standbyReadInterval = 50 * time.Millisecond
 	// acquireTimeout bounds the wait for the answer to an attempt to acquire the
@@ -59,6 +62,9 @@
 	case PeersSeen:
 		s.peers, s.knownPeers, s.activePeers, s.candidate = m.Peers, m.Known, m.Active, m.Candidate
 		return s.withRetiring(m.Retiring, now), nil
+	case NodesCounted:
+		s.nodes = m.Nodes
+		return s, nil
 	case TimingChanged:
 		return s.WithTiming(m.Timing), nil
 	case Resign:
--- a/core/bllead/messages.go
+++ b/core/bllead/messages.go
@@ -131,6 +131,9 @@
 	Retiring bool
 }
 
+// NodesCounted carries the number of nodes in the fleet.
+type NodesCounted struct{ Nodes int }
+
 // TimingChanged carries the timing of an accepted configuration.
 type TimingChanged struct {
 	Timing Timing
@@ -146,6 +149,7 @@
 func (RecordWritten) leadMessage()   {}
 func (StandbyAsked) leadMessage()    {}
 func (StandbyAnswered) leadMessage() {}
+func (NodesCounted) leadMessage()    {}
 func (Identified) leadMessage()      {}
 func (LeadResponded) leadMessage()   {}
 func (PeersSeen) leadMessage()       {}
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -36,7 +36,9 @@
 	lifecycle bllifecycle.Lifecycle[Role, roleEvent]
 
 	stored Stored
-	peers  []blvalue.Host
+	// nodes is the number of nodes in the fleet, or zero if it is unknown.
+	nodes int
+	peers []blvalue.Host
 	// knownPeers and activePeers count the other nodes as described at PeersSeen.
 	knownPeers  int
 	activePeers int
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -27,13 +27,14 @@
 }
 
 func (s State) readInterval() time.Duration {
+	interval := followerReadInterval
 	switch {
 	case s.watchesLead():
 		return standbyReadInterval
 	case s.hasEnded(s.stored.Record.Lead.Incarnation):
-		return leadEndedReadInterval
+		interval = leadEndedReadInterval
 	}
-	return followerReadInterval
+	return min(interval*time.Duration(max(s.nodes, nodesPerReadInterval))/nodesPerReadInterval, maxReadInterval)
 }
 
 // leadTimedOut reports whether contact with the lead has been lost for too long:
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -119,6 +119,18 @@
 // sent.
 func (s State) LastContact() bltimer.Instant { return s.lastContact }
 
+// leadOverdueAfter is how long after a heartbeat was due a node without an answer
+// considers the lead unavailable.
+const leadOverdueAfter = 750 * time.Millisecond
+
+// LeadOverdue reports whether no lead has answered the heartbeat that was due.
+func (s State) LeadOverdue(now bltimer.Instant) bool {
+	return now.Sub(s.lastContact) > s.period()+leadOverdueAfter
+}
+
+// NodeCount returns the number of known nodes in the directory, including this one.
+func (s State) NodeCount() int { return len(s.nodes) + 1 }
+
 // LeadStoreLost reports whether the lead's latest answer says that it can't reach
 // the store.
 func (s State) LeadStoreLost() bool { return s.leadStoreLost }
--- a/core/blmember/state_test.go
+++ b/core/blmember/state_test.go
@@ -215,3 +215,34 @@
 		t.Errorf("nodes after one is gone: got %d, want %d", got, want)
 	}
 }
+
+// TestLeadIsNotOverdueBetweenTwoHeartbeats guards against nodes of a large fleet that
+// reread the configuration before each heartbeat: their heartbeats are further apart
+// than the fixed time after which the lead counted as unavailable.
+func TestLeadIsNotOverdueBetweenTwoHeartbeats(t *testing.T) {
+	for _, nodes := range []int{3, 195, 710} {
+		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
+			n := newNode()
+			directory := blassign.Directory{Full: true}
+			for i := range nodes {
+				directory.Entries = append(directory.Entries, blassign.Entry{Node: host(fmt.Sprintf("node_%d", i))})
+			}
+			sent, _ := n.tick(2 * time.Second)
+			n.send(blmember.HeartbeatAnswered{SentAt: sent.SentAt, From: sent.To, Reply: blassign.HeartbeatReply{Term: 3, Directory: &directory}})
+			for {
+				n.now = n.now.Add(50 * time.Millisecond)
+				n.send(blmember.Tick{})
+				if n.state.LeadOverdue(n.now) {
+					t.Fatalf("lead overdue %v after its answer: got true, want false", n.now.Sub(sent.SentAt))
+				}
+				if len(n.effects) > 0 {
+					break
+				}
+			}
+			n.now = n.now.Add(2 * time.Second)
+			if !n.state.LeadOverdue(n.now) {
+				t.Error("lead overdue without an answer: got false, want true")
+			}
+		})
+	}
+}
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -114,8 +114,7 @@
 	// therefore rereads the configuration periodically, and so does a node that
 	// hears from no lead, or only from one that doesn't reach the store.
 	bltimer.SubscribeWhile(n.timer, reloadPeriod, n.workers.reload.Ring(),
-		func(bltimer.Tick) reloadJob { return reloadJob{} },
-		func() bool { return n.platform.AllNodesReadConfig && (n.isLead() || n.leadUnavailable()) })
+		func(bltimer.Tick) reloadJob { return reloadJob{} }, n.reloadDue)
 	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.reconciler.Ring(),
 		func(bltimer.Tick) blreconciler.Message { return blreconciler.Tick{} },
 		func() bool { return n.duties.reconciler.View().Busy() })
@@ -221,6 +220,7 @@
 		blduty.PutBlocking[blroute.Message](n.duties.route.Put, blroute.DirectoryChanged{Directory: e.Directory})
 	case blmember.NodesChanged:
 		blduty.PutBlocking[bladmit.Message](n.duties.admit.Put, bladmit.NodesChanged{Nodes: e.Nodes})
+		n.logDropped("lead", n.duties.lead.Put(bllead.NodesCounted{Nodes: len(e.Nodes)}))
 	case blmember.LeadResponded:
 		n.stateLog.logLead(e.Lead, e.Term)
 		n.logDropped("lead", n.duties.lead.Put(bllead.LeadResponded{Term: e.Term}))
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -53,6 +53,9 @@
 	leaving     atomic.Bool
 	logLimiter  *bllog.RateLimiter
 	stateLog    *stateLog
+	// reloadedAt is when this node without a lead last reread the configuration. Only
+	// the timer uses it.
+	reloadedAt bltimer.Instant
 }
 
 const (
--- a/io/blnode/status.go
+++ b/io/blnode/status.go
@@ -125,10 +125,6 @@
 	}
 }
 
-// leadTimeout is how long the last lead that this node heard from counts as the
-// current lead.
-const leadTimeout = time.Second
-
 // forwardToLead forwards a change to the lead. If the call fails, the outcome of
 // the change is reported as unknown.
 func (n *Node) forwardToLead(ctx context.Context, change blgrpc.Change) blgrpc.ChangeResult {
@@ -173,11 +169,11 @@
 }
 
 // knownLead returns the lead that this node heard from last, or the one named in
-// the store if it has heard from none within leadTimeout. If the store can't be
+// the store if none has answered in time. If the store can't be
 // read, it returns the lead of the last lead record that this node has seen.
 func (n *Node) knownLead(ctx context.Context) blvalue.Host {
 	member := n.duties.member.View()
-	if lead := member.Lead(); !lead.IsZero() && n.clock.Now().Sub(member.LastContact()) < leadTimeout {
+	if lead := member.Lead(); !lead.IsZero() && !member.LeadOverdue(n.clock.Now()) {
 		return lead
 	}
 	n.metrics.StoreCall("get")
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -160,11 +160,45 @@
 	return loads
 }
 
-// leadUnavailable reports whether no lead has answered this node within
-// leadTimeout, or the lead has reported that it doesn't reach the store.
+// leadUnavailable reports whether no lead has answered this node in time, or the
+// lead has reported that it doesn't reach the store.
 func (n *Node) leadUnavailable() bool {
 	member := n.duties.member.View()
-	return member.LeadStoreLost() || n.clock.Now().Sub(member.LastContact()) > leadTimeout
+	return member.LeadStoreLost() || member.LeadOverdue(n.clock.Now())
+}
+
+// reloadDue reports whether this node is to reread the configuration, which it then
+// does: as lead in each period, and without a lead the more rarely the more nodes
+// share the store.
+func (n *Node) reloadDue() bool {
+	if !n.platform.AllNodesReadConfig {
+		return false
+	}
+	if n.isLead() {
+		return true
+	}
+	if !n.leadUnavailable() {
+		return false
+	}
+	now := n.clock.Now()
+	if now.Sub(n.reloadedAt) < reloadInterval(n.duties.member.View().NodeCount()) {
+		return false
+	}
+	n.reloadedAt = now
+	return true
+}
+
+const (
+	// reloadIntervalPerNode is the interval at which a node without a lead rereads the
+	// configuration, for each node of the fleet.
+	reloadIntervalPerNode = 10 * time.Millisecond
+	maxReloadInterval     = 2 * time.Second
+)
+
+// reloadInterval returns the interval at which a node without a lead rereads the
+// configuration in a fleet of the given size.
+func reloadInterval(nodes int) time.Duration {
+	return min(time.Duration(nodes)*reloadIntervalPerNode, maxReloadInterval)
 }
 
 // watchesConfig reports whether this process watches the configuration. On some
