Leave the takeover to the standby, and compress full directories

Cause: after the lead of 195 hosts was replaced, a small host that had just started took over 0.6 s later, before the standby noticed. It answered all heartbeats with full directories, 5.6 MB and more over a link of 12 Mbit/s; its renewals waited behind them, it lost its lease after 1.8 s, took over again at 8.4 s and lost it again.

Change: a process that the record doesn't name leaves the takeover to a standby that isn't known to have terminated for 1 s after the lead has. Full directories are compressed.

TestTakeOverAfterTheLeadTerminated demanded a takeover at once by an unnamed process; it now demands none before that second, and one after it.

--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -253,7 +253,7 @@
 		return candidateAnswered(s, m)
 	}
 	if m.Answer.Incarnation != standby.Incarnation {
-		return s.withEnded(standby.Incarnation), nil
+		return s.withEnded(standby.Incarnation, now), nil
 	}
 	s.standbyContactAt = now
 	if s.leads() && s.writing == nil && m.Answer.StoreAnswers && s.missedRenewal(now) {
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -48,8 +48,9 @@
 	// retiringSince is since when the host of this process is likely to be removed,
 	// or zero.
 	retiringSince bltimer.Instant
-	// ended holds the incarnations that are known to have terminated.
-	ended    bltable.Table[blvalue.Incarnation, bool]
+	// ended holds the incarnations that are known to have terminated, and since when
+	// that is known.
+	ended    bltable.Table[blvalue.Incarnation, bltimer.Instant]
 	writeSeq uint64
 
 	// Fields used as lead.
@@ -168,9 +169,9 @@
 	return s
 }
 
-func (s State) withEnded(incarnation blvalue.Incarnation) State {
-	if incarnation != "" {
-		s.ended = s.ended.With(incarnation, true)
+func (s State) withEnded(incarnation blvalue.Incarnation, now bltimer.Instant) State {
+	if incarnation != "" && !s.hasEnded(incarnation) {
+		s.ended = s.ended.With(incarnation, now)
 	}
 	return s
 }
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -71,9 +71,9 @@
 	}
 	s = s.withStored(m.Stored).withLeaseAbsence(m.LeaseHolder == "", m.SentAt)
 	for _, incarnation := range m.Lost {
-		s = s.withEnded(incarnation)
+		s = s.withEnded(incarnation, now)
 	}
-	s = s.withOwnEarlierRunsEnded()
+	s = s.withOwnEarlierRunsEnded(now)
 	if s.Role() != RoleFollower || s.leaving {
 		return s, nil
 	}
@@ -89,10 +89,10 @@
 }
 
 // withOwnEarlierRunsEnded marks earlier incarnations of this host as terminated.
-func (s State) withOwnEarlierRunsEnded() State {
+func (s State) withOwnEarlierRunsEnded(now bltimer.Instant) State {
 	for _, host := range []blvalue.Host{s.stored.Record.Lead, s.stored.Record.Standby} {
 		if host.Name == s.self.Name && host.Incarnation != s.self.Incarnation {
-			s = s.withEnded(host.Incarnation)
+			s = s.withEnded(host.Incarnation, now)
 		}
 	}
 	return s
@@ -102,7 +102,7 @@
 // lost contact with the lead, is eligible by mayLead, and is not held back by a
 // promise that it gave, an unresolved write, or a delay.
 func (s State) mayTakeOver(now bltimer.Instant) bool {
-	if now.Before(s.promisedUntil) || s.writing != nil || !s.leadTimedOut(now) || now.Before(max(s.takeoverNotBefore(), s.backoffUntil)) {
+	if now.Before(s.promisedUntil) || s.writing != nil || !s.leadTimedOut(now) || now.Before(max(s.takeoverNotBefore(), s.standbyFirstUntil(), s.backoffUntil)) {
 		return false
 	}
 	return s.mayLead(now)
@@ -144,6 +144,22 @@
 	return s.startedAt.Add(maxCapacityDelay * time.Duration(max(fullCapacity-s.self.Capacity, 0)) / fullCapacity)
 }
 
+// standbyPriority is how long other processes leave the takeover to the standby after
+// the lead has terminated.
+const standbyPriority = time.Second
+
+// standbyFirstUntil returns until when this process leaves the takeover to the
+// standby, or zero. A process that has just started would otherwise take over before
+// the standby notices the loss, however small its host is.
+func (s State) standbyFirstUntil() bltimer.Instant {
+	record := s.stored.Record
+	endedAt, ended := s.ended.Get(record.Lead.Incarnation)
+	if !ended || record.Names(s.self.Incarnation) || record.Standby.IsZero() || s.hasEnded(record.Standby.Incarnation) {
+		return 0
+	}
+	return endedAt.Add(standbyPriority)
+}
+
 // fullCapacity is the capacity of a whole core, in percent.
 const fullCapacity = 100
 
@@ -209,7 +225,7 @@
 func identified(s State, m Identified, now bltimer.Instant) (State, []Effect) {
 	before := s.ended.Len()
 	if m.Incarnation != m.Asked && m.Incarnation != "" {
-		s = s.withEnded(m.Asked)
+		s = s.withEnded(m.Asked, now)
 	}
 	if s.ended.Len() == before || s.Role() != RoleFollower || s.leaving {
 		return s, nil
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/status"
 
 	"bergamotlead/core/bladmit"
@@ -105,6 +106,10 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
+	if reply.Directory != nil && reply.Directory.Full {
+		// A caller that can't read compressed replies gets an uncompressed one.
+		_ = grpc.SetSendCompressor(ctx, gzip.Name)
+	}
 	return replyToProto(reply), nil
 }
 
