Split large files by job; serve waiting requests in one place

duties.go, blmember/state.go, pool.go, codec.go and the new parts of bladmit had grown beyond what a reader takes in; the loop that gives tokens to waiting requests stood twice. No change of behaviour.

--- a/core/bladmit/borrow.go
+++ b/core/bladmit/borrow.go
@@ -94,11 +94,20 @@
 	if quota.delegated {
 		return quota, nil
 	}
+	return s.serveWaiting(account, quota, func(q Quota, tokens int64) (Quota, int64) { return q.withSpent(tokens, now) })
+}
+
+// serveWaiting gives the waiting requests the tokens that spend takes, in turn. It
+// admits those that get all they need, and refuses those of the others for which
+// tokens were requested.
+func (s State) serveWaiting(
+	account blvalue.AccountName, quota Quota, spend func(q Quota, tokens int64) (Quota, int64),
+) (Quota, []Effect) {
 	var effects []Effect
 	var remaining []waiter
 	for _, w := range quota.waiting {
 		var spent int64
-		quota, spent = quota.withSpent(w.missing, now)
+		quota, spent = spend(quota, w.missing)
 		w = w.withTokens(spent)
 		switch {
 		case w.missing == 0:
--- /dev/null
+++ b/io/blupstream/connection.go
@@ -0,0 +1,141 @@
+package blupstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// connection is a connection to an upstream. It carries one request at a time.
+type connection struct {
+	net.Conn
+
+	reader  *bufio.Reader
+	limit   *io.LimitedReader
+	expires time.Time
+	closed  atomic.Bool
+	// reused is set when the connection has had a response.
+	reused bool
+	// failedIDs holds the IDs of the requests that were answered with a failure.
+	failedIDs []string
+}
+
+func (c *connection) close() {
+	if !c.closed.Swap(true) {
+		_ = c.Close()
+	}
+}
+
+// requestWriter writes a request, concurrently with reading the response if the
+// request has a body.
+type requestWriter struct {
+	connection *connection
+	request    *http.Request
+	done       chan error
+}
+
+func (w *requestWriter) start() {
+	if w.request.Body == nil || w.request.Body == http.NoBody || w.request.ContentLength == 0 {
+		w.run()
+		return
+	}
+	go w.run()
+}
+
+func (w *requestWriter) run() {
+	buffer := bufio.NewWriter(w.connection)
+	err := w.request.Write(buffer)
+	if err == nil {
+		err = buffer.Flush()
+	}
+	if err != nil {
+		w.connection.close()
+	}
+	w.done <- err
+}
+
+// written reports whether the whole request has been written without an error.
+func (w *requestWriter) written() bool {
+	select {
+	case err := <-w.done:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func dial(ctx context.Context, address string) (*connection, error) {
+	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to upstream: %w", err)
+	}
+	limit := &io.LimitedReader{R: conn, N: maxHeaderBytes}
+	return &connection{Conn: conn, reader: bufio.NewReader(limit), limit: limit}, nil
+}
+
+// idleTimeout returns how long the connection may be idle and still be reused.
+func idleTimeout(header http.Header) time.Duration {
+	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return max(time.Duration(seconds)*time.Second-idleTimeoutMargin, 0)
+		}
+	}
+	return defaultIdleTimeout
+}
+
+// responseBody returns its connection to the pool at the end of the response.
+type responseBody struct {
+	io.ReadCloser
+
+	pool        *Pool
+	connection  *connection
+	address     string
+	stopCancel  func() bool
+	reusable    bool
+	idleTimeout time.Duration
+	finished    sync.Once
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(buffer []byte) (int, error) {
+	count, err := b.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		b.finish(b.reusable)
+	} else if err != nil {
+		b.finish(false)
+	}
+	return count, err //nolint:wrapcheck // io.EOF has to reach the reader as it is
+}
+
+// Close implements io.Closer.
+func (b *responseBody) Close() error {
+	b.finish(false)
+	return nil
+}
+
+func (b *responseBody) finish(reuse bool) {
+	b.finished.Do(func() { b.release(reuse) })
+}
+
+func (b *responseBody) release(reuse bool) {
+	if !b.stopCancel() || !reuse || b.connection.closed.Load() || len(b.connection.failedIDs) > maxFailedIDs {
+		b.connection.close()
+		return
+	}
+	b.connection.reused = true
+	b.connection.expires = time.Now().Add(b.idleTimeout)
+	b.pool.putIdle(b.address, b.connection)
+}
