--- a/core/bldeliver/returns_test.go
+++ b/core/bldeliver/returns_test.go
@@ -26,7 +26,6 @@
 type returningCaller struct {
 	deadline time.Duration
 	attempts int
-	started  time.Duration
 	reply    blring.Reply[bldeliver.AcquireAnswer]
 }
 
