--- a/tests/ratelimit_test.go
+++ b/tests/ratelimit_test.go
@@ -106,3 +106,48 @@
 	}
 	f.t.Logf("%d requests executed, the fullest window had %.2f of what is allowed", len(times), highest)
 }
+
+// TestDelegatesServeOrdinaryRequests offers an account's ordinary requests through more
+// hosts than its burst has tokens for, so that its delegates spend the tokens for all
+// of them, and stops one of the nodes in the middle.
+func TestDelegatesServeOrdinaryRequests(t *testing.T) {
+	t.Parallel()
+	const (
+		hosts    = 9
+		rate     = 40
+		burst    = 20
+		requests = 120
+		interval = 40 * time.Millisecond
+		// mostRefused allows for the requests that wait for the stopped node.
+		mostRefused = 12
+	)
+	f := deploy(t, potHosts(hosts, true), func(d blconfig.Document) blconfig.Document {
+		d = withValue(d, "accounts", "bookkeeping", "rate", integer(rate))
+		return withValue(d, "accounts", "bookkeeping", "burst", integer(burst))
+	})
+	_, _, other := f.roles()
+	time.Sleep(time.Second)
+	refused := 0
+	for i := range requests {
+		if i == requests/2 {
+			other.Node.Kill()
+		}
+		host := f.Hosts[i%hosts]
+		if host == other && i >= requests/2 {
+			continue
+		}
+		response, err := f.Call(host, http.MethodPost, fmt.Sprintf("/pot/press_%d/contributions", i%64), f.ClientKeys["bookkeeping"], "1")
+		if err != nil {
+			t.Fatalf("call: %v", err)
+		}
+		if response.Status == http.StatusTooManyRequests {
+			refused++
+		}
+		time.Sleep(interval)
+	}
+	if refused > mostRefused {
+		t.Errorf("requests refused as over the rate: got %d of %d, want at most %d", refused, requests, mostRefused)
+	}
+	t.Logf("%d of %d requests refused as over the rate", refused, requests)
+	f.checkRate("bookkeeping", rate, burst)
+}
