Bound the tokens that a node may ask a delegate for

Cause: the number came from another node unchecked. The delegate let the request wait, would have borrowed that many, and plans a return for each token that it doesn't have.

Change: more than a node can have waiting requests for is answered as unavailable.

Measured: the new case of TestNodeThatCannotBeDelegateSaysSo fails on the former code (it gets no answer).

--- a/core/bladmit/delegate.go
+++ b/core/bladmit/delegate.go
@@ -17,6 +17,9 @@
 	// askDivisor gives the part of a request's remaining wait, one in four, for which
 	// the delegate may wait for the lead. The rest is for another delegate.
 	askDivisor = 4
+	// maxSpend is the highest number of tokens that another node may ask for at once.
+	// No node has more requests that wait.
+	maxSpend = maxWaiting
 )
 
 // delegateOf returns the node that this node asks for the account's tokens. It
@@ -101,7 +104,7 @@
 // spend serves another node's request for tokens as the delegate of an account.
 func (s State) spend(m Spend, now bltimer.Instant) (State, []Effect) {
 	account, known := s.config.Plan.Accounts[m.Account]
-	if !known || !account.RateLimited() || s.leaving || !s.hasFreshConfig(now) {
+	if !known || !account.RateLimited() || s.leaving || !s.hasFreshConfig(now) || m.Tokens > maxSpend {
 		return s, []Effect{AnswerSpend{Reply: m.Reply, Answer: SpendAnswer{Unavailable: true}}}
 	}
 	quota, _ := s.quotas.Get(m.Account)
--- a/core/bladmit/delegate_test.go
+++ b/core/bladmit/delegate_test.go
@@ -173,18 +173,20 @@
 	cases := []struct {
 		name   string
 		before func(n *node)
+		tokens int64
 	}{
-		{"leaving", func(n *node) { n.send(bladmit.Leave{}) }},
-		{"configuration not fresh", func(n *node) { n.now = n.now.Add(time.Minute) }},
+		{"leaving", func(n *node) { n.send(bladmit.Leave{}) }, 1},
+		{"configuration not fresh", func(n *node) { n.now = n.now.Add(time.Minute) }, 1},
 		{"account unknown", func(n *node) {
 			n.send(bladmit.ConfigChanged{Accepted: blconfig.Accepted{Revision: 2, Plan: blconfig.Plan{Timing: blconfig.Timing{Freshness: time.Hour}}}})
-		}},
+		}, 1},
+		{"more tokens than a node can need", func(*node) {}, 1 << 60},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			n := newFleetNode(t)
 			c.before(n)
-			n.spend(1)
+			n.spend(c.tokens)
 			got := n.answers()
 			if len(got) != 1 || !got[0].Unavailable {
 				t.Errorf("answers: got %+v, want one that it is unavailable", got)
