--- a/core/bladmit/fleet_messages_test.go
+++ b/core/bladmit/fleet_messages_test.go
@@ -89,7 +89,7 @@
 	f.schedule(f.now+e.Wait+askMargin, func() { answer(bladmit.SpendAnswer{}, true) })
 	reply := blring.NewReply[bladmit.SpendAnswer]()
 	f.spends[reply] = func(a bladmit.SpendAnswer) { answer(a, a.Unavailable) }
-	if delegate.down {
+	if delegate.down || (delegate.domain == f.cut) != (n.domain == f.cut) {
 		return
 	}
 	f.deliver(delegate, oneWay, func() bladmit.Message {
@@ -103,7 +103,7 @@
 	sentAt := f.instant()
 	node := n.incarnation()
 	f.schedule(f.now+oneWay, func() {
-		if !f.leadUp {
+		if !f.leadUp || n.domain == f.cut {
 			f.deliver(n, callTimeout, func() bladmit.Message { return bladmit.BorrowCompleted{SentAt: sentAt, Failed: true} })
 			return
 		}
--- a/core/bladmit/fleet_scenarios_test.go
+++ b/core/bladmit/fleet_scenarios_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"bergamotlead/core/blvalue"
 )
 
 // falseRefusals returns the number of requests that a single bucket for the whole
@@ -131,3 +133,22 @@
 		}
 	}
 }
+
+// TestDomainCutOffStaysWithinTheRate cuts a failure domain off from the lead and from
+// the delegates of the other domains, while some accounts send far more than their
+// limits through all domains. The fallback of the delegates in the domain must not
+// exceed the users' bound together with what the lead lends outside.
+func TestDomainCutOffStaysWithinTheRate(t *testing.T) {
+	t.Parallel()
+	for _, domain := range []blvalue.DomainName{"0", "3"} {
+		f := newQuotaFleet(195, 7)
+		f.surge = someFarAboveTheirLimits
+		f.run(fleetFaultAt)
+		f.cut = domain
+		f.run(fleetLength)
+		t.Logf("domain %s: %d asked, %d refused, excess %.0f", domain, f.asked, f.refused, f.excess())
+		if got := f.excess(); got > 0 {
+			t.Errorf("requests beyond rate and burst in a window: got %.1f, want 0", got)
+		}
+	}
+}
--- a/core/bladmit/fleet_test.go
+++ b/core/bladmit/fleet_test.go
@@ -57,6 +57,8 @@
 	nodes  []*fleetNode
 	lead   blquota.State
 	leadUp bool
+	// cut is the failure domain that is cut off from the others and from the lead.
+	cut blvalue.DomainName
 	// serving is set while callers send requests.
 	serving  bool
 	leadFree time.Duration
