Don't wait for ever for a delegate's answer that was lost

Cause: a node has one request to an account's delegate in flight, and asked no more until its answer came. An answer that found the admission duty's ring full was dropped, and the account got no more tokens through delegates at that node.

Change: the answer is put until there is room, and a request counts as lost 0.5 s after it was due.

Measured: TestLostAnswerOfDelegateIsNotAwaitedForEver fails on the former code.

--- a/core/bladmit/delegate.go
+++ b/core/bladmit/delegate.go
@@ -17,6 +17,9 @@
 	// askDivisor gives the part of a request's remaining wait, one in four, for which
 	// the delegate may wait for the lead. The rest is for another delegate.
 	askDivisor = 4
+	// askGrace is how much later than due an answer of a delegate, or the failure of the
+	// call, counts as lost.
+	askGrace = 500 * time.Millisecond
 	// maxSpend is the highest number of tokens that another node may ask for at once.
 	// No node has more requests that wait.
 	maxSpend = maxWaiting
@@ -43,7 +46,7 @@
 // ask requests tokens for the waiting requests from the account's delegate, unless
 // a request for its tokens is in flight.
 func (s State) ask(account blvalue.AccountName, quota Quota, now bltimer.Instant) (Quota, []Effect) {
-	if !quota.delegated || quota.asking {
+	if !quota.delegated || now.Before(quota.askingUntil) {
 		return quota, nil
 	}
 	var tokens int64
@@ -61,8 +64,8 @@
 		return quota, nil
 	}
 	quota.waiting = waiting
-	quota.asking = true
 	wait := max(longest/askDivisor, minAskTime)
+	quota.askingUntil = now.Add(wait + askGrace)
 	return quota, []Effect{AskDelegate{Delegate: quota.delegate, Account: account, Tokens: tokens, Wait: wait}}
 }
 
@@ -70,7 +73,7 @@
 // spent on their behalf. If it didn't answer, the next delegate is asked.
 func (s State) delegateAnswered(m DelegateAnswered, now bltimer.Instant) (State, []Effect) {
 	quota, _ := s.quotas.Get(m.Account)
-	quota.asking = false
+	quota.askingUntil = 0
 	if m.Failed {
 		s.fleet = s.fleet.withUnreachable(m.Delegate.Name, now)
 	}
--- a/core/bladmit/delegate_test.go
+++ b/core/bladmit/delegate_test.go
@@ -105,6 +105,17 @@
 	}
 }
 
+// TestLostAnswerOfDelegateIsNotAwaitedForEver guards against an account that gets no
+// more tokens at a node because the answer of its delegate was lost.
+func TestLostAnswerOfDelegateIsNotAwaitedForEver(t *testing.T) {
+	n := newFleetNode(t)
+	n.ask(t)
+	n.now = n.now.Add(2 * time.Second)
+	n.send(bladmit.Tick{})
+	n.send(bladmit.LeadResponded{SentAt: n.now})
+	n.ask(t)
+}
+
 func TestTimedOutRequestIsAnsweredWhileOthersAreIdle(t *testing.T) {
 	n := newFleetNode(t)
 	ask := n.ask(t)
--- a/core/bladmit/quota.go
+++ b/core/bladmit/quota.go
@@ -32,10 +32,10 @@
 	// delegate.
 	waiting []waiter
 	// delegated is set while the tokens are requested from delegate instead of the
-	// lead, and asking while such a request is in flight.
-	delegated bool
-	delegate  blvalue.Host
-	asking    bool
+	// lead. Until askingUntil, or its answer, such a request is in flight.
+	delegated   bool
+	delegate    blvalue.Host
+	askingUntil bltimer.Instant
 	// arrived counts the requests of the current window. demand is the number of
 	// tokens needed for the lookahead at the request rate of the previous window.
 	arrived       int64
--- a/io/blnode/node_work.go
+++ b/io/blnode/node_work.go
@@ -6,6 +6,7 @@
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/blassign"
+	"bergamotlead/core/blduty"
 	"bergamotlead/core/blgrant"
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/blmember"
@@ -153,7 +154,7 @@
 	defer cancel()
 	answer, err := d.client.Spend(ctx, ask, d.domain)
 	d.outage.record(err, "delegate", string(ask.Delegate.Name))
-	_ = d.put(bladmit.DelegateAnswered{
+	blduty.PutBlocking[bladmit.Message](d.put, bladmit.DelegateAnswered{
 		Account: ask.Account, Delegate: ask.Delegate, Answer: answer, Failed: err != nil || answer.Unavailable,
 	})
 }
