--- a/core/bladmit/state.go
+++ b/core/bladmit/state.go
@@ -21,9 +21,9 @@
 	// defaultMaxWait limits how long a request waits for tokens on a route without
 	// a latency goal.
 	defaultMaxWait = 2 * time.Second
-	// goalDivisor gives the fraction of a route's latency goal, one in two, for
+	// goalDivisor gives the fraction of a route's latency goal, one in four, for
 	// which a request may wait for tokens.
-	goalDivisor = 2
+	goalDivisor = 4
 	// returnDivisor gives the part of the time left to its deadline, one in three, for
 	// which a refused caller waits before it comes back.
 	returnDivisor = 3
