Count and log where requests stand at each step of a stop

Cause: a stop's requests without an answer could not be told apart: read and never answered, waiting, or at an upstream. Change: io/blserver wraps the callers' connections and counts those that are closed by this node with bytes of a request read and nothing written; each step of a stop logs one line with the connections by state and with what the unanswered requests wait for. The stop itself does what it did.

--- a/io/blhttp/handler.go
+++ b/io/blhttp/handler.go
@@ -37,6 +37,7 @@
 	route      func(blroute.Message) error
 	deliver    Deliverer
 	limits     func() Limits
+	stages     *Stages
 	tracer     *bltrace.Tracer
 	metrics    *blmetric.Set
 	logger     hclog.Logger
@@ -47,10 +48,10 @@
 // and routing duties through admit and route.
 func New(
 	protocol Protocol, admit func(bladmit.Message) error, route func(blroute.Message) error, deliver Deliverer, limits func() Limits,
-	tracer *bltrace.Tracer, metrics *blmetric.Set, logger hclog.Logger,
+	stages *Stages, tracer *bltrace.Tracer, metrics *blmetric.Set, logger hclog.Logger,
 ) *Handler {
 	return &Handler{
-		protocol: protocol, admit: admit, route: route, deliver: deliver, limits: limits,
+		protocol: protocol, admit: admit, route: route, deliver: deliver, limits: limits, stages: stages,
 		tracer: tracer, metrics: metrics, logger: logger, logLimiter: bllog.NewRateLimiter(logLinesPerSecond),
 	}
 }
@@ -155,7 +156,7 @@
 			Exclusive: answer.Target.Exclusive, Attempt: attempt, Sent: sent,
 			MaxAttempts: answer.Route.MaxAttempts, Waited: time.Since(a.startedAt), Goal: answer.Route.Goal,
 		})
-		if step == blroute.StepGiveUp || step != blroute.StepOtherUpstream && !sleep(ctx, blroute.Backoff(attempt)) {
+		if step == blroute.StepGiveUp || step != blroute.StepOtherUpstream && !a.sleep(ctx, blroute.Backoff(attempt)) {
 			return delivery, delivery.RetryAfter
 		}
 		if step == blroute.StepBudgetedRetry {
@@ -196,6 +197,7 @@
 // deliver sends the order to its target and reports the result to the routing
 // duty.
 func (a *activeRequest) deliver(ctx context.Context, answer blroute.Answer, writer bldeliver.ResponseWriter) bldeliver.Delivery {
+	defer enter(&a.handler.stages.delivery)()
 	sentAt := time.Now()
 	delivery := a.handler.deliver(ctx, a.order(ctx, answer), writer)
 	_ = a.handler.route(blroute.AttemptCompleted{
@@ -236,6 +238,7 @@
 }
 
 func (a *activeRequest) admit(ctx context.Context) (blroute.Answer, error) {
+	defer enter(&a.handler.stages.admission)()
 	reply := blring.NewReply[blroute.Answer]()
 	err := a.handler.admit(bladmit.Admit{Request: a.call.Request, Path: a.call.Path, Reply: reply})
 	if err != nil {
@@ -267,6 +270,7 @@
 // the upstream of the last one. The message says whether the attempt is a retry
 // or a hedge.
 func (a *activeRequest) findTarget(ctx context.Context, previous blroute.Answer, message blroute.Find) (blroute.Answer, error) {
+	defer enter(&a.handler.stages.target)()
 	reply := blring.NewReply[blroute.Answer]()
 	message.Request, message.Route, message.Account = a.call.Request.WithService(previous.Service), previous.Route, previous.Account
 	message.Avoid, message.Reply = previous.Target.Upstream, reply
@@ -290,7 +294,8 @@
 }
 
 // sleep waits for the given time. It returns false if the request ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
+func (a *activeRequest) sleep(ctx context.Context, wait time.Duration) bool {
+	defer enter(&a.handler.stages.backoff)()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -122,6 +122,8 @@
 	if order.Target.Node.Incarnation == n.self.Incarnation {
 		return n.deliverer.Deliver(ctx, order, writer)
 	}
+	n.forwarding.Add(1)
+	defer n.forwarding.Add(-1)
 	ctx, span := n.tracer.Start(ctx, "hop", "", order.RequestID)
 	delivery := n.client.Deliver(ctx, order, writer)
 	span.With("node", string(order.Target.Node.Name)).End(delivery.Refusal)
--- /dev/null
+++ b/io/blnode/leave.go
@@ -0,0 +1,72 @@
+package blnode
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bergamotlead/core/bladmit"
+	"bergamotlead/core/blduty"
+)
+
+// Stop shuts the node down gracefully, without aborting requests: it hands over
+// its partitions and the lead, waits for in-flight requests to complete, and then
+// stops the duties and workers. The configuration's shutdown_grace bounds it.
+func (n *Node) Stop(ctx context.Context) error {
+	n.logStop("leaving")
+	n.leaving.Store(true)
+	for _, server := range n.httpServers {
+		server.Leave()
+	}
+	redirected := time.After(n.platform.DrainDelay)
+	if grace := n.duties.admit.View().Config().Plan.Limits.ShutdownGrace; grace > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, grace)
+		defer cancel()
+	}
+	n.keepOwnership(ctx)
+	n.handOver(ctx)
+	n.logStop("handed over")
+	select {
+	case <-redirected:
+	case <-ctx.Done():
+	}
+	blduty.PutBlocking[bladmit.Message](n.duties.admit.Put, bladmit.Leave{})
+	n.logStop("refusing")
+	var errs []error
+	for _, server := range n.httpServers {
+		if err := server.Stop(ctx); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	n.logStop("callers served")
+	n.drainNodeServer(ctx)
+	n.logStop("orders served")
+	n.timer.Stop()
+	n.duties.stop()
+	n.workers.stop()
+	n.client.Close()
+	if err := n.tracer.Stop(ctx); err != nil {
+		errs = append(errs, err)
+	}
+	n.logger.Info("ended")
+	return errors.Join(errs...)
+}
+
+// drainNodeServer waits for in-flight calls of other nodes to complete, and
+// aborts the remaining ones when ctx ends.
+func (n *Node) drainNodeServer(ctx context.Context) {
+	stop := context.AfterFunc(ctx, n.nodeServer.Stop)
+	defer stop()
+	n.nodeServer.Drain()
+}
+
+// logStop logs one step of a stop: the state of the callers' connections, and what
+// the unanswered requests wait for.
+func (n *Node) logStop(step string) {
+	counts, stages, deliver := n.callerServer.Counts(), n.stages.Counts(), n.duties.deliver.View()
+	n.logger.Info(step, "connections_idle", counts.Idle, "connections_reading", counts.Reading, "connections_running", counts.Running,
+		"late_requests", counts.Late, "cut", counts.Cut, "admission", stages.Admission, "target", stages.Target, "backoff", stages.Backoff,
+		"local", stages.Delivery-int(n.forwarding.Load()), "other_node", n.forwarding.Load(),
+		"slot_waiting", deliver.Waiting(), "upstream_running", deliver.Running())
+}
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,8 +13,6 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
-	"bergamotlead/core/bladmit"
-	"bergamotlead/core/blduty"
 	"bergamotlead/core/blplatform"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
@@ -24,6 +21,7 @@
 	"bergamotlead/io/bllog"
 	"bergamotlead/io/blmetric"
 	"bergamotlead/io/bloperator"
+	"bergamotlead/io/blserver"
 	"bergamotlead/io/blsettings"
 	"bergamotlead/io/blstore"
 	"bergamotlead/io/bltrace"
@@ -43,16 +41,22 @@
 	tracer   *bltrace.Tracer
 	client   *blgrpc.Client
 
-	timer       *bltimer.Service
-	duties      duties
-	workers     workers
-	deliverer   *blupstream.Deliverer
-	nodeServer  *blgrpc.Server
-	httpServers []*http.Server
-	failed      chan error
-	leaving     atomic.Bool
-	logLimiter  *bllog.RateLimiter
-	stateLog    *stateLog
+	timer      *bltimer.Service
+	duties     duties
+	workers    workers
+	deliverer  *blupstream.Deliverer
+	nodeServer *blgrpc.Server
+	// callerServer is the one of httpServers that serves callers.
+	callerServer *blserver.Server
+	httpServers  []*blserver.Server
+	// stages counts callers' requests by what they wait for.
+	stages *blhttp.Stages
+	// forwarding is the number of callers' orders that other nodes deliver.
+	forwarding atomic.Int64
+	failed     chan error
+	leaving    atomic.Bool
+	logLimiter *bllog.RateLimiter
+	stateLog   *stateLog
 	// reloadedAt is when this node without a lead last reread the configuration. Only
 	// the timer uses it.
 	reloadedAt bltimer.Instant
@@ -106,6 +110,7 @@
 		failed:     make(chan error, 1),
 		logLimiter: bllog.NewRateLimiter(logLinesPerSecond),
 		stateLog:   newStateLog(logger),
+		stages:     &blhttp.Stages{},
 	}
 	n.timer = bltimer.New(n.clock)
 	n.newWorkers()
@@ -191,23 +196,27 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
+	server := blserver.New(listener, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	})
+	if address == n.settings.CallerListen {
+		n.callerServer = server
+		n.metrics.Gauge("bergamotlead_connections_cut", func() float64 { return float64(server.Counts().Cut) })
 	}
 	n.httpServers = append(n.httpServers, server)
-	go n.serveHTTP(server, listener)
+	go n.serveHTTP(server)
 	return nil
 }
 
-func (n *Node) serveHTTP(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		n.reportFailure(fmt.Errorf("serve %s: %w", listener.Addr(), err))
+func (n *Node) serveHTTP(server *blserver.Server) {
+	if err := server.Serve(); err != nil {
+		n.reportFailure(err)
 	}
 }
 
 func (n *Node) callerHandler() http.Handler {
-	handler := blhttp.New(n.platform.CallerProtocol, n.duties.admit.Put, n.duties.route.Put, n.deliver, n.callerLimits, n.tracer, n.metrics, n.logger)
+	handler := blhttp.New(n.platform.CallerProtocol, n.duties.admit.Put, n.duties.route.Put, n.deliver, n.callerLimits, n.stages, n.tracer, n.metrics, n.logger)
 	return n.chain().Then(handler)
 }
 
@@ -238,51 +247,3 @@
 	defaultMaxBodyBytes   = 1 << 20
 	defaultRequestTimeout = 5 * time.Second
 )
-
-// Stop shuts the node down gracefully, without aborting requests: it hands over
-// its partitions and the lead, waits for in-flight requests to complete, and then
-// stops the duties and workers. The configuration's shutdown_grace bounds it.
-func (n *Node) Stop(ctx context.Context) error {
-	n.logger.Info("leaving")
-	n.leaving.Store(true)
-	for _, server := range n.httpServers {
-		server.SetKeepAlivesEnabled(false)
-	}
-	redirected := time.After(n.platform.DrainDelay)
-	if grace := n.duties.admit.View().Config().Plan.Limits.ShutdownGrace; grace > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, grace)
-		defer cancel()
-	}
-	n.keepOwnership(ctx)
-	n.handOver(ctx)
-	select {
-	case <-redirected:
-	case <-ctx.Done():
-	}
-	blduty.PutBlocking[bladmit.Message](n.duties.admit.Put, bladmit.Leave{})
-	var errs []error
-	for _, server := range n.httpServers {
-		if err := server.Shutdown(ctx); err != nil {
-			errs = append(errs, fmt.Errorf("shut down: %w", err))
-		}
-	}
-	n.drainNodeServer(ctx)
-	n.timer.Stop()
-	n.duties.stop()
-	n.workers.stop()
-	n.client.Close()
-	if err := n.tracer.Stop(ctx); err != nil {
-		errs = append(errs, err)
-	}
-	n.logger.Info("ended")
-	return errors.Join(errs...)
-}
-
-// drainNodeServer waits for in-flight calls of other nodes to complete, and
-// aborts the remaining ones when ctx ends.
-func (n *Node) drainNodeServer(ctx context.Context) {
-	stop := context.AfterFunc(ctx, n.nodeServer.Stop)
-	defer stop()
-	n.nodeServer.Drain()
-}
