Close no connection from which a request has been read

Seen: callers whose kept connection ended without an answer at each planned stop. Cause: SetKeepAlivesEnabled(false) and Shutdown of net/http close the connections whose state is idle, which a connection is until the head of its request has been parsed, and Shutdown drops a request that has been read by then. Change: blserver keeps its own record under one lock. Leaving only adds Connection: close to each response; a stop ends the connections without a request by a read deadline, and a read that returned data takes that back, so that request is answered. A part of a request holds a stop for 300 ms at most, and is not answered with 400.

--- a/io/blserver/connection.go
+++ b/io/blserver/connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 )
 
 // trackingListener wraps the connections that it accepts.
@@ -36,6 +37,36 @@
 	// so far, running while a request is handled, and written once a part of the
 	// response to the latest request has been written.
 	received, running, written, closed bool
+	// ended is set while reads are made to fail, and readDeadline is the deadline
+	// that net/http set last.
+	ended        bool
+	readDeadline time.Time
+}
+
+// endReading makes the blocked read of the connection fail, and all later ones. A read
+// that returns bytes nevertheless ends that again, so a request that has been read is
+// handled.
+func (c *connection) endReading() {
+	c.ended = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (c *connection) resumeReading() {
+	if c.ended {
+		c.ended = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(deadline time.Time) error {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.readDeadline = deadline
+	if c.ended {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline) //nolint:wrapcheck // net/http reads the error
 }
 
 // Read implements net.Conn.
@@ -45,17 +76,23 @@
 		c.server.mu.Lock()
 		if !c.running {
 			c.received, c.written = true, false
+			c.resumeReading()
 		}
 		c.server.mu.Unlock()
 	}
 	return count, err //nolint:wrapcheck // net/http reads the error
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. On a connection that ended with a part of a request
+// nothing is written: net/http would answer that part as a malformed request.
 func (c *connection) Write(buffer []byte) (int, error) {
 	c.server.mu.Lock()
 	c.written = true
+	silent := c.ended && c.received && !c.running
 	c.server.mu.Unlock()
+	if silent {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Write(buffer) //nolint:wrapcheck // net/http reads the error
 }
 
@@ -68,9 +105,18 @@
 	c.closed = true
 	delete(c.server.connections, c)
 	c.server.mu.Unlock()
+	defer c.server.signal()
 	return c.Conn.Close() //nolint:wrapcheck // net/http reads the error
 }
 
+// signal tells Stop that a connection has been closed.
+func (s *Server) signal() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
 // CloseWrite lets net/http close the direction of the response first.
 func (c *connection) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -84,17 +130,19 @@
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	c.running, c.received, c.written = true, false, false
+	c.resumeReading()
 	if c.server.leaving {
 		c.server.late++
 	}
 }
 
-// end marks the end of a request's handler. A response without a body may still have
-// to be written.
-func (c *connection) end() {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	c.running = false
+// stateChanged marks the end of a request: its response has been written.
+func stateChanged(c net.Conn, state http.ConnState) {
+	if c, ok := c.(*connection); ok && state == http.StateIdle {
+		c.server.mu.Lock()
+		c.running = false
+		c.server.mu.Unlock()
+	}
 }
 
 type connectionKey struct{}
@@ -102,18 +150,3 @@
 func withConnection(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, c)
 }
-
-// trackingHandler marks on its connection that a request is handled.
-type trackingHandler struct {
-	server *Server
-	next   http.Handler
-}
-
-// ServeHTTP implements http.Handler.
-func (h trackingHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
-		c.begin()
-		defer c.end()
-	}
-	h.next.ServeHTTP(w, r)
-}
--- /dev/null
+++ b/io/blserver/response.go
@@ -0,0 +1,65 @@
+package blserver
+
+import "net/http"
+
+// trackingHandler marks on its connection that a request is handled, and ends the
+// connection with the response while the server leaves.
+type trackingHandler struct {
+	server *Server
+	next   http.Handler
+}
+
+// ServeHTTP implements http.Handler.
+func (h trackingHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+		c.begin()
+	}
+	writer := &responseWriter{ResponseWriter: w, server: h.server}
+	h.next.ServeHTTP(writer, r)
+	writer.beginResponse()
+}
+
+// responseWriter adds Connection: close to the head of a response that is written
+// while the server leaves.
+type responseWriter struct {
+	http.ResponseWriter
+
+	server *Server
+	begun  bool
+}
+
+func (w *responseWriter) beginResponse() {
+	if w.begun {
+		return
+	}
+	w.begun = true
+	w.server.mu.Lock()
+	leaving := w.server.leaving
+	w.server.mu.Unlock()
+	if leaving {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.beginResponse()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(chunk []byte) (int, error) {
+	w.beginResponse()
+	return w.ResponseWriter.Write(chunk) //nolint:wrapcheck // forwarded unchanged
+}
+
+// Flush implements http.Flusher.
+func (w *responseWriter) Flush() {
+	w.beginResponse()
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// Unwrap lets http.ResponseController reach the writer below.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/io/blserver/server.go
+++ b/io/blserver/server.go
@@ -9,8 +9,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
+// partialRequestTimeout is how long a stop waits for the rest of a request of which
+// only a part has been read, and for the first byte on a new connection.
+const partialRequestTimeout = 300 * time.Millisecond
+
 // Counts describes the connections of a server at one moment.
 type Counts struct {
 	// Idle connections wait for a request, Reading ones have delivered bytes of a
@@ -33,43 +38,83 @@
 	late        int
 	cut         int
 	leaving     bool
+	stopping    bool
+	// changed receives a value after a connection has been closed.
+	changed chan struct{}
 }
 
 // New returns a server for listener with the handler and limits of settings; Serve
 // runs it. The server sets the connection hooks of settings.
 func New(listener net.Listener, settings *http.Server) *Server {
-	s := &Server{http: settings, listener: listener, connections: map[*connection]struct{}{}}
+	s := &Server{http: settings, listener: listener, connections: map[*connection]struct{}{}, changed: make(chan struct{}, 1)}
 	settings.Handler = trackingHandler{server: s, next: settings.Handler}
 	settings.ConnContext = withConnection
+	settings.ConnState = stateChanged
 	return s
 }
 
 // Serve serves requests until Stop is called.
 func (s *Server) Serve() error {
 	err := s.http.Serve(trackingListener{Listener: s.listener, server: s})
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
-	return nil
+	return fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
 }
 
-// Leave ends each connection with its next response.
+// Leave ends each connection with its next response. No connection is closed before
+// that, since a request may be on its way or read already.
 func (s *Server) Leave() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.leaving = true
-	s.mu.Unlock()
-	s.http.SetKeepAlivesEnabled(false)
 }
 
-// Stop closes the listener and waits until the running requests have ended or ctx
-// ends.
+// Stop closes the listener, ends the connections without a request, and waits until
+// the requests that have been read are answered or ctx ends.
 func (s *Server) Stop(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut down %s: %w", s.listener.Addr(), err)
+	s.Leave()
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	_ = s.listener.Close()
+	s.endIdle(false)
+	timer := time.NewTicker(partialRequestTimeout)
+	defer timer.Stop()
+	for s.open() > 0 {
+		select {
+		case <-s.changed:
+		case <-timer.C:
+			s.endIdle(true)
+		case <-ctx.Done():
+			_ = s.http.Close()
+			return fmt.Errorf("stop %s: %w", s.listener.Addr(), ctx.Err())
+		}
 	}
+	_ = s.http.Close()
 	return nil
 }
 
+// endIdle ends the connections on which no request is handled and of which no byte
+// of one has been read, or with partial, also those with a part of a request.
+func (s *Server) endIdle(partial bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		if !c.running && (partial || !c.received) {
+			c.endReading()
+		}
+	}
+}
+
+func (s *Server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.connections)
+}
+
 // Counts returns the state of the connections.
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
