Keep all listeners open until the work of a leaving node has ended

Seen: while a leaving node waited for its requests, connections to it failed, upstreams' announcements too, and work whose calls failed ended with a 500 of the upstream. Cause: Shutdown closes each listener at once, and admission refused the calls that an upstream makes for requests that it already runs. Change: a stop refuses new requests, waits until no caller's request is unanswered and no upstream beside the node runs any, and only then closes the listeners, the callers' first. Requests without a key are admitted until then where the deployment has accounts, since they are calls of upstreams. Test, on the code before: TestListenersCloseBeforeWorkEnds: connection while a request is unanswered: got dial tcp 127.0.0.1:39983: connect: connection refused, want none.

--- a/core/bladmit/check.go
+++ b/core/bladmit/check.go
@@ -82,7 +82,7 @@
 // check determines the route and the account of a request, or the reason why the
 // request may not run.
 func (s State) check(m Admit, now bltimer.Instant) (FindTarget, *blvalue.Refusal) {
-	if s.leaving {
+	if s.leaving && !s.mayBeUpstreamCall(m.Request) {
 		return FindTarget{}, blvalue.NotRun(blvalue.ReasonLeaving, "this node is leaving")
 	}
 	if !s.hasFreshConfig(now) {
@@ -119,6 +119,13 @@
 	return name, nil
 }
 
+// mayBeUpstreamCall reports whether a request can be one that the local upstream makes
+// for a request that it already runs. In a deployment without accounts those can't be
+// told from callers' requests.
+func (s State) mayBeUpstreamCall(request blvalue.Request) bool {
+	return request.KeyDigest == "" && len(s.config.Plan.Accounts) > 0
+}
+
 // upstreamCallRank is the rank of requests without an account in a deployment
 // that has accounts. They are calls made by upstreams, on which requests that are
 // already running depend.
--- a/core/bladmit/messages.go
+++ b/core/bladmit/messages.go
@@ -93,7 +93,8 @@
 	Failed bool
 }
 
-// Leave makes this node refuse new requests.
+// Leave makes this node refuse new requests. It still admits calls that the local
+// upstream makes for requests that it already runs.
 type Leave struct{}
 
 func (Tick) admitMessage()             {}
--- a/io/blnode/leave.go
+++ b/io/blnode/leave.go
@@ -7,6 +7,7 @@
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/blduty"
+	"bergamotlead/io/blserver"
 )
 
 // Stop shuts the node down gracefully, without aborting requests: it hands over
@@ -33,12 +34,9 @@
 	}
 	blduty.PutBlocking[bladmit.Message](n.duties.admit.Put, bladmit.Leave{})
 	n.logStop("refusing")
-	var errs []error
-	for _, server := range n.httpServers {
-		if err := server.Stop(ctx); err != nil {
-			errs = append(errs, err)
-		}
-	}
+	n.awaitWork(ctx)
+	n.logStop("work ended")
+	errs := n.stopServers(ctx)
 	n.logStop("callers served")
 	n.drainNodeServer(ctx)
 	n.logStop("orders served")
@@ -53,6 +51,43 @@
 	return errors.Join(errs...)
 }
 
+// awaitWork waits until no caller's request is unanswered and the local upstreams run
+// no requests. Meanwhile all listeners stay open: upstreams make calls through them for
+// what they run, and announce themselves.
+func (n *Node) awaitWork(ctx context.Context) {
+	ticker := time.NewTicker(handOverPollInterval)
+	defer ticker.Stop()
+	for n.working() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) working() bool {
+	deliver := n.duties.deliver.View()
+	return n.callerServer.Counts().Running+deliver.Running()+deliver.Waiting() > 0
+}
+
+// stopServers stops the HTTP servers, that of the callers first.
+func (n *Node) stopServers(ctx context.Context) []error {
+	servers := []*blserver.Server{n.callerServer}
+	for _, server := range n.httpServers {
+		if server != n.callerServer {
+			servers = append(servers, server)
+		}
+	}
+	var errs []error
+	for _, server := range servers {
+		if err := server.Stop(ctx); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return errs
+}
+
 // drainNodeServer waits for in-flight calls of other nodes to complete, and
 // aborts the remaining ones when ctx ends.
 func (n *Node) drainNodeServer(ctx context.Context) {
--- /dev/null
+++ b/io/blnode/stop_test.go
@@ -0,0 +1,98 @@
+package blnode
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bergamotlead/core/bltimer"
+	"bergamotlead/io/blsettings"
+)
+
+const stopTestTimeout = 10 * time.Second
+
+// freeAddress returns a local address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// startLoneNode starts a node without a store, a lead or a configuration.
+func startLoneNode(t *testing.T) *Node {
+	t.Helper()
+	settings := blsettings.Process{
+		Host: "lone", Region: "west", Domain: "west_a", Store: freeAddress(t),
+		CallerListen: freeAddress(t), NodeListen: freeAddress(t), UpstreamListen: freeAddress(t), OperatorListen: freeAddress(t),
+	}
+	clock := bltimer.NewSystem()
+	n, err := New(t.Context(), settings, DefaultPlatform(settings, clock), clock, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatalf("new node: %v", err)
+	}
+	if err := n.Start(t.Context()); err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	return n
+}
+
+// startSlowRequest sends a request to the node whose body isn't complete, and waits
+// until the node handles it.
+func startSlowRequest(t *testing.T, n *Node) net.Conn {
+	t.Helper()
+	c, err := (&net.Dialer{Timeout: stopTestTimeout}).DialContext(t.Context(), "tcp", n.settings.CallerListen)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(stopTestTimeout))
+	if _, err := io.WriteString(c, "POST /pot/a HTTP/1.1\r\nHost: lone\r\nContent-Length: 2\r\n\r\no"); err != nil {
+		t.Fatalf("send: %v", err)
+	}
+	for n.callerServer.Counts().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return c
+}
+
+// TestListenersCloseBeforeWorkEnds guards against a stop that closes the listeners
+// while requests are unanswered: upstreams' calls and announcements fail then.
+func TestListenersCloseBeforeWorkEnds(t *testing.T) {
+	n := startLoneNode(t)
+	c := startSlowRequest(t, n)
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.Stop(context.Background()) }()
+	time.Sleep(200 * time.Millisecond)
+	for _, address := range []string{n.settings.CallerListen, n.settings.UpstreamListen, n.settings.OperatorListen} {
+		other, err := (&net.Dialer{Timeout: stopTestTimeout}).DialContext(t.Context(), "tcp", address)
+		if err != nil {
+			t.Errorf("connection while a request is unanswered: got %v, want none", err)
+			continue
+		}
+		_ = other.Close()
+	}
+	if _, err := io.WriteString(c, "k"); err != nil {
+		t.Fatalf("send: %v", err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("response: got %v, want a refusal", err)
+	}
+	_ = response.Body.Close()
+	if got, want := response.StatusCode, http.StatusServiceUnavailable; got != want || !response.Close {
+		t.Errorf("response: got %d, close %t, want %d, close true", got, response.Close, want)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: got %v, want none", err)
+	}
+}
