Answer every request before a leaving node ends

Seen by other operators: requests that came late in the grace were taken, passed on, and cut at its end. Cause: at the end of the grace nothing told the requests that still waited, so their handlers wrote no refusal; and requests taken during a stop were passed on with deadlines beyond its end. A request that has ended no longer holds its refusal for a late answer of the duties.

--- a/core/bladmit/check.go
+++ b/core/bladmit/check.go
@@ -82,8 +82,8 @@
 // check determines the route and the account of a request, or the reason why the
 // request may not run.
 func (s State) check(m Admit, now bltimer.Instant) (FindTarget, *blvalue.Refusal) {
-	if s.leaving && !s.mayBeUpstreamCall(m.Request) {
-		return FindTarget{}, blvalue.NotRun(blvalue.ReasonLeaving, "this node is leaving")
+	if s.closed || s.leaving && !s.mayBeUpstreamCall(m.Request) {
+		return FindTarget{}, leavingRefusal()
 	}
 	if !s.hasFreshConfig(now) {
 		return FindTarget{}, blvalue.NotRun(blvalue.ReasonStale, "this node has heard no lead for too long")
--- a/core/bladmit/messages.go
+++ b/core/bladmit/messages.go
@@ -97,7 +97,11 @@
 // upstream makes for requests that it already runs.
 type Leave struct{}
 
+// Close refuses all waiting requests, and makes this node refuse all new ones.
+type Close struct{}
+
 func (Tick) admitMessage()             {}
+func (Close) admitMessage()            {}
 func (Admit) admitMessage()            {}
 func (Recheck) admitMessage()          {}
 func (ConfigChanged) admitMessage()    {}
--- a/core/bladmit/state.go
+++ b/core/bladmit/state.go
@@ -37,6 +37,7 @@
 	heartbeatAt bltimer.Instant
 	leadSeen    bool
 	leaving     bool
+	closed      bool
 	quotas      bltable.Table[blvalue.AccountName, Quota]
 	// borrowing is set while a request for tokens is in flight, and borrowedAt is
 	// when the last one was sent.
@@ -115,6 +116,8 @@
 	case Leave:
 		s.leaving = true
 		return s, nil
+	case Close:
+		return s.close()
 	}
 	return s, nil
 }
@@ -145,6 +148,21 @@
 	return s, effects
 }
 
+// close refuses the waiting requests of callers, and gives other nodes the tokens that
+// were available for theirs.
+func (s State) close() (State, []Effect) {
+	s.leaving, s.closed = true, true
+	var effects []Effect
+	for name, quota := range s.quotas.All() {
+		for _, w := range quota.waiting {
+			effects = append(effects, w.left())
+		}
+		quota.waiting = nil
+		s.quotas = s.quotas.With(name, quota)
+	}
+	return s, effects
+}
+
 // tick ends the wait of requests past their deadline, which take a fallback token
 // or are refused, and requests tokens for the others.
 func (s State) tick(now bltimer.Instant) (State, []Effect) {
--- a/core/bladmit/waiter.go
+++ b/core/bladmit/waiter.go
@@ -86,6 +86,18 @@
 	return quota, first
 }
 
+// left returns the effect that ends the wait of a waiter because this node ends.
+func (w waiter) left() Effect {
+	if w.ofNode() {
+		return AnswerSpend{Reply: w.spend.Reply, Answer: SpendAnswer{Tokens: w.spend.Tokens - w.missing, Unavailable: true}}
+	}
+	return Refuse{Reply: w.admit.Reply, Refusal: leavingRefusal()}
+}
+
+func leavingRefusal() *blvalue.Refusal {
+	return blvalue.NotRun(blvalue.ReasonLeaving, "this node is leaving")
+}
+
 // expired returns the effect that ends the wait of a waiter whose deadline has
 // passed.
 func (w waiter) expired() Effect {
--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -83,6 +83,10 @@
 // cold-start rate.
 type Tick struct{}
 
+// Close refuses all waiting requests and all later ones. Running ones go on.
+type Close struct{}
+
+func (Close) deliverMessage()         {}
 func (Acquire) deliverMessage()       {}
 func (Release) deliverMessage()       {}
 func (UpstreamsSeen) deliverMessage() {}
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -22,6 +22,8 @@
 	inFlight  bltable.Table[Ticket, inFlightRequest]
 	// domain is the failure domain of this node.
 	domain blvalue.DomainName
+	// closed is set when this node ends.
+	closed bool
 }
 
 // New returns the initial state, without upstreams.
@@ -66,6 +68,8 @@
 		return s.upstreamsSeen(m, now)
 	case ConfigChanged:
 		return s.configChanged(m, now)
+	case Close:
+		return s.close()
 	case Tick:
 		return s.tick(now)
 	}
@@ -76,7 +80,27 @@
 	return Effect{Reply: a.Reply, Answer: AcquireAnswer{Refusal: blvalue.NotRun(reason, detail)}}
 }
 
+// close refuses the waiting requests.
+func (s State) close() (State, []Effect) {
+	s.closed = true
+	var effects []Effect
+	for name, upstream := range s.upstreams.All() {
+		for _, waiting := range upstream.queue {
+			effects = append(effects, refuse(waiting, blvalue.ReasonLeaving, nodeEnds))
+		}
+		upstream.queue = nil
+		s.upstreams = s.upstreams.With(name, upstream)
+	}
+	return s, effects
+}
+
+// nodeEnds is the detail of the refusal of requests that this node can't run any more.
+const nodeEnds = "this node is leaving"
+
 func (s State) acquire(m Acquire, now bltimer.Instant) (State, []Effect) {
+	if s.closed {
+		return s, []Effect{refuse(m, blvalue.ReasonLeaving, nodeEnds)}
+	}
 	upstream, ok := s.upstreams.Get(m.Upstream)
 	if !ok {
 		return s, []Effect{refuse(m, blvalue.ReasonNotOwner, "the upstream isn't beside this node")}
--- a/io/blhttp/handler.go
+++ b/io/blhttp/handler.go
@@ -17,6 +17,7 @@
 	"bergamotlead/io/blheader"
 	"bergamotlead/io/bllog"
 	"bergamotlead/io/blmetric"
+	"bergamotlead/io/blserver"
 	"bergamotlead/io/bltrace"
 )
 
@@ -38,6 +39,7 @@
 	deliver    Deliverer
 	limits     func() Limits
 	stages     *Stages
+	ending     *blserver.Ending
 	tracer     *bltrace.Tracer
 	metrics    *blmetric.Set
 	logger     hclog.Logger
@@ -48,10 +50,10 @@
 // and routing duties through admit and route.
 func New(
 	protocol Protocol, admit func(bladmit.Message) error, route func(blroute.Message) error, deliver Deliverer, limits func() Limits,
-	stages *Stages, tracer *bltrace.Tracer, metrics *blmetric.Set, logger hclog.Logger,
+	stages *Stages, ending *blserver.Ending, tracer *bltrace.Tracer, metrics *blmetric.Set, logger hclog.Logger,
 ) *Handler {
 	return &Handler{
-		protocol: protocol, admit: admit, route: route, deliver: deliver, limits: limits, stages: stages,
+		protocol: protocol, admit: admit, route: route, deliver: deliver, limits: limits, stages: stages, ending: ending,
 		tracer: tracer, metrics: metrics, logger: logger, logLimiter: bllog.NewRateLimiter(logLinesPerSecond),
 	}
 }
@@ -66,6 +68,8 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.Request.Timeout)
 	defer cancel()
+	ctx, release := h.ending.Limit(ctx)
+	defer release()
 	ctx, span := h.tracer.Start(ctx, "entry", r.Header.Get(blheader.TraceParent), call.RequestID)
 	a := &activeRequest{handler: h, call: call, writer: callerWriter{writer: w, protocol: h.protocol, requestID: call.RequestID}, startedAt: time.Now()}
 	delivery, retryAfter := a.run(ctx)
@@ -156,7 +160,7 @@
 			Exclusive: answer.Target.Exclusive, Attempt: attempt, Sent: sent,
 			MaxAttempts: answer.Route.MaxAttempts, Waited: time.Since(a.startedAt), Goal: answer.Route.Goal,
 		})
-		if step == blroute.StepGiveUp || step != blroute.StepOtherUpstream && !a.sleep(ctx, blroute.Backoff(attempt)) {
+		if step == blroute.StepGiveUp || !a.mayRetry() || step != blroute.StepOtherUpstream && !a.sleep(ctx, blroute.Backoff(attempt)) {
 			return delivery, delivery.RetryAfter
 		}
 		if step == blroute.StepBudgetedRetry {
@@ -255,15 +259,24 @@
 // the target that the late answer may still assign.
 func (a *activeRequest) await(ctx context.Context, reply blring.Reply[blroute.Answer]) (blroute.Answer, error) {
 	answer, err := reply.Await(ctx)
-	if err == nil {
-		return answer, nil
+	if err != nil {
+		go lateAnswer{handler: a.handler, reply: reply}.run(context.WithoutCancel(ctx))
 	}
-	late, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateAnswerTimeout)
+	return answer, err //nolint:wrapcheck // read by refusalForError
+}
+
+// lateAnswer is an answer of the duties to a request that has ended.
+type lateAnswer struct {
+	handler *Handler
+	reply   blring.Reply[blroute.Answer]
+}
+
+func (l lateAnswer) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lateAnswerTimeout)
 	defer cancel()
-	if unused, lateErr := reply.Await(late); lateErr == nil && unused.Target.Upstream != "" {
-		_ = a.handler.route(blroute.AttemptCompleted{Upstream: unused.Target.Upstream, Unused: true})
+	if unused, err := l.reply.Await(ctx); err == nil && unused.Target.Upstream != "" {
+		_ = l.handler.route(blroute.AttemptCompleted{Upstream: unused.Target.Upstream, Unused: true})
 	}
-	return answer, err //nolint:wrapcheck // read by refusalForError
 }
 
 // findTarget asks the routing duty for the target of another attempt, avoiding
@@ -284,6 +297,9 @@
 // not accepted, or that ended while it waited for the duty's answer. In both
 // cases the request did not run.
 func refusalForError(ctx context.Context, err error) *blvalue.Refusal {
+	if errors.Is(context.Cause(ctx), blserver.ErrEnding) {
+		return blvalue.NotRun(blvalue.ReasonLeaving, "this node ends")
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return blvalue.NotRun(blvalue.ReasonTimeout, "the request ended before it was admitted")
 	}
@@ -303,5 +319,17 @@
 		return true
 	case <-ctx.Done():
 		return false
+	case <-a.handler.ending.Refusing():
+		return false
+	}
+}
+
+// mayRetry reports whether there is time for another attempt before the node ends.
+func (a *activeRequest) mayRetry() bool {
+	select {
+	case <-a.handler.ending.Refusing():
+		return false
+	default:
+		return true
 	}
 }
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -94,6 +94,8 @@
 
 // Deliver delivers an order forwarded by another node to a local upstream.
 func (n *Node) Deliver(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery {
+	ctx, release := n.ending.Limit(ctx)
+	defer release()
 	delivery := n.deliverer.Deliver(ctx, order, writer)
 	n.logDelivery(order, delivery)
 	return delivery
@@ -119,6 +121,8 @@
 // deliver delivers a caller's order locally if its target is on this node, and
 // forwards it to the target's node otherwise.
 func (n *Node) deliver(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery {
+	ctx, release := n.ending.Limit(ctx)
+	defer release()
 	if order.Target.Node.Incarnation == n.self.Incarnation {
 		return n.deliverer.Deliver(ctx, order, writer)
 	}
--- a/io/blnode/leave.go
+++ b/io/blnode/leave.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotlead/core/bladmit"
+	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blduty"
 	"bergamotlead/io/blserver"
 )
@@ -24,6 +25,9 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, grace)
 		defer cancel()
+		end, _ := ctx.Deadline()
+		n.ending.Begin(end, n.refuseWaiting)
+		defer n.ending.Close()
 	}
 	n.keepOwnership(ctx)
 	n.handOver(ctx)
@@ -51,6 +55,13 @@
 	return errors.Join(errs...)
 }
 
+// refuseWaiting refuses all requests that wait on this node.
+func (n *Node) refuseWaiting() {
+	n.logStop("refusing what waits")
+	n.logDropped("admit", n.duties.admit.Put(bladmit.Close{}))
+	n.logDropped("deliver", n.duties.deliver.Put(bldeliver.Close{}))
+}
+
 // awaitWork waits until no caller's request is unanswered and the local upstreams run
 // no requests. Meanwhile all listeners stay open: upstreams make calls through them for
 // what they run, and announce themselves.
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -51,6 +51,7 @@
 	httpServers  []*blserver.Server
 	// stages counts callers' requests by what they wait for.
 	stages *blhttp.Stages
+	ending *blserver.Ending
 	// forwarding is the number of callers' orders that other nodes deliver.
 	forwarding atomic.Int64
 	failed     chan error
@@ -111,6 +112,7 @@
 		logLimiter: bllog.NewRateLimiter(logLinesPerSecond),
 		stateLog:   newStateLog(logger),
 		stages:     &blhttp.Stages{},
+		ending:     blserver.NewEnding(),
 	}
 	n.timer = bltimer.New(n.clock)
 	n.newWorkers()
@@ -216,7 +218,7 @@
 }
 
 func (n *Node) callerHandler() http.Handler {
-	handler := blhttp.New(n.platform.CallerProtocol, n.duties.admit.Put, n.duties.route.Put, n.deliver, n.callerLimits, n.stages, n.tracer, n.metrics, n.logger)
+	handler := blhttp.New(n.platform.CallerProtocol, n.duties.admit.Put, n.duties.route.Put, n.deliver, n.callerLimits, n.stages, n.ending, n.tracer, n.metrics, n.logger)
 	return n.chain().Then(handler)
 }
 
--- a/io/blnode/stop_test.go
+++ b/io/blnode/stop_test.go
@@ -11,7 +11,12 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bergamotlead/core/bladmit"
+	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blheader"
+	"bergamotlead/io/blhttp"
 	"bergamotlead/io/blsettings"
 )
 
@@ -96,3 +101,41 @@
 		t.Errorf("stop: got %v, want none", err)
 	}
 }
+
+// TestWaitingRequestGetsNoRefusalAtEnd guards against a stop that ends while a request
+// waits on the node, without a refusal.
+func TestWaitingRequestGetsNoRefusalAtEnd(t *testing.T) {
+	const clientKey = "secret"
+	n := startLoneNode(t)
+	_ = n.duties.admit.Put(bladmit.ConfigChanged{Accepted: blconfig.Accepted{Revision: 1, Plan: blconfig.Plan{
+		Accounts: map[blvalue.AccountName]blconfig.Account{"kiosk": {Name: "kiosk", Rate: 1, Burst: 1, AnyService: true}},
+		Digests:  map[string]blvalue.AccountName{blhttp.KeyDigest(clientKey): "kiosk"},
+		Routes:   []blconfig.Route{{Service: "pot", Method: http.MethodGet, Path: blconfig.AnyPath}},
+		Timing:   blconfig.Timing{Freshness: time.Minute, LoanTTL: blconfig.DefaultLoanTTL, LoanLookahead: blconfig.DefaultLoanLookahead},
+		Limits:   blconfig.Limits{ShutdownGrace: time.Second, BodyBytes: 1 << 10, RequestTimeout: stopTestTimeout},
+	}}})
+	_ = n.duties.admit.Put(bladmit.LeadResponded{SentAt: n.clock.Now()})
+	c, err := (&net.Dialer{Timeout: stopTestTimeout}).DialContext(t.Context(), "tcp", n.settings.CallerListen)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "GET /pot/a HTTP/1.1\r\nHost: lone\r\nAuthorization: Bearer "+clientKey+"\r\n\r\n"); err != nil {
+		t.Fatalf("send: %v", err)
+	}
+	for n.stages.Counts().Admission == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := n.Stop(context.Background()); err != nil {
+		t.Errorf("stop: got %v, want none", err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("response at the end of the stop: got %v, want a refusal", err)
+	}
+	_ = response.Body.Close()
+	if got, want := response.Header.Get(blheader.Outcome), string(blvalue.OutcomeNotRun); got != want {
+		t.Errorf("outcome: got %q, want %q", got, want)
+	}
+}
--- a/io/blupstream/attempt.go
+++ b/io/blupstream/attempt.go
@@ -86,7 +86,7 @@
 }
 
 func contextReason(ctx context.Context) blvalue.RefusalReason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return blvalue.ReasonTimeout
 	}
 	return blvalue.ReasonCancelled
