Count and log failures of upstreams with what was left of the grant

Cause: a planned stop gave callers 500s of upstreams, and it wasn't known whether grants lapsed under work or calls failed. Change: each response of 500 or above that isn't a rejection is counted by status and logged, bounded per second, with the time it took and the time left of its grant.

--- a/io/blmetric/metric.go
+++ b/io/blmetric/metric.go
@@ -41,6 +41,11 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_retries_total{reason=%q}`, reason)).Inc()
 }
 
+// UpstreamFailed counts a response of an upstream with a status of 500 or above.
+func (s *Set) UpstreamFailed(status int) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_upstream_failures_total{status="%d"}`, status)).Inc()
+}
+
 // StoreCall counts a call to the platform's store.
 func (s *Set) StoreCall(kind string) {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_store_calls_total{kind=%q}`, kind)).Inc()
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -19,6 +19,7 @@
 	"bergamotlead/core/blquota"
 	"bergamotlead/core/blring"
 	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blupstream"
 )
 
 // Heartbeat answers another node's heartbeat.
@@ -118,6 +119,20 @@
 		"left_out", suppressed)
 }
 
+// upstreamFailed counts and logs a failure of an upstream. The number of lines per
+// second is limited.
+func (n *Node) upstreamFailed(failure blupstream.Failure) {
+	n.metrics.UpstreamFailed(failure.Status)
+	allowed, suppressed := n.logLimiter.Allow("upstream failed", time.Now())
+	if !allowed {
+		return
+	}
+	n.logger.Info("upstream failed", "request_id", failure.Order.RequestID, "upstream", string(failure.Order.Target.Upstream),
+		"partition", int(failure.Order.Target.Partition), "status", failure.Status, "elapsed_ms", failure.Elapsed.Milliseconds(),
+		"exclusive", failure.Exclusive, "grant_left_ms", failure.GrantLeft.Milliseconds(), "leaving", n.leaving.Load(),
+		"account", string(failure.Order.Account), "timeout_ms", failure.Order.Timeout.Milliseconds(), "left_out", suppressed)
+}
+
 // deliver delivers a caller's order locally if its target is on this node, and
 // forwards it to the target's node otherwise.
 func (n *Node) deliver(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery {
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -119,7 +119,7 @@
 	n.newDuties()
 	n.deliverer = blupstream.New(blupstream.Duties{
 		Deliver: n.duties.deliver.Put, Grant: n.duties.grant.Put, Admit: n.duties.admit.Put,
-	}, platform.Transport, platform.UpstreamProtocol, n.clock, tracer)
+	}, platform.Transport, platform.UpstreamProtocol, n.clock, tracer, n.upstreamFailed)
 	n.nodeServer = blgrpc.NewServer(n, blgrpc.NewHeaderTable(platform.HeaderNames...))
 	n.addGauges()
 	return n, nil
--- a/io/blupstream/deliver.go
+++ b/io/blupstream/deliver.go
@@ -23,6 +23,18 @@
 	Admit   func(bladmit.Message) error
 }
 
+// Failure describes a response of an upstream with a status of 500 or above that isn't
+// a rejection.
+type Failure struct {
+	Order  bldeliver.Order
+	Status int
+	// Elapsed is how long the upstream took, and GrantLeft what is left of the
+	// grant as it was known when the request was sent. Exclusive is set if
+	// there was one.
+	Elapsed, GrantLeft time.Duration
+	Exclusive          bool
+}
+
 // Deliverer sends orders to the upstreams local to this node.
 type Deliverer struct {
 	duties    Duties
@@ -30,6 +42,7 @@
 	tracer    *bltrace.Tracer
 	transport http.RoundTripper
 	protocol  Protocol
+	failed    func(Failure)
 	tickets   atomic.Uint64
 }
 
@@ -43,11 +56,11 @@
 )
 
 // New returns a deliverer that sends requests through transport, which must not
-// retry them.
+// retry them. It calls failed for each failure of an upstream.
 func New(
-	duties Duties, transport http.RoundTripper, protocol Protocol, clock bltimer.Clock, tracer *bltrace.Tracer,
+	duties Duties, transport http.RoundTripper, protocol Protocol, clock bltimer.Clock, tracer *bltrace.Tracer, failed func(Failure),
 ) *Deliverer {
-	return &Deliverer{duties: duties, transport: transport, protocol: protocol, clock: clock, tracer: tracer}
+	return &Deliverer{failed: failed, duties: duties, transport: transport, protocol: protocol, clock: clock, tracer: tracer}
 }
 
 // Deliver sends order to its upstream and writes the response to writer.
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -33,6 +33,7 @@
 		return refused(blvalue.NotRun(blvalue.ReasonNotOwner, "the grant lapsed before the request was sent")),
 			bldeliver.ResultUnused
 	}
+	sentAt := a.deliverer.clock.Now()
 	response, err := a.deliverer.transport.RoundTrip(request)
 	if err != nil {
 		return a.noResponse(ctx, err)
@@ -43,6 +44,13 @@
 		refusal, result := rejection.refusal()
 		return refused(refusal), result
 	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		now := a.deliverer.clock.Now()
+		a.deliverer.failed(Failure{
+			Order: a.order, Status: response.StatusCode, Elapsed: now.Sub(sentAt), GrantLeft: a.permit.Until.Sub(now),
+			Exclusive: a.permit.ID != 0,
+		})
+	}
 	return a.forward(ctx, response)
 }
 
