Answer requests read behind the last response of a leaving node

Cause: callers send further requests before the first is answered. The response to the first said Connection: close and the connection ended, with the further ones read or in the socket's buffer, which also resets it. Change: blserver hands net/http one head at a time, so it is known whether a further request has been read; only the response to the last one says Connection: close. Test, on the code before: TestRequestBehindClosingResponseIsCut: response: got "/slow", close true, <nil>, want "/slow", close false; got read tcp ...: connection reset by peer, want "/next".

--- a/io/blserver/connection.go
+++ b/io/blserver/connection.go
@@ -37,6 +37,10 @@
 	// so far, running while a request is handled, and written once a part of the
 	// response to the latest request has been written.
 	received, running, written, closed bool
+	// head splits what is read into requests, and ahead is set once a byte of a further
+	// request has been read while one is handled.
+	head  headReader
+	ahead bool
 	// ended is set while reads are made to fail, and readDeadline is the deadline
 	// that net/http set last.
 	ended        bool
@@ -69,12 +73,15 @@
 	return c.Conn.SetReadDeadline(deadline) //nolint:wrapcheck // net/http reads the error
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. While no request is handled it returns no bytes behind the
+// head of the next one, so that it is known whether a further request has been read.
 func (c *connection) Read(buffer []byte) (int, error) {
-	count, err := c.Conn.Read(buffer)
+	count, err := c.head.read(c.Conn, buffer, c.splitting)
 	if count > 0 {
 		c.server.mu.Lock()
-		if !c.running {
+		if c.running {
+			c.ahead = c.ahead || len(buffer) == backgroundReadBytes
+		} else {
 			c.received, c.written = true, false
 			c.resumeReading()
 		}
@@ -83,6 +90,20 @@
 	return count, err //nolint:wrapcheck // net/http reads the error
 }
 
+// backgroundReadBytes is the size of the reads by which net/http watches a connection
+// while a request is handled whose body has been read.
+const backgroundReadBytes = 1
+
+func (c *connection) splitting() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return !c.running
+}
+
+// hasFurtherRequest reports whether bytes behind the request that is handled have been
+// read. The mutex of the server is held.
+func (c *connection) hasFurtherRequest() bool { return c.ahead || c.head.buffered.Load() }
+
 // Write implements net.Conn. On a connection that ended with a part of a request
 // nothing is written: net/http would answer that part as a malformed request.
 func (c *connection) Write(buffer []byte) (int, error) {
@@ -125,11 +146,18 @@
 	return nil
 }
 
+// endsWithResponse reports whether the response that begins now ends the connection.
+func (c *connection) endsWithResponse() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.server.leaving && !c.hasFurtherRequest()
+}
+
 // begin marks the start of a request's handler.
 func (c *connection) begin() {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.running, c.received, c.written = true, false, false
+	c.running, c.received, c.written, c.ahead = true, false, false, false
 	c.resumeReading()
 	if c.server.leaving {
 		c.server.late++
@@ -140,7 +168,7 @@
 func stateChanged(c net.Conn, state http.ConnState) {
 	if c, ok := c.(*connection); ok && state == http.StateIdle {
 		c.server.mu.Lock()
-		c.running = false
+		c.running, c.received = false, c.hasFurtherRequest()
 		c.server.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/io/blserver/head_reader.go
@@ -0,0 +1,60 @@
+package blserver
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+// headEnd ends the head of a request.
+const headEnd = "\r\n\r\n"
+
+// headReader holds back what has been read behind the head of a request until the next
+// read. One goroutine at a time reads.
+type headReader struct {
+	rest []byte
+	// matched is the number of bytes of headEnd that the bytes returned last end with.
+	matched  int
+	buffered atomic.Bool
+}
+
+// read fills the buffer from what was held back, or else from source. If splitting then
+// reports so, it returns no bytes behind the head of a request.
+func (h *headReader) read(source io.Reader, buffer []byte, splitting func() bool) (int, error) {
+	var err error
+	count := copy(buffer, h.rest)
+	if count > 0 {
+		h.rest = h.rest[count:]
+	} else {
+		count, err = source.Read(buffer)
+	}
+	end := count
+	if splitting() {
+		end = h.headLength(buffer[:count])
+	}
+	if end < count {
+		// A later read reports the error again.
+		h.rest, err = append(append([]byte(nil), buffer[end:count]...), h.rest...), nil
+	}
+	h.buffered.Store(len(h.rest) > 0)
+	return end, err //nolint:wrapcheck // net/http reads the error
+}
+
+// headLength returns the number of bytes up to the end of a head, or all of them if
+// none ends there.
+func (h *headReader) headLength(text []byte) int {
+	for i, letter := range text {
+		switch letter {
+		case headEnd[h.matched]:
+			h.matched++
+		case headEnd[0]:
+			h.matched = 1
+		default:
+			h.matched = 0
+		}
+		if h.matched == len(headEnd) {
+			h.matched = 0
+			return i + 1
+		}
+	}
+	return len(text)
+}
--- a/io/blserver/response.go
+++ b/io/blserver/response.go
@@ -5,27 +5,30 @@
 // trackingHandler marks on its connection that a request is handled, and ends the
 // connection with the response while the server leaves.
 type trackingHandler struct {
-	server *Server
-	next   http.Handler
+	next http.Handler
 }
 
 // ServeHTTP implements http.Handler.
 func (h trackingHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
-		c.begin()
+	c, ok := r.Context().Value(connectionKey{}).(*connection)
+	if !ok {
+		h.next.ServeHTTP(w, r)
+		return
 	}
-	writer := &responseWriter{ResponseWriter: w, server: h.server}
+	c.begin()
+	writer := &responseWriter{ResponseWriter: w, connection: c}
 	h.next.ServeHTTP(writer, r)
 	writer.beginResponse()
 }
 
 // responseWriter adds Connection: close to the head of a response that is written
-// while the server leaves.
+// while the server leaves, unless a further request has been read: the response to the
+// last one that has been read ends the connection.
 type responseWriter struct {
 	http.ResponseWriter
 
-	server *Server
-	begun  bool
+	connection *connection
+	begun      bool
 }
 
 func (w *responseWriter) beginResponse() {
@@ -33,10 +36,7 @@
 		return
 	}
 	w.begun = true
-	w.server.mu.Lock()
-	leaving := w.server.leaving
-	w.server.mu.Unlock()
-	if leaving {
+	if w.connection.endsWithResponse() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/io/blserver/server.go
+++ b/io/blserver/server.go
@@ -47,7 +47,7 @@
 // runs it. The server sets the connection hooks of settings.
 func New(listener net.Listener, settings *http.Server) *Server {
 	s := &Server{http: settings, listener: listener, connections: map[*connection]struct{}{}, changed: make(chan struct{}, 1)}
-	settings.Handler = trackingHandler{server: s, next: settings.Handler}
+	settings.Handler = trackingHandler{next: settings.Handler}
 	settings.ConnContext = withConnection
 	settings.ConnState = stateChanged
 	return s
--- a/io/blserver/server_test.go
+++ b/io/blserver/server_test.go
@@ -216,3 +216,31 @@
 		}
 	}
 }
+
+// TestRequestBehindClosingResponseIsCut guards against a leaving server that ends a
+// connection with a response although a further request has been received on it.
+func TestRequestBehindClosingResponseIsCut(t *testing.T) {
+	cases := []struct {
+		name string
+		send []string
+	}{
+		{"in one segment", []string{get("/slow") + get("/next")}},
+		{"while the first one runs", []string{get("/slow"), get("/next")}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := startSite(t, unwrapped)
+			c := s.dial()
+			c.send(tc.send[0])
+			<-s.began
+			for _, text := range tc.send[1:] {
+				c.send(text)
+			}
+			time.Sleep(20 * time.Millisecond)
+			s.Leave()
+			close(s.release)
+			c.want("/slow", false)
+			c.want("/next", true)
+		})
+	}
+}
