Give upstreams less time than a leaving node has left

Cause: work taken during a stop had one deadline for the upstream and for the node, so the node gave its own answer in place of that of the upstream, which ends its work some milliseconds later. Change: during a stop an order gives its upstream time until 0.3 s before the end at most, the node itself goes on until 0.1 s before it, and an order for which no time is left is refused as not run. The deadline sent to the upstream is that of the order. An owner's node waits 0.1 s longer for an answer than the order gives the upstream.

--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -187,6 +187,10 @@
 	return &frameReader{receive: stream.Recv}
 }
 
+// answerTimeout is how long the answer of an upstream may take to arrive after the time
+// of its order has ended. The node that sent the order ends it sooner if it can't wait.
+const answerTimeout = 100 * time.Millisecond
+
 // Deliver implements the Node service.
 func (s *Server) Deliver(stream grpc.BidiStreamingServer[blproto.DeliverRequest, blproto.DeliverReply]) error {
 	first, err := stream.Recv()
@@ -198,7 +202,7 @@
 		return status.Error(codes.InvalidArgument, "the first frame isn't the head of an order")
 	}
 	order := s.headers.orderFromProto(head, orderBody(head, stream))
-	ctx, cancel := context.WithTimeout(stream.Context(), order.Timeout)
+	ctx, cancel := context.WithTimeout(stream.Context(), order.Timeout+answerTimeout)
 	defer cancel()
 	writer := &frameWriter{send: stream.Send, headers: s.headers}
 	delivery := s.node.Deliver(ctx, order, writer)
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -97,11 +97,26 @@
 func (n *Node) Deliver(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery {
 	ctx, release := n.ending.Limit(ctx)
 	defer release()
+	order, refusal := n.bounded(order)
+	if refusal != nil {
+		return bldeliver.Delivery{Refusal: refusal, Retryable: true}
+	}
 	delivery := n.deliverer.Deliver(ctx, order, writer)
 	n.logDelivery(order, delivery)
 	return delivery
 }
 
+// bounded returns the order with no more time than there is before this node ends, or a
+// refusal if none is left.
+func (n *Node) bounded(order bldeliver.Order) (bldeliver.Order, *blvalue.Refusal) {
+	timeout := n.ending.Bound(order.Timeout)
+	if timeout <= 0 && order.Timeout > 0 {
+		return order, blvalue.NotRun(blvalue.ReasonLeaving, "no time is left on this node")
+	}
+	order.Timeout = timeout
+	return order, nil
+}
+
 // logDelivery logs why an order forwarded by another node was refused. The
 // number of lines per second is limited for each reason.
 func (n *Node) logDelivery(order bldeliver.Order, delivery bldeliver.Delivery) {
@@ -138,6 +153,10 @@
 func (n *Node) deliver(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery {
 	ctx, release := n.ending.Limit(ctx)
 	defer release()
+	order, refusal := n.bounded(order)
+	if refusal != nil {
+		return bldeliver.Delivery{Refusal: refusal, Retryable: true}
+	}
 	if order.Target.Node.Incarnation == n.self.Incarnation {
 		return n.deliverer.Deliver(ctx, order, writer)
 	}
--- a/io/blnode/leave.go
+++ b/io/blnode/leave.go
@@ -58,8 +58,8 @@
 // refuseWaiting refuses all requests that wait on this node.
 func (n *Node) refuseWaiting() {
 	n.logStop("refusing what waits")
-	n.logDropped("admit", n.duties.admit.Put(bladmit.Close{}))
-	n.logDropped("deliver", n.duties.deliver.Put(bldeliver.Close{}))
+	blduty.PutBlocking[bladmit.Message](n.duties.admit.Put, bladmit.Close{})
+	blduty.PutBlocking[bldeliver.Message](n.duties.deliver.Put, bldeliver.Close{})
 }
 
 // awaitWork waits until no caller's request is unanswered and the local upstreams run
--- a/io/blserver/ending.go
+++ b/io/blserver/ending.go
@@ -9,8 +9,8 @@
 
 const (
 	// refuseReserve, answerReserve and workReserve are the times before the end of a
-	// stop at which waiting requests are refused, at which work that begins during the
-	// stop has to be answered, and at which all other work is given up.
+	// stop at which waiting requests are refused, at which upstreams have to have
+	// answered what they are sent during the stop, and at which all work is given up.
 	refuseReserve = 500 * time.Millisecond
 	answerReserve = 300 * time.Millisecond
 	workReserve   = 100 * time.Millisecond
@@ -26,9 +26,9 @@
 	work     context.Context
 	giveUp   context.CancelFunc
 
-	mu       sync.Mutex
-	answerBy time.Time
-	timers   []*time.Timer
+	mu     sync.Mutex
+	end    time.Time
+	timers []*time.Timer
 }
 
 // NewEnding returns the ending of a node that doesn't leave.
@@ -42,7 +42,7 @@
 func (e *Ending) Begin(end time.Time, refuse func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.answerBy = end.Add(-answerReserve)
+	e.end = end
 	e.timers = []*time.Timer{
 		time.AfterFunc(time.Until(end.Add(-refuseReserve)), func() {
 			close(e.refusing)
@@ -65,15 +65,20 @@
 // Refusing returns a channel that is closed when waiting requests have to be refused.
 func (e *Ending) Refusing() <-chan struct{} { return e.refusing }
 
-// Limit returns the context of work that begins now. It ends early enough for an
-// answer to be sent before the node ends.
-func (e *Ending) Limit(ctx context.Context) (context.Context, context.CancelFunc) {
+// Bound returns the time that an upstream may be given for a request. During a stop it
+// is short enough for the upstream's answer to reach the caller, or not above zero.
+func (e *Ending) Bound(timeout time.Duration) time.Duration {
 	e.mu.Lock()
-	answerBy := e.answerBy
-	e.mu.Unlock()
-	if !answerBy.IsZero() {
-		return context.WithDeadline(ctx, answerBy)
+	defer e.mu.Unlock()
+	if e.end.IsZero() {
+		return timeout
 	}
+	return min(timeout, time.Until(e.end.Add(-answerReserve)))
+}
+
+// Limit returns the context of work. It ends early enough for an answer to be sent
+// before the node ends.
+func (e *Ending) Limit(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(e.work, func() { cancel(ErrEnding) })
 	return ctx, func() {
--- a/io/blupstream/attempt.go
+++ b/io/blupstream/attempt.go
@@ -22,6 +22,8 @@
 	writer    bldeliver.ResponseWriter
 	ticket    bldeliver.Ticket
 	permit    blgrant.Permit
+	// deadline is when the time ends that the order gives the upstream.
+	deadline bltimer.Instant
 	// connected is set once the request has a connection, after which the
 	// upstream may have received it.
 	connected atomic.Bool
@@ -36,6 +38,7 @@
 
 func (a *attempt) run(ctx context.Context) bldeliver.Delivery {
 	startedAt := a.deliverer.clock.Now()
+	a.deadline = startedAt.Add(a.order.Timeout)
 	slot := a.acquireSlot(ctx, startedAt)
 	if slot.Refusal != nil {
 		delivery := refused(slot.Refusal)
@@ -70,7 +73,7 @@
 	}
 	err := a.deliverer.duties.Deliver(bldeliver.Acquire{
 		Ticket: a.ticket, Upstream: a.order.Target.Upstream, Account: a.order.Account, Rank: a.order.Rank, Class: a.order.Class,
-		Deadline: now.Add(a.order.Timeout), Goal: goal, Reply: reply,
+		Deadline: a.deadline, Goal: goal, Reply: reply,
 	})
 	if err != nil {
 		return bldeliver.AcquireAnswer{Refusal: blvalue.NotRun(blvalue.ReasonOverload, err.Error())}
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -94,9 +94,9 @@
 	for name, values := range a.order.Header {
 		request.Header[name] = values
 	}
-	left := time.Duration(0)
+	left := a.deadline.Sub(a.deliverer.clock.Now())
 	if deadline, ok := ctx.Deadline(); ok {
-		left = time.Until(deadline)
+		left = min(left, time.Until(deadline))
 	}
 	a.deliverer.protocol.Prepare(request, a.order, a.permit, slot.Incarnation, left)
 	if parent := bltrace.TraceParent(ctx); parent != "" {
