--- a/core/bladmit/messages.go
+++ b/core/bladmit/messages.go
@@ -93,10 +93,15 @@
 	Failed bool
 }
 
-// Leave makes this node refuse new requests.
+// Leave makes this node refuse new requests. It still admits calls that the local
+// upstream makes for requests that it already runs.
 type Leave struct{}
 
+// Close refuses all waiting requests, and makes this node refuse all new ones.
+type Close struct{}
+
 func (Tick) admitMessage()             {}
+func (Close) admitMessage()            {}
 func (Admit) admitMessage()            {}
 func (Recheck) admitMessage()          {}
 func (ConfigChanged) admitMessage()    {}
--- a/io/blhttp/handler.go
+++ b/io/blhttp/handler.go
@@ -11,12 +11,12 @@
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/bldeliver"
-	"bergamotlead/core/blring"
 	"bergamotlead/core/blroute"
 	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blheader"
 	"bergamotlead/io/bllog"
 	"bergamotlead/io/blmetric"
+	"bergamotlead/io/blserver"
 	"bergamotlead/io/bltrace"
 )
 
@@ -37,6 +37,8 @@
 	route      func(blroute.Message) error
 	deliver    Deliverer
 	limits     func() Limits
+	stages     *Stages
+	ending     *blserver.Ending
 	tracer     *bltrace.Tracer
 	metrics    *blmetric.Set
 	logger     hclog.Logger
@@ -47,10 +49,10 @@
 // and routing duties through admit and route.
 func New(
 	protocol Protocol, admit func(bladmit.Message) error, route func(blroute.Message) error, deliver Deliverer, limits func() Limits,
-	tracer *bltrace.Tracer, metrics *blmetric.Set, logger hclog.Logger,
+	stages *Stages, ending *blserver.Ending, tracer *bltrace.Tracer, metrics *blmetric.Set, logger hclog.Logger,
 ) *Handler {
 	return &Handler{
-		protocol: protocol, admit: admit, route: route, deliver: deliver, limits: limits,
+		protocol: protocol, admit: admit, route: route, deliver: deliver, limits: limits, stages: stages, ending: ending,
 		tracer: tracer, metrics: metrics, logger: logger, logLimiter: bllog.NewRateLimiter(logLinesPerSecond),
 	}
 }
@@ -65,6 +67,8 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.Request.Timeout)
 	defer cancel()
+	ctx, release := h.ending.Limit(ctx)
+	defer release()
 	ctx, span := h.tracer.Start(ctx, "entry", r.Header.Get(blheader.TraceParent), call.RequestID)
 	a := &activeRequest{handler: h, call: call, writer: callerWriter{writer: w, protocol: h.protocol, requestID: call.RequestID}, startedAt: time.Now()}
 	delivery, retryAfter := a.run(ctx)
@@ -155,7 +159,7 @@
 			Exclusive: answer.Target.Exclusive, Attempt: attempt, Sent: sent,
 			MaxAttempts: answer.Route.MaxAttempts, Waited: time.Since(a.startedAt), Goal: answer.Route.Goal,
 		})
-		if step == blroute.StepGiveUp || step != blroute.StepOtherUpstream && !sleep(ctx, blroute.Backoff(attempt)) {
+		if step == blroute.StepGiveUp || !a.mayRetry() || step != blroute.StepOtherUpstream && !a.sleep(ctx, blroute.Backoff(attempt)) {
 			return delivery, delivery.RetryAfter
 		}
 		if step == blroute.StepBudgetedRetry {
@@ -196,6 +200,7 @@
 // deliver sends the order to its target and reports the result to the routing
 // duty.
 func (a *activeRequest) deliver(ctx context.Context, answer blroute.Answer, writer bldeliver.ResponseWriter) bldeliver.Delivery {
+	defer enter(&a.handler.stages.delivery)()
 	sentAt := time.Now()
 	delivery := a.handler.deliver(ctx, a.order(ctx, answer), writer)
 	_ = a.handler.route(blroute.AttemptCompleted{
@@ -234,69 +239,3 @@
 		TraceParent: bltrace.TraceParent(ctx), Timeout: time.Until(deadline),
 	}
 }
-
-func (a *activeRequest) admit(ctx context.Context) (blroute.Answer, error) {
-	reply := blring.NewReply[blroute.Answer]()
-	err := a.handler.admit(bladmit.Admit{Request: a.call.Request, Path: a.call.Path, Reply: reply})
-	if err != nil {
-		return blroute.Answer{}, err
-	}
-	return a.await(ctx, reply)
-}
-
-// lateAnswerTimeout is how long a request that has ended still waits for the
-// duties' answer, which may assign it a target. No duty holds a request longer.
-const lateAnswerTimeout = 3 * time.Second
-
-// await waits for the duties' answer. If the request ends first, await releases
-// the target that the late answer may still assign.
-func (a *activeRequest) await(ctx context.Context, reply blring.Reply[blroute.Answer]) (blroute.Answer, error) {
-	answer, err := reply.Await(ctx)
-	if err == nil {
-		return answer, nil
-	}
-	late, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateAnswerTimeout)
-	defer cancel()
-	if unused, lateErr := reply.Await(late); lateErr == nil && unused.Target.Upstream != "" {
-		_ = a.handler.route(blroute.AttemptCompleted{Upstream: unused.Target.Upstream, Unused: true})
-	}
-	return answer, err //nolint:wrapcheck // read by refusalForError
-}
-
-// findTarget asks the routing duty for the target of another attempt, avoiding
-// the upstream of the last one. The message says whether the attempt is a retry
-// or a hedge.
-func (a *activeRequest) findTarget(ctx context.Context, previous blroute.Answer, message blroute.Find) (blroute.Answer, error) {
-	reply := blring.NewReply[blroute.Answer]()
-	message.Request, message.Route, message.Account = a.call.Request.WithService(previous.Service), previous.Route, previous.Account
-	message.Avoid, message.Reply = previous.Target.Upstream, reply
-	if err := a.handler.route(message); err != nil {
-		return blroute.Answer{}, err
-	}
-	return a.await(ctx, reply)
-}
-
-// refusalForError returns the refusal of a request whose message to a duty was
-// not accepted, or that ended while it waited for the duty's answer. In both
-// cases the request did not run.
-func refusalForError(ctx context.Context, err error) *blvalue.Refusal {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return blvalue.NotRun(blvalue.ReasonTimeout, "the request ended before it was admitted")
-	}
-	if ctx.Err() != nil {
-		return blvalue.NotRun(blvalue.ReasonCancelled, "the caller went away")
-	}
-	return blvalue.NotRun(blvalue.ReasonOverload, err.Error())
-}
-
-// sleep waits for the given time. It returns false if the request ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -19,6 +19,7 @@
 	"bergamotlead/core/blquota"
 	"bergamotlead/core/blring"
 	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blupstream"
 )
 
 // Heartbeat answers another node's heartbeat.
@@ -94,11 +95,28 @@
 
 // Deliver delivers an order forwarded by another node to a local upstream.
 func (n *Node) Deliver(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery {
+	ctx, release := n.ending.Limit(ctx)
+	defer release()
+	order, refusal := n.bounded(order)
+	if refusal != nil {
+		return bldeliver.Delivery{Refusal: refusal, Retryable: true}
+	}
 	delivery := n.deliverer.Deliver(ctx, order, writer)
 	n.logDelivery(order, delivery)
 	return delivery
 }
 
+// bounded returns the order with no more time than there is before this node ends, or a
+// refusal if none is left.
+func (n *Node) bounded(order bldeliver.Order) (bldeliver.Order, *blvalue.Refusal) {
+	timeout := n.ending.Bound(order.Timeout)
+	if timeout <= 0 && order.Timeout > 0 {
+		return order, blvalue.NotRun(blvalue.ReasonLeaving, "no time is left on this node")
+	}
+	order.Timeout = timeout
+	return order, nil
+}
+
 // logDelivery logs why an order forwarded by another node was refused. The
 // number of lines per second is limited for each reason.
 func (n *Node) logDelivery(order bldeliver.Order, delivery bldeliver.Delivery) {
@@ -116,12 +134,34 @@
 		"left_out", suppressed)
 }
 
+// upstreamFailed counts and logs a failure of an upstream. The number of lines per
+// second is limited.
+func (n *Node) upstreamFailed(failure blupstream.Failure) {
+	n.metrics.UpstreamFailed(failure.Status)
+	allowed, suppressed := n.logLimiter.Allow("upstream failed", time.Now())
+	if !allowed {
+		return
+	}
+	n.logger.Info("upstream failed", "request_id", failure.Order.RequestID, "upstream", string(failure.Order.Target.Upstream),
+		"partition", int(failure.Order.Target.Partition), "status", failure.Status, "elapsed_ms", failure.Elapsed.Milliseconds(),
+		"exclusive", failure.Exclusive, "grant_left_ms", failure.GrantLeft.Milliseconds(), "leaving", n.leaving.Load(),
+		"account", string(failure.Order.Account), "timeout_ms", failure.Order.Timeout.Milliseconds(), "left_out", suppressed)
+}
+
 // deliver delivers a caller's order locally if its target is on this node, and
 // forwards it to the target's node otherwise.
 func (n *Node) deliver(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery {
+	ctx, release := n.ending.Limit(ctx)
+	defer release()
+	order, refusal := n.bounded(order)
+	if refusal != nil {
+		return bldeliver.Delivery{Refusal: refusal, Retryable: true}
+	}
 	if order.Target.Node.Incarnation == n.self.Incarnation {
 		return n.deliverer.Deliver(ctx, order, writer)
 	}
+	n.forwarding.Add(1)
+	defer n.forwarding.Add(-1)
 	ctx, span := n.tracer.Start(ctx, "hop", "", order.RequestID)
 	delivery := n.client.Deliver(ctx, order, writer)
 	span.With("node", string(order.Target.Node.Name)).End(delivery.Refusal)
--- /dev/null
+++ b/io/blserver/connection.go
@@ -0,0 +1,180 @@
+package blserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// trackingListener wraps the connections that it accepts.
+type trackingListener struct {
+	net.Listener
+
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l trackingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err //nolint:wrapcheck // net/http reads the error
+	}
+	c := &connection{Conn: accepted, server: l.server}
+	l.server.mu.Lock()
+	l.server.connections[c] = struct{}{}
+	l.server.mu.Unlock()
+	return c, nil
+}
+
+// connection is a caller's connection. Its fields are guarded by the mutex of the
+// server.
+type connection struct {
+	net.Conn
+
+	server *Server
+	// received is set while bytes have been read that belong to no request handled
+	// so far, running while a request is handled, and written once a part of the
+	// response to the latest request has been written.
+	received, running, written, closed bool
+	// head splits what is read into requests, and ahead is set once a byte of a further
+	// request has been read while one is handled.
+	head  headReader
+	ahead bool
+	// ended is set while reads are made to fail, and readDeadline is the deadline
+	// that net/http set last.
+	ended        bool
+	readDeadline time.Time
+}
+
+// endReading makes the blocked read of the connection fail, and all later ones. A read
+// that returns bytes nevertheless ends that again, so a request that has been read is
+// handled.
+func (c *connection) endReading() {
+	c.ended = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (c *connection) resumeReading() {
+	if c.ended {
+		c.ended = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(deadline time.Time) error {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.readDeadline = deadline
+	if c.ended {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline) //nolint:wrapcheck // net/http reads the error
+}
+
+// Read implements net.Conn. While no request is handled it returns no bytes behind the
+// head of the next one, so that it is known whether a further request has been read.
+func (c *connection) Read(buffer []byte) (int, error) {
+	count, err := c.head.read(c.Conn, buffer, c.splitting)
+	if count > 0 {
+		c.server.mu.Lock()
+		if c.running {
+			c.ahead = c.ahead || len(buffer) == backgroundReadBytes
+		} else {
+			c.received, c.written = true, false
+			c.resumeReading()
+		}
+		c.server.mu.Unlock()
+	}
+	return count, err //nolint:wrapcheck // net/http reads the error
+}
+
+// backgroundReadBytes is the size of the reads by which net/http watches a connection
+// while a request is handled whose body has been read.
+const backgroundReadBytes = 1
+
+func (c *connection) splitting() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return !c.running
+}
+
+// hasFurtherRequest reports whether bytes behind the request that is handled have been
+// read. The mutex of the server is held.
+func (c *connection) hasFurtherRequest() bool { return c.ahead || c.head.buffered.Load() }
+
+// Write implements net.Conn. On a connection that ended with a part of a request
+// nothing is written: net/http would answer that part as a malformed request.
+func (c *connection) Write(buffer []byte) (int, error) {
+	c.server.mu.Lock()
+	c.written = true
+	silent := c.ended && c.received && !c.running
+	c.server.mu.Unlock()
+	if silent {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(buffer) //nolint:wrapcheck // net/http reads the error
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.server.mu.Lock()
+	if !c.closed && (c.running || c.received) && !c.written {
+		c.server.cut++
+	}
+	c.closed = true
+	delete(c.server.connections, c)
+	c.server.mu.Unlock()
+	defer c.server.signal()
+	return c.Conn.Close() //nolint:wrapcheck // net/http reads the error
+}
+
+// signal tells Stop that a connection has been closed.
+func (s *Server) signal() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// CloseWrite lets net/http close the direction of the response first.
+func (c *connection) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite() //nolint:wrapcheck // net/http reads the error
+	}
+	return nil
+}
+
+// endsWithResponse reports whether the response that begins now ends the connection.
+func (c *connection) endsWithResponse() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.server.leaving && !c.hasFurtherRequest()
+}
+
+// begin marks the start of a request's handler.
+func (c *connection) begin() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.running, c.received, c.written, c.ahead = true, false, false, false
+	c.resumeReading()
+	if c.server.leaving {
+		c.server.late++
+	}
+}
+
+// stateChanged marks the end of a request: its response has been written.
+func stateChanged(c net.Conn, state http.ConnState) {
+	if c, ok := c.(*connection); ok && state == http.StateIdle {
+		c.server.mu.Lock()
+		c.running, c.received = false, c.hasFurtherRequest()
+		c.server.mu.Unlock()
+	}
+}
+
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
