Let a leaving node's last response reach a caller that sent further requests

Callers saw: a response that broke off with a reset in a planned stop, when a further request arrived on the connection after the head of the response (Connection: close) had been written. Cause: net/http closes the socket with these bytes unread; the system then sends a reset and discards what of the response hasn't been received. Change: while the server leaves, a connection that ended with its response shuts its write side, discards what arrives until the caller closes, 500 ms at most, and is closed then; the end of the grace ends that at once.

--- a/io/blserver/connection.go
+++ b/io/blserver/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -123,11 +124,33 @@
 	if !c.closed && (c.running || c.received) && !c.written {
 		c.server.cut++
 	}
-	c.closed = true
+	// A response has ended the connection.
+	lingers := !c.closed && c.running && c.written && c.server.leaving && !c.server.aborted
+	c.closed, c.running, c.received = true, false, false
+	c.server.mu.Unlock()
+	if lingers {
+		c.awaitCaller()
+	}
+	err := c.Conn.Close()
+	c.server.mu.Lock()
 	delete(c.server.connections, c)
 	c.server.mu.Unlock()
-	defer c.server.signal()
-	return c.Conn.Close() //nolint:wrapcheck // net/http reads the error
+	c.server.signal()
+	return err //nolint:wrapcheck // net/http reads the error
+}
+
+// lingerTimeout limits how long a connection whose last response has been written waits
+// for its caller to close it.
+const lingerTimeout = 500 * time.Millisecond
+
+// awaitCaller ends the direction of the response, and discards what still arrives until
+// the caller closes the connection. A connection that is closed with unread bytes, such
+// as a request sent behind the last one, is reset, and the caller loses the part of the
+// response that it hasn't received.
+func (c *connection) awaitCaller() {
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
 // signal tells Stop that a connection has been closed.
--- a/io/blserver/server.go
+++ b/io/blserver/server.go
@@ -39,6 +39,8 @@
 	cut         int
 	leaving     bool
 	stopping    bool
+	// aborted is set when the remaining connections are closed at once.
+	aborted bool
 	// changed receives a value after a connection has been closed.
 	changed chan struct{}
 }
@@ -89,7 +91,9 @@
 		case <-timer.C:
 			s.endIdle(true)
 		case <-ctx.Done():
-			_ = s.http.Close()
+			if s.abort() == 0 {
+				return nil
+			}
 			return fmt.Errorf("stop %s: %w", s.listener.Addr(), ctx.Err())
 		}
 	}
@@ -97,13 +101,29 @@
 	return nil
 }
 
+// abort closes all connections at once. It returns the number of those that have not
+// been ended by a response.
+func (s *Server) abort() int {
+	s.mu.Lock()
+	s.aborted = true
+	count := 0
+	for c := range s.connections {
+		if !c.closed {
+			count++
+		}
+	}
+	s.mu.Unlock()
+	_ = s.http.Close()
+	return count
+}
+
 // endIdle ends the connections on which no request is handled and of which no byte
 // of one has been read, or with partial, also those with a part of a request.
 func (s *Server) endIdle(partial bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
-		if !c.running && (partial || !c.received) {
+		if !c.closed && !c.running && (partial || !c.received) {
 			c.endReading()
 		}
 	}
