Count a request as handled from the moment its connection is watched

Cause: net/http starts the read that watches the connection before it calls the handler. If reads are made to fail then, net/http cancels the request; and begin dropped the note that a byte of a further request had been read. Change: the first read of the watch marks the request as handled, and the note lasts until the connection is idle.

--- a/io/blserver/connection.go
+++ b/io/blserver/connection.go
@@ -77,6 +77,9 @@
 // Read implements net.Conn. While no request is handled it returns no bytes behind the
 // head of the next one, so that it is known whether a further request has been read.
 func (c *connection) Read(buffer []byte) (int, error) {
+	if len(buffer) == backgroundReadBytes {
+		c.watch()
+	}
 	count, err := c.head.read(c.Conn, buffer, c.splitting)
 	if count > 0 {
 		c.server.mu.Lock()
@@ -95,6 +98,22 @@
 // while a request is handled whose body has been read.
 const backgroundReadBytes = 1
 
+// watch marks a request as handled whose connection is watched: the watch may begin
+// before the handler does.
+func (c *connection) watch() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if !c.running {
+		c.start()
+	}
+}
+
+// start marks a request as handled. The mutex of the server is held.
+func (c *connection) start() {
+	c.running, c.received, c.written = true, false, false
+	c.resumeReading()
+}
+
 func (c *connection) splitting() bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
@@ -180,8 +199,7 @@
 func (c *connection) begin() {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.running, c.received, c.written, c.ahead = true, false, false, false
-	c.resumeReading()
+	c.start()
 	if c.server.leaving {
 		c.server.late++
 	}
@@ -191,7 +209,7 @@
 func stateChanged(c net.Conn, state http.ConnState) {
 	if c, ok := c.(*connection); ok && state == http.StateIdle {
 		c.server.mu.Lock()
-		c.running, c.received = false, c.hasFurtherRequest()
+		c.running, c.received, c.ahead = false, c.hasFurtherRequest(), false
 		c.server.mu.Unlock()
 	}
 }
