Refuse calls and orders once the upstream of a leaving node runs nothing

Callers saw (other operators' report: taken late in the grace and cut at its end): after a leaving node refuses new requests it still admits those without a key where there are accounts, since they may be calls of its upstream; callers' requests on open routes are among them, keep the node from ending, and get what is left of the grace. Orders of other nodes are taken until the very end, after the listeners that their calls need have been closed. Cause: nothing ended either of them before the end of the grace. Evidence: the test, on: got reason no_upstream, want leaving; order of another node: got not_owner, want leaving. Change: once the local upstream runs nothing, orders are refused as not run, and once that holds, also the requests that could only be its calls. Requests that wait for tokens go on waiting.

--- a/core/bladmit/messages.go
+++ b/core/bladmit/messages.go
@@ -95,7 +95,10 @@
 
 // Leave makes this node refuse new requests. It still admits calls that the local
 // upstream makes for requests that it already runs.
-type Leave struct{}
+type Leave struct {
+	// RefuseCalls makes it refuse these calls as well, once the upstream runs nothing.
+	RefuseCalls bool
+}
 
 // Close refuses all waiting requests, and makes this node refuse all new ones.
 type Close struct{}
--- a/core/bladmit/state.go
+++ b/core/bladmit/state.go
@@ -37,8 +37,9 @@
 	heartbeatAt bltimer.Instant
 	leadSeen    bool
 	leaving     bool
-	closed      bool
-	quotas      bltable.Table[blvalue.AccountName, Quota]
+	// closed is set when this node refuses all new requests.
+	closed bool
+	quotas bltable.Table[blvalue.AccountName, Quota]
 	// borrowing is set while a request for tokens is in flight, and borrowedAt is
 	// when the last one was sent.
 	borrowing  bool
@@ -114,7 +115,7 @@
 	case DelegateAnswered:
 		return s.delegateAnswered(m, now)
 	case Leave:
-		s.leaving = true
+		s.leaving, s.closed = true, s.closed || m.RefuseCalls
 		return s, nil
 	case Close:
 		return s.close()
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -48,6 +48,9 @@
 	return s.inFlight.Len()
 }
 
+// Closed reports whether all waiting and later requests have been refused.
+func (s State) Closed() bool { return s.closed }
+
 // Waiting returns the number of requests that wait for a slot.
 func (s State) Waiting() int {
 	count := 0
--- a/io/blnode/leave.go
+++ b/io/blnode/leave.go
@@ -64,17 +64,33 @@
 
 // awaitWork waits until no caller's request is unanswered and the local upstreams run
 // no requests. Meanwhile all listeners stay open: upstreams make calls through them for
-// what they run, and announce themselves.
+// what they run, and announce themselves. Once they run nothing, no more orders are
+// delivered to them, and no more calls are expected.
 func (n *Node) awaitWork(ctx context.Context) {
 	ticker := time.NewTicker(handOverPollInterval)
 	defer ticker.Stop()
 	for n.working() {
+		n.endDelivery()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
 	}
+	blduty.PutBlocking[bldeliver.Message](n.duties.deliver.Put, bldeliver.Close{})
+}
+
+// endDelivery refuses orders for the local upstreams once these run nothing, and then
+// the requests that may be calls of theirs.
+func (n *Node) endDelivery() {
+	deliver := n.duties.deliver.View()
+	switch {
+	case deliver.Running()+deliver.Waiting() > 0:
+	case deliver.Closed():
+		blduty.PutBlocking[bladmit.Message](n.duties.admit.Put, bladmit.Leave{RefuseCalls: true})
+	case n.stages.Counts().Delivery <= int(n.forwarding.Load()):
+		blduty.PutBlocking[bldeliver.Message](n.duties.deliver.Put, bldeliver.Close{})
+	}
 }
 
 func (n *Node) working() bool {
--- a/io/blnode/stop_test.go
+++ b/io/blnode/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,8 @@
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/blconfig"
+	"bergamotlead/core/bldeliver"
+	"bergamotlead/core/blroute"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blheader"
@@ -139,3 +142,57 @@
 		t.Errorf("outcome: got %q, want %q", got, want)
 	}
 }
+
+// TestKeylessRequestsProlongStop guards against a leaving node that admits callers'
+// requests without a key as calls of its upstream when that runs nothing.
+func TestKeylessRequestsProlongStop(t *testing.T) {
+	n := startLoneNode(t)
+	_ = n.duties.admit.Put(bladmit.ConfigChanged{Accepted: blconfig.Accepted{Revision: 1, Plan: blconfig.Plan{
+		Accounts: map[blvalue.AccountName]blconfig.Account{"kiosk": {Name: "kiosk", Rate: 1, Burst: 1, AnyService: true}},
+		Routes:   []blconfig.Route{{Service: "pot", Method: http.MethodGet, Path: blconfig.AnyPath, Open: true}},
+		Timing:   blconfig.Timing{Freshness: time.Minute, LoanTTL: blconfig.DefaultLoanTTL, LoanLookahead: blconfig.DefaultLoanLookahead},
+		Limits:   blconfig.Limits{ShutdownGrace: stopTestTimeout, BodyBytes: 1 << 10, RequestTimeout: stopTestTimeout},
+	}}})
+	_ = n.duties.admit.Put(bladmit.LeadResponded{SentAt: n.clock.Now()})
+	slow := startSlowRequest(t, n)
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.Stop(context.Background()) }()
+	const want = `"reason":"leaving"`
+	body := ""
+	for until := time.Now().Add(stopTestTimeout / 2); !strings.Contains(body, want) && time.Now().Before(until); {
+		body = refusalOfKeylessRequest(t, n)
+	}
+	if !strings.Contains(body, want) {
+		t.Errorf("response: got %s, want %s", body, want)
+	}
+	delivery := n.Deliver(t.Context(), bldeliver.Order{Target: blroute.Target{Upstream: "pot_1"}, Timeout: time.Second}, nil)
+	if got, want := delivery.Refusal.Reason, blvalue.ReasonLeaving; got != want || !delivery.Retryable {
+		t.Errorf("order of another node: got %q, retryable %t, want %q, retryable true", got, delivery.Retryable, want)
+	}
+	_ = slow.Close()
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: got %v, want none", err)
+	}
+}
+
+func refusalOfKeylessRequest(t *testing.T, n *Node) string {
+	t.Helper()
+	c, err := (&net.Dialer{Timeout: stopTestTimeout}).DialContext(t.Context(), "tcp", n.settings.CallerListen)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "GET /pot/a HTTP/1.1\r\nHost: lone\r\n\r\n"); err != nil {
+		t.Fatalf("send: %v", err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("response: got %v, want a refusal", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatalf("response: %v", err)
+	}
+	return string(body)
+}
