Refuse for reason leaving without ending the connection early

Callers saw (native protocol): a further request read behind one that a leaving node refuses is closed unanswered. Cause: Refuse set Connection: close itself; the server of a leaving node decides that since. Evidence: the test, before: got close true, want false; response: got unexpected EOF, want a refusal. Change: Refuse leaves it to the server.

--- a/io/blhttp/refusal.go
+++ b/io/blhttp/refusal.go
@@ -37,9 +37,6 @@
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		header.Set("Retry-After", strconv.Itoa(max(int((retryAfter+time.Second-1)/time.Second), 1)))
 	}
-	if refusal.Reason == blvalue.ReasonLeaving {
-		header.Set("Connection", "close")
-	}
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(problem{
 		Title: http.StatusText(status), Status: status, Detail: refusal.Detail,
--- a/io/blnode/stop_test.go
+++ b/io/blnode/stop_test.go
@@ -196,3 +196,41 @@
 	}
 	return string(body)
 }
+
+// TestRefusalOfLeavingCutsFurtherRequest guards against a refusal that ends a connection
+// although a further request has been read from it.
+func TestRefusalOfLeavingCutsFurtherRequest(t *testing.T) {
+	n := startLoneNode(t)
+	slow := startSlowRequest(t, n)
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.Stop(context.Background()) }()
+	for body := ""; !strings.Contains(body, `"reason":"leaving"`); {
+		body = refusalOfKeylessRequest(t, n)
+	}
+	c, err := (&net.Dialer{Timeout: stopTestTimeout}).DialContext(t.Context(), "tcp", n.settings.CallerListen)
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(stopTestTimeout))
+	request := "GET /pot/a HTTP/1.1\r\nHost: lone\r\n\r\n"
+	if _, err := io.WriteString(c, request+request); err != nil {
+		t.Fatalf("send: %v", err)
+	}
+	reader := bufio.NewReader(c)
+	for _, closes := range []bool{false, true} {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("response: got %v, want a refusal", err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.Close != closes {
+			t.Errorf("response: got close %t, want %t", response.Close, closes)
+		}
+	}
+	_ = slow.Close()
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: got %v, want none", err)
+	}
+}
