--- a/io/blserver/connection.go
+++ b/io/blserver/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -76,6 +77,9 @@
 // Read implements net.Conn. While no request is handled it returns no bytes behind the
 // head of the next one, so that it is known whether a further request has been read.
 func (c *connection) Read(buffer []byte) (int, error) {
+	if len(buffer) == backgroundReadBytes {
+		c.watch()
+	}
 	count, err := c.head.read(c.Conn, buffer, c.splitting)
 	if count > 0 {
 		c.server.mu.Lock()
@@ -94,6 +98,22 @@
 // while a request is handled whose body has been read.
 const backgroundReadBytes = 1
 
+// watch marks a request as handled whose connection is watched: the watch may begin
+// before the handler does.
+func (c *connection) watch() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if !c.running {
+		c.start()
+	}
+}
+
+// start marks a request as handled. The mutex of the server is held.
+func (c *connection) start() {
+	c.running, c.received, c.written = true, false, false
+	c.resumeReading()
+}
+
 func (c *connection) splitting() bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
@@ -123,11 +143,33 @@
 	if !c.closed && (c.running || c.received) && !c.written {
 		c.server.cut++
 	}
-	c.closed = true
+	// A response has ended the connection.
+	lingers := !c.closed && c.running && c.written && c.server.leaving && !c.server.aborted
+	c.closed, c.running, c.received = true, false, false
+	c.server.mu.Unlock()
+	if lingers {
+		c.awaitCaller()
+	}
+	err := c.Conn.Close()
+	c.server.mu.Lock()
 	delete(c.server.connections, c)
 	c.server.mu.Unlock()
-	defer c.server.signal()
-	return c.Conn.Close() //nolint:wrapcheck // net/http reads the error
+	c.server.signal()
+	return err //nolint:wrapcheck // net/http reads the error
+}
+
+// lingerTimeout limits how long a connection whose last response has been written waits
+// for its caller to close it.
+const lingerTimeout = 500 * time.Millisecond
+
+// awaitCaller ends the direction of the response, and discards what still arrives until
+// the caller closes the connection. A connection that is closed with unread bytes, such
+// as a request sent behind the last one, is reset, and the caller loses the part of the
+// response that it hasn't received.
+func (c *connection) awaitCaller() {
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
 // signal tells Stop that a connection has been closed.
@@ -157,8 +199,7 @@
 func (c *connection) begin() {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.running, c.received, c.written, c.ahead = true, false, false, false
-	c.resumeReading()
+	c.start()
 	if c.server.leaving {
 		c.server.late++
 	}
@@ -168,7 +209,7 @@
 func stateChanged(c net.Conn, state http.ConnState) {
 	if c, ok := c.(*connection); ok && state == http.StateIdle {
 		c.server.mu.Lock()
-		c.running, c.received = false, c.hasFurtherRequest()
+		c.running, c.received, c.ahead = false, c.hasFurtherRequest(), false
 		c.server.mu.Unlock()
 	}
 }
