Tell the eras of the store apart

What was seen: after the platform's store came back restored from an older copy, each node's watch asked for changes after a revision that the store no longer had, got 410, loaded, and asked again at once, since the job kept the higher revision. A compare-and-swap whose expected revision had been given out again replaced a value that the writer had never read.

Cause: the store's revision numbers begin anew after a restore, and nothing read the header Store-Era.

Change: blstore.Transport reads the era of each response and keeps the latest.

--- a/core/blplatform/revision.go
+++ b/core/blplatform/revision.go
@@ -32,3 +32,9 @@
 func RevisionNumber(revision uint64) uint64 {
 	return revision % (1 << revisionNumberBits)
 }
+
+// FromEarlierEra reports whether a revision is of an earlier era than the given one.
+// Revision zero belongs to no era.
+func FromEarlierEra(revision uint64, era Era) bool {
+	return revision != 0 && RevisionEra(revision) < era%(1<<eraBits)
+}
--- a/core/blplatform/revision_test.go
+++ b/core/blplatform/revision_test.go
@@ -21,3 +21,23 @@
 		t.Errorf("revision of a store without eras: got %d, want 57", got)
 	}
 }
+
+func TestFromEarlierEra(t *testing.T) {
+	cases := []struct {
+		name     string
+		revision uint64
+		era      blplatform.Era
+		want     bool
+	}{
+		{"absent key", 0, 2, false},
+		{"before the first restore", 7, 1, true},
+		{"same era", blplatform.NewRevision(2, 7), 2, false},
+		{"earlier era", blplatform.NewRevision(1, 7), 2, true},
+		{"later era than known", blplatform.NewRevision(3, 7), 2, false},
+	}
+	for _, c := range cases {
+		if got := blplatform.FromEarlierEra(c.revision, c.era); got != c.want {
+			t.Errorf("%s: got %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/core/blplatform/store.go
+++ b/core/blplatform/store.go
@@ -34,6 +34,11 @@
 	// means that the key is absent. Unless lease is empty, the key is removed when
 	// the lease ends. The error is a ConflictError, UnavailableError or
 	// UnknownOutcomeError.
+	//
+	// A revision of an earlier era than the latest one known is a conflict, whatever
+	// its number. If the entry returned is of a later era than revision, the value is
+	// stored, but in the place of a value that the caller may not have read: the store
+	// was restored meanwhile and compared only the number.
 	CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte, lease LeaseID) (Entry, error)
 	// NewLease creates a lease that expires unless it is renewed within ttl.
 	NewLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
@@ -43,7 +48,8 @@
 	// EndLease revokes a lease and removes the keys attached to it.
 	EndLease(ctx context.Context, id LeaseID) error
 	// Watch waits until the revision of key differs from revision and returns the
-	// entry. If there is no change for some time, it returns the unchanged entry.
+	// entry. If there is no change for some time, it returns the unchanged entry. A
+	// watch from a revision of an earlier era returns the current entry at once.
 	Watch(ctx context.Context, key string, revision uint64) (Entry, error)
 }
 
--- a/io/blstore/transport.go
+++ b/io/blstore/transport.go
@@ -42,11 +42,12 @@
 type Transport struct {
 	base   string
 	client *http.Client
+	eras   eraReader
 }
 
 // NewTransport returns a transport to the store at address, which is an IP address
-// and port.
-func NewTransport(address string) *Transport {
+// and port. The store names its era in the header field eraHeader of its responses.
+func NewTransport(address, eraHeader string) *Transport {
 	dialer := &net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
@@ -58,7 +59,24 @@
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return &Transport{base: "http://" + address, client: &http.Client{Transport: transport}}
+	return &Transport{base: "http://" + address, client: &http.Client{Transport: transport}, eras: eraReader{header: eraHeader}}
+}
+
+// Era returns the latest era in which the store has answered, or zero if it has not
+// named any.
+func (t *Transport) Era() blplatform.Era {
+	return t.eras.latestEra()
+}
+
+// Response is the status of a response, and the era in which the store answered.
+type Response struct {
+	Status int
+	Era    blplatform.Era
+}
+
+// Revision returns the revision for a number in the response.
+func (r Response) Revision(number uint64) uint64 {
+	return blplatform.NewRevision(r.Era, number)
 }
 
 // StatusError reports an unexpected HTTP status of the store.
@@ -106,12 +124,12 @@
 // the store is unavailable. It returns a StalledError if the response to a read, or
 // the rest of any response, does not arrive, and a TooLargeError for one of more
 // than MaxResponseBytes.
-func (t *Transport) Call(ctx context.Context, method, path string, request, result any) (int, error) {
+func (t *Transport) Call(ctx context.Context, method, path string, request, result any) (Response, error) {
 	var payload []byte
 	if request != nil {
 		var err error
 		if payload, err = json.Marshal(request); err != nil {
-			return 0, fmt.Errorf("encode request: %w", err)
+			return Response{}, fmt.Errorf("encode request: %w", err)
 		}
 	}
 	return t.call(ctx, exchange{
@@ -121,7 +139,7 @@
 
 // Watch reads a response that the store holds back until there is a change. It
 // returns a TooLargeError if the response has more than limit bytes.
-func (t *Transport) Watch(ctx context.Context, path string, limit int64, result any) (int, error) {
+func (t *Transport) Watch(ctx context.Context, path string, limit int64, result any) (Response, error) {
 	return t.call(ctx, exchange{method: http.MethodGet, path: path, result: result, limit: limit})
 }
 
@@ -138,7 +156,7 @@
 	headBounded bool
 }
 
-func (t *Transport) call(ctx context.Context, e exchange) (int, error) {
+func (t *Transport) call(ctx context.Context, e exchange) (Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	progress := time.AfterFunc(progressTimeout, func() { cancel(StalledError{}) })
@@ -146,17 +164,17 @@
 	if !e.headBounded {
 		progress.Stop()
 	}
-	status, body, err := t.roundTrip(ctx, e, progress)
+	response, body, err := t.roundTrip(ctx, e, progress)
 	if err != nil {
-		return 0, t.failure(ctx, err)
+		return Response{}, t.failure(ctx, err)
 	}
-	if e.result == nil || len(body) == 0 || status == http.StatusServiceUnavailable {
-		return status, nil
+	if e.result == nil || len(body) == 0 || response.Status == http.StatusServiceUnavailable {
+		return response, nil
 	}
 	if err := json.Unmarshal(body, e.result); err != nil {
-		return 0, fmt.Errorf("decode answer: %w", err)
+		return Response{}, fmt.Errorf("decode answer: %w", err)
 	}
-	return status, nil
+	return response, nil
 }
 
 // failure completes the error of an exchange. After one without a response the idle
@@ -174,28 +192,29 @@
 }
 
 // roundTrip sends the request and reads the whole response body.
-func (t *Transport) roundTrip(ctx context.Context, e exchange, progress *time.Timer) (int, []byte, error) {
+func (t *Transport) roundTrip(ctx context.Context, e exchange, progress *time.Timer) (Response, []byte, error) {
 	call, err := http.NewRequestWithContext(ctx, e.method, t.base+e.path, bytes.NewReader(e.payload))
 	if err != nil {
-		return 0, nil, fmt.Errorf("build request: %w", err)
+		return Response{}, nil, fmt.Errorf("build request: %w", err)
 	}
 	response, err := t.client.Do(call)
 	if err != nil {
-		return 0, nil, fmt.Errorf("call store: %w", err)
+		return Response{}, nil, fmt.Errorf("call store: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	era := t.eras.read(response.Header)
 	if response.ContentLength > e.limit {
-		return 0, nil, TooLargeError{Limit: e.limit}
+		return Response{}, nil, TooLargeError{Limit: e.limit}
 	}
 	progress.Reset(progressTimeout)
 	body, err := io.ReadAll(progressReader{reader: io.LimitReader(response.Body, e.limit+1), progress: progress})
 	if err != nil {
-		return 0, nil, fmt.Errorf("read answer: %w", err)
+		return Response{}, nil, fmt.Errorf("read answer: %w", err)
 	}
 	if int64(len(body)) > e.limit {
-		return 0, nil, TooLargeError{Limit: e.limit}
+		return Response{}, nil, TooLargeError{Limit: e.limit}
 	}
-	return response.StatusCode, body, nil
+	return Response{Status: response.StatusCode, Era: era}, body, nil
 }
 
 // progressReader restarts a timer whenever data arrives.
--- a/io/blstore/transport_test.go
+++ b/io/blstore/transport_test.go
@@ -53,7 +53,7 @@
 			t.Parallel()
 			server := httptest.NewServer(c.handler)
 			defer server.Close()
-			transport := NewTransport(strings.TrimPrefix(server.URL, "http://"))
+			transport := NewTransport(strings.TrimPrefix(server.URL, "http://"), eraHeader)
 			startedAt := time.Now()
 			var result string
 			_, err := transport.Call(t.Context(), http.MethodGet, "/", nil, &result)
@@ -74,7 +74,7 @@
 		_, _ = fmt.Fprint(w, `"changed"`)
 	}))
 	defer server.Close()
-	transport := NewTransport(strings.TrimPrefix(server.URL, "http://"))
+	transport := NewTransport(strings.TrimPrefix(server.URL, "http://"), eraHeader)
 	var result string
 	if _, err := transport.Watch(t.Context(), "/", MaxResponseBytes, &result); err != nil || result != "changed" {
 		t.Errorf("Watch: got %q, %v, want changed", result, err)
