Keep the later version of the configuration after a restore

Cause: the order of configurations was that of revisions alone, which says nothing about their age once the store has been restored.

--- a/core/bladmit/state.go
+++ b/core/bladmit/state.go
@@ -122,7 +122,7 @@
 // configChanged applies a newer configuration and refuses the waiting requests
 // whose client key it withdraws.
 func (s State) configChanged(m ConfigChanged) (State, []Effect) {
-	if m.Accepted.Revision <= s.config.Revision {
+	if !m.Accepted.LaterThan(s.config) {
 		return s, nil
 	}
 	s.config = m.Accepted
--- a/core/bladmit/state_test.go
+++ b/core/bladmit/state_test.go
@@ -181,3 +181,18 @@
 		t.Errorf("revision: got %d, want %d", got, want)
 	}
 }
+
+// TestEarlierVersionOfARestoredStoreIsIgnored guards against a node that goes back to
+// an earlier version of the configuration because its revision is later.
+func TestEarlierVersionOfARestoredStoreIsIgnored(t *testing.T) {
+	n := newNode()
+	n.send(bladmit.ConfigChanged{Accepted: accepted(5, "new").WithVersion(14)})
+	n.send(bladmit.ConfigChanged{Accepted: accepted(9, "digest").WithVersion(11)})
+	if got := n.state.Config().Version; got != 14 {
+		t.Errorf("version: got %d, want 14", got)
+	}
+	n.send(bladmit.ConfigChanged{Accepted: accepted(4, "digest").WithVersion(15)})
+	if got := n.state.Config().Version; got != 15 {
+		t.Errorf("version after a later one: got %d, want 15", got)
+	}
+}
--- a/core/blassign/config_test.go
+++ b/core/blassign/config_test.go
@@ -93,3 +93,61 @@
 		}
 	}
 }
+
+// TestLeadAndNodeDifferAfterARestore checks that the side with the earlier version
+// gets the later one from the other, without reads of the store, which doesn't hold it.
+func TestLeadAndNodeDifferAfterARestore(t *testing.T) {
+	host := blvalue.Host{Name: "a"}
+	fetch := []blassign.Effect{blassign.FetchConfig{From: host}}
+	cases := []struct {
+		name   string
+		node   blassign.Heartbeat
+		reply  blassign.HeartbeatReply
+		effect []blassign.Effect
+	}{
+		{"same version and revision", blassign.Heartbeat{ConfigRevision: 5, ConfigVersion: 14}, blassign.HeartbeatReply{}, nil},
+		{
+			"a new node read the copy", blassign.Heartbeat{ConfigRevision: 5, ConfigVersion: 11},
+			blassign.HeartbeatReply{ConfigRevision: 5, ConfigVersion: 14, FetchConfig: true}, nil,
+		},
+		{
+			"the node read a later revision of the copy", blassign.Heartbeat{ConfigRevision: 6, ConfigVersion: 11},
+			blassign.HeartbeatReply{ConfigRevision: 5, ConfigVersion: 14, FetchConfig: true}, nil,
+		},
+		{
+			"the node has not read the restored store", blassign.Heartbeat{ConfigRevision: 4, ConfigVersion: 13},
+			blassign.HeartbeatReply{ConfigRevision: 5, ConfigVersion: 14}, nil,
+		},
+		{"only the node knows the later version", blassign.Heartbeat{ConfigRevision: 5, ConfigVersion: 15}, blassign.HeartbeatReply{}, fetch},
+		{"the node had the later version before the restore", blassign.Heartbeat{ConfigRevision: 3, ConfigVersion: 15}, blassign.HeartbeatReply{}, fetch},
+		{
+			"the operator has written again", blassign.Heartbeat{ConfigRevision: 6, ConfigVersion: 15}, blassign.HeartbeatReply{},
+			[]blassign.Effect{blassign.ReloadConfig{}},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := bltimer.Instant(time.Second)
+			state := blassign.New(blassign.LeastMoves{})
+			state, _ = state.Decide(blassign.AuthorityChanged{Authority: bllead.Authority{
+				Term: 1, Until: now.Add(time.Hour), MayChange: true,
+			}}, now)
+			inForce := blconfig.Accepted{Revision: 5, Version: 14, Digest: 50}
+			state, _ = state.Decide(blassign.ConfigSeen{Accepted: inForce}, now)
+			state, _ = state.Decide(blassign.ConfigSeen{Accepted: blconfig.Accepted{Revision: 9, Version: 11}}, now)
+			if got := state.Config().Version; got != 14 {
+				t.Fatalf("version after that of the copy: got %d, want 14", got)
+			}
+			c.node.Node, c.node.Sequence, c.node.Reply = host, 1, blring.NewReply[blassign.HeartbeatReply]()
+			_, effects := state.Decide(c.node, now)
+			reply := effects[0].(blassign.AnswerHeartbeat).HeartbeatReply
+			got := blassign.HeartbeatReply{ConfigRevision: reply.ConfigRevision, ConfigVersion: reply.ConfigVersion, FetchConfig: reply.FetchConfig}
+			if got.ConfigRevision != c.reply.ConfigRevision || got.ConfigVersion != c.reply.ConfigVersion || got.FetchConfig != c.reply.FetchConfig {
+				t.Errorf("reply: got %+v, want %+v", got, c.reply)
+			}
+			if !slices.Equal(effects[1:], c.effect) {
+				t.Errorf("effects: got %v, want %v", effects[1:], c.effect)
+			}
+		})
+	}
+}
--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -44,10 +44,10 @@
 	return s.withoutTermState(), []Effect{LoadConfig{}}
 }
 
-// configSeen adopts a configuration of a later revision; an earlier one is a
-// late answer.
+// configSeen adopts a later configuration; an earlier one is a late answer, or that
+// of a store restored from an older copy.
 func (s State[P]) configSeen(m ConfigSeen, now bltimer.Instant) (State[P], []Effect) {
-	if s.authority.Term == 0 || m.Accepted.Revision <= s.config.Revision {
+	if s.authority.Term == 0 || !m.Accepted.LaterThan(s.config) {
 		return s, nil
 	}
 	s.laterConfigAt = 0
--- a/core/blassign/heartbeat.go
+++ b/core/blassign/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blgrant"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
@@ -51,22 +52,28 @@
 )
 
 // compareConfig handles a configuration of the node that differs from the lead's:
-// the side with the earlier one is to read or fetch the later one.
+// the side with the earlier one is to read or fetch the later one. If it has read the
+// store at as late a revision as the other side, the store doesn't hold the later one,
+// since it was restored from an older copy.
 func (s State[P]) compareConfig(reply HeartbeatReply, m Heartbeat, now bltimer.Instant) (State[P], HeartbeatReply, []Effect) {
-	if m.ConfigRevision == s.config.Revision || m.ConfigDigest == s.config.Digest && s.config.Digest != 0 {
+	known, own := blconfig.Position{Version: m.ConfigVersion, Revision: m.ConfigRevision}, s.config.Position()
+	if known == own || m.ConfigDigest == s.config.Digest && s.config.Digest != 0 {
 		return s, reply, nil
 	}
-	if m.ConfigRevision > s.config.Revision {
+	if known.LaterThan(own) {
 		s, effects := s.laterConfigReported(m, now)
 		return s, reply, effects
 	}
-	reply.ConfigRevision = s.config.Revision
-	reply.FetchConfig = m.WantsConfig || now.Sub(s.configAt) > ownReadDelay
+	reply.ConfigRevision, reply.ConfigVersion = own.Revision, own.Version
+	reply.FetchConfig = m.WantsConfig || now.Sub(s.configAt) > ownReadDelay || known.Revision >= own.Revision
 	return s, reply, nil
 }
 
 // laterConfigReported handles a node's report of a later configuration.
 func (s State[P]) laterConfigReported(m Heartbeat, now bltimer.Instant) (State[P], []Effect) {
+	if m.ConfigRevision <= s.config.Revision {
+		return s, []Effect{FetchConfig{From: m.Node}}
+	}
 	if s.laterConfigAt == 0 {
 		s.laterConfigAt = now
 	}
--- a/core/blassign/messages.go
+++ b/core/blassign/messages.go
@@ -53,6 +53,8 @@
 	// digest of its text.
 	ConfigRevision uint64
 	ConfigDigest   uint64
+	// ConfigVersion is the version of the configuration in force at the node, or zero.
+	ConfigVersion uint64
 	// Directory is the directory version that the node has.
 	Directory DirectoryVersion
 	// Leaving is set when the node takes no new work.
@@ -81,9 +83,10 @@
 	Standby blvalue.Host
 	// NeedHeld asks the node to list the partitions that it holds.
 	NeedHeld bool
-	// ConfigRevision is the revision of the lead's configuration, which is later
-	// than the node's, or zero.
+	// ConfigRevision and ConfigVersion are those of the lead's configuration, which is
+	// later than the node's, or zero.
 	ConfigRevision uint64
+	ConfigVersion  uint64
 	// FetchConfig asks the node to fetch the lead's configuration.
 	FetchConfig bool
 	// StoreLost is set when the lead can't reach the store.
--- a/core/blconfig/document.go
+++ b/core/blconfig/document.go
@@ -106,7 +106,13 @@
 // increase.
 type Accepted struct {
 	Revision uint64
-	Document Document
+	// Version is the version that operators gave the configuration, or zero for one
+	// without.
+	Version uint64
+	// StoredVersion is the version that the store holds. It is earlier than Version
+	// after the store was restored from an older copy.
+	StoredVersion uint64
+	Document      Document
 	// Source is the text from which the configuration was decoded.
 	Source string
 	// Plan is the typed form of the configuration, which decisions read.
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -226,7 +226,7 @@
 }
 
 func (s State) configChanged(m ConfigChanged, now bltimer.Instant) (State, []Effect) {
-	if m.Accepted.Revision <= s.config.Revision {
+	if !m.Accepted.LaterThan(s.config) {
 		return s, nil
 	}
 	s.config = m.Accepted
--- a/core/blmember/heartbeat.go
+++ b/core/blmember/heartbeat.go
@@ -46,7 +46,7 @@
 	s.nextAt = now.Add(s.period())
 	heartbeat := blassign.Heartbeat{
 		Node: s.self, Sequence: s.sequence, ConfigRevision: s.config.Revision, ConfigDigest: s.config.Digest, Directory: s.directory, Leaving: s.leaving,
-		WantsConfig: !s.readsStore,
+		ConfigVersion: s.config.Version, WantsConfig: !s.readsStore,
 	}
 	for _, a := range s.Announcements(now) {
 		heartbeat.Upstreams = append(heartbeat.Upstreams, a.Upstream)
--- a/core/blmember/state_test.go
+++ b/core/blmember/state_test.go
@@ -246,3 +246,17 @@
 		})
 	}
 }
+
+// TestEarlierVersionOfARestoredStoreIsIgnored guards against a node that brings an
+// earlier version of the configuration into force because its revision is later.
+func TestEarlierVersionOfARestoredStoreIsIgnored(t *testing.T) {
+	n := newNode()
+	n.send(blmember.ConfigSeen{Accepted: blconfig.Accepted{Revision: 5, Version: 14}})
+	n.send(blmember.ConfigSeen{Accepted: blconfig.Accepted{Revision: 9, Version: 11}})
+	if len(n.effects) != 0 {
+		t.Errorf("effects of version 11: got %v, want none", n.effects)
+	}
+	if sent, ok := n.tick(time.Second); !ok || sent.Heartbeat.ConfigVersion != 14 || sent.Heartbeat.ConfigRevision != 5 {
+		t.Errorf("heartbeat: got version %d, revision %d, want 14, 5", sent.Heartbeat.ConfigVersion, sent.Heartbeat.ConfigRevision)
+	}
+}
--- a/core/blmember/upstreams.go
+++ b/core/blmember/upstreams.go
@@ -66,11 +66,10 @@
 	return s, nil
 }
 
-// configSeen adopts a configuration if its revision is
-// later than the current one.
+// configSeen adopts a configuration that is later than the current one.
 func (s State) configSeen(m ConfigSeen) (State, []Effect) {
 	accepted := m.Accepted
-	if accepted.Revision <= s.config.Revision {
+	if !accepted.LaterThan(s.config) {
 		return s, nil
 	}
 	if accepted.SameAs(s.config) {
--- a/core/blquota/state.go
+++ b/core/blquota/state.go
@@ -82,7 +82,7 @@
 // configSeen applies a newer configuration to the buckets. The bucket of a new
 // account starts empty, as do all buckets of a new lead.
 func (s State) configSeen(m ConfigSeen, now bltimer.Instant) State {
-	if m.Accepted.Revision <= s.config.Revision {
+	if !m.Accepted.LaterThan(s.config) {
 		return s
 	}
 	for name, bucket := range s.buckets.All() {
--- a/core/blroute/state.go
+++ b/core/blroute/state.go
@@ -48,7 +48,7 @@
 	case AttemptCompleted:
 		return s.attemptCompleted(m, now), nil
 	case ConfigChanged:
-		if m.Accepted.Revision > s.config.Revision {
+		if m.Accepted.LaterThan(s.config) {
 			s.config = m.Accepted
 		}
 		return s, nil
--- a/io/blgrpc/config.go
+++ b/io/blgrpc/config.go
@@ -93,7 +93,8 @@
 // FetchConfig implements the Node service.
 func (s *Server) FetchConfig(r *blproto.FetchConfigRequest, stream grpc.ServerStreamingServer[blproto.ConfigPart]) error {
 	config := s.node.LatestConfig()
-	if config.Revision <= r.GetRevision() || config.Digest == r.GetDigest() {
+	known := blconfig.Position{Version: r.GetVersion(), Revision: r.GetRevision()}
+	if !config.Position().LaterThan(known) || config.Digest == r.GetDigest() {
 		return nil
 	}
 	rest, err := s.configs.encode(config)
@@ -140,7 +141,9 @@
 func receiveConfig(
 	ctx context.Context, node blproto.NodeClient, known blconfig.Accepted, progress *time.Timer,
 ) (uint64, []byte, error) {
-	stream, err := node.FetchConfig(ctx, &blproto.FetchConfigRequest{Revision: known.Revision, Digest: known.Digest})
+	stream, err := node.FetchConfig(ctx, &blproto.FetchConfigRequest{
+		Revision: known.Revision, Digest: known.Digest, Version: known.Version,
+	})
 	if err != nil {
 		return 0, nil, err //nolint:wrapcheck // FetchConfig names the call
 	}
--- a/io/blgrpc/config_test.go
+++ b/io/blgrpc/config_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
 	"bergamotlead/tools/bllink"
 )
@@ -137,3 +138,29 @@
 		t.Errorf("FetchConfig: got %v, want %v", err, ConfigStalledError{})
 	}
 }
+
+// TestFetchConfigAfterARestore guards against a node that stays on the earlier version
+// of a restored store, because its revision is later than that of the lead's version.
+func TestFetchConfigAfterARestore(t *testing.T) {
+	want := blconfig.NewAcceptedPlan(7, blconfig.Plan{}, "later").WithVersion(14)
+	link := newConfigLink(t, want)
+	known := blconfig.Accepted{Revision: 9, Version: 11}
+	got, err := newTestClient(t).FetchConfig(t.Context(), link.Address(), known)
+	if err != nil || got.Digest != want.Digest {
+		t.Errorf("version 14 for a node of version 11: got digest %d, %v, want %d", got.Digest, err, want.Digest)
+	}
+	known.Version = 15
+	if got, err = newTestClient(t).FetchConfig(t.Context(), link.Address(), known); err != nil || got.Revision != 0 {
+		t.Errorf("version 14 for a node of version 15: got revision %d, %v, want none", got.Revision, err)
+	}
+}
+
+// TestHeartbeatCarriesTheVersion checks that both sides learn each other's version.
+func TestHeartbeatCarriesTheVersion(t *testing.T) {
+	if got := heartbeatFromProto(heartbeatToProto(blassign.Heartbeat{ConfigVersion: 14})).ConfigVersion; got != 14 {
+		t.Errorf("version of the node: got %d, want 14", got)
+	}
+	if got := replyFromProto(replyToProto(blassign.HeartbeatReply{ConfigVersion: 14})).ConfigVersion; got != 14 {
+		t.Errorf("version of the lead: got %d, want 14", got)
+	}
+}
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -54,7 +54,7 @@
 	request := &blproto.HeartbeatRequest{
 		Node: hostToProto(h.Node), Sequence: h.Sequence, ConfigRevision: h.ConfigRevision, Leaving: h.Leaving,
 		Directory: &blproto.DirectoryVersion{Term: h.Directory.Term, Version: h.Directory.Version}, WantsConfig: h.WantsConfig,
-		ConfigDigest: h.ConfigDigest,
+		ConfigDigest: h.ConfigDigest, ConfigVersion: h.ConfigVersion,
 	}
 	for _, reported := range h.Loads {
 		request.Loads = append(request.Loads, &blproto.UpstreamLoad{
@@ -78,7 +78,7 @@
 	heartbeat := blassign.Heartbeat{
 		Node: hostFromProto(r.GetNode()), Sequence: r.GetSequence(), ConfigRevision: r.GetConfigRevision(), Leaving: r.GetLeaving(),
 		Directory:   blassign.DirectoryVersion{Term: r.GetDirectory().GetTerm(), Version: r.GetDirectory().GetVersion()},
-		WantsConfig: r.GetWantsConfig(), ConfigDigest: r.GetConfigDigest(),
+		WantsConfig: r.GetWantsConfig(), ConfigDigest: r.GetConfigDigest(), ConfigVersion: r.GetConfigVersion(),
 	}
 	for _, reported := range r.GetLoads() {
 		heartbeat.Loads = append(heartbeat.Loads, blassign.UpstreamLoad{
@@ -103,6 +103,7 @@
 	reply := &blproto.HeartbeatReply{
 		Term: r.Term, Standby: hostToProto(r.Standby), SoonMs: milliseconds(r.ReportAfter), NeedHeld: r.NeedHeld,
 		FetchConfig: r.FetchConfig, Lead: hostToProto(r.Lead), ConfigRevision: r.ConfigRevision, StoreLost: r.StoreLost,
+		ConfigVersion: r.ConfigVersion,
 	}
 	for _, offer := range r.Offers {
 		reply.Offers = append(reply.Offers, &blproto.Offer{
@@ -121,7 +122,7 @@
 	reply := blassign.HeartbeatReply{
 		Term: r.GetTerm(), Standby: hostFromProto(r.GetStandby()), ReportAfter: duration(r.GetSoonMs()), NeedHeld: r.GetNeedHeld(),
 		FetchConfig: r.GetFetchConfig(), Lead: hostFromProto(r.GetLead()), ConfigRevision: r.GetConfigRevision(),
-		StoreLost: r.GetStoreLost(),
+		StoreLost: r.GetStoreLost(), ConfigVersion: r.GetConfigVersion(),
 	}
 	for _, offer := range r.GetOffers() {
 		reply.Offers = append(reply.Offers, blgrant.Offer{
--- a/io/blnode/calls.go
+++ b/io/blnode/calls.go
@@ -75,7 +75,7 @@
 // one in force on it, whichever is later.
 func (n *Node) LatestConfig() blconfig.Accepted {
 	distributed, inForce := n.distributedConfig(), n.configInForce()
-	if distributed.Revision > inForce.Revision {
+	if distributed.LaterThan(inForce) {
 		return distributed
 	}
 	return inForce
--- a/io/blnode/member_effects.go
+++ b/io/blnode/member_effects.go
@@ -79,7 +79,7 @@
 		Lease: timing.LeadLease, GrantTTL: timing.GrantTTL, ClockMargin: timing.ClockMargin,
 		HoldLimit: n.platform.Timing.HoldLimit,
 	}})
-	n.logger.Info("configuration in force", "revision", accepted.Revision, "routes", len(accepted.Plan.Routes),
+	n.logger.Info("configuration in force", "revision", accepted.Revision, "version", accepted.Version, "routes", len(accepted.Plan.Routes),
 		"accounts", len(accepted.Plan.Accounts), "origin", string(change.Origin), "bytes", len(accepted.Source),
 		"ignored", len(accepted.Ignored))
 	for _, reason := range accepted.Ignored[:min(len(accepted.Ignored), maxIgnoredLines)] {
--- a/io/blnode/state_log.go
+++ b/io/blnode/state_log.go
@@ -6,8 +6,10 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blgrant"
 	"bergamotlead/core/blmember"
+	"bergamotlead/core/blplatform"
 	"bergamotlead/core/blvalue"
 )
 
@@ -18,6 +20,9 @@
 
 	mu   sync.Mutex
 	last map[string]string
+	// era is the latest era in which the store returned a configuration.
+	era     blplatform.Era
+	eraRead bool
 }
 
 func newStateLog(logger hclog.Logger) *stateLog {
@@ -36,6 +41,33 @@
 	return true
 }
 
+// logStore logs that the store was restored from an older copy, and that it returns an
+// earlier version of the configuration than the one in force.
+func (l *stateLog) logStore(accepted blconfig.Accepted) {
+	era := blplatform.RevisionEra(accepted.Revision)
+	if before, restored := l.nextEra(era); restored {
+		l.logger.Info("store restored", "era_before", uint64(before), "era_after", uint64(era))
+	}
+	state := ""
+	if accepted.StoredVersion < accepted.Version {
+		state = fmt.Sprint(accepted.StoredVersion, accepted.Version)
+	}
+	if l.changed("stored version", state) && state != "" {
+		l.logger.Info("restored configuration older than the one in force", "stored_version", accepted.StoredVersion,
+			"version", accepted.Version, "revision", accepted.Revision)
+	}
+}
+
+// nextEra records an era of the store. It returns the previous one, and whether the
+// new one follows it.
+func (l *stateLog) nextEra(era blplatform.Era) (blplatform.Era, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before, restored := l.era, l.eraRead && era > l.era
+	l.era, l.eraRead = max(l.era, era), true
+	return before, restored
+}
+
 // logUpstreams logs the local upstreams whose state has changed.
 func (l *stateLog) logUpstreams(announcements []blmember.Announcement) {
 	for _, a := range announcements {
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -218,6 +218,7 @@
 // publishLocalConfig passes a configuration that this node has read itself to the
 // member duty, if every node reads configurations, and to the lead's duties.
 func (n *Node) publishLocalConfig(accepted blconfig.Accepted) {
+	n.stateLog.logStore(accepted)
 	if n.platform.AllNodesReadConfig {
 		blduty.PutBlocking[blmember.Message](n.duties.member.Put, blmember.ConfigSeen{
 			Accepted: accepted, Origin: blmember.OriginSource,
