Keep failure domains out after a restore

What callers would see: requests into a failure domain whose evacuation was acknowledged, from the moment at which the store comes back from a copy that doesn't have it until the operator has written it again.

Cause: the keys op/evacuate have no version, and the list in the store was taken for the whole truth.

Change: blconfig.Latest keeps each domain out that was out when a new era was first read, for 5 s (restoreHold) or until the store lists it again; from then on the store says when it ends. One that the copy lists is out. What another node has out stays out for the same time, so that a node without memory keeps it as well. A watch without a change after the hold reads the store again.

--- a/core/blconfig/stored.go
+++ b/core/blconfig/stored.go
@@ -1,6 +1,16 @@
 package blconfig
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"bergamotlead/core/blplatform"
+	"bergamotlead/core/bltimer"
+)
+
+// restoreHold is how long a failure domain stays out after a restore of the store that
+// may have lost the evacuation. Operators write again what was lost, soon after.
+const restoreHold = 5 * time.Second
 
 // Stored is what operators have stored, as read at a revision of the store.
 type Stored struct {
@@ -19,33 +29,83 @@
 
 // Latest holds the latest that a node has learned of what operators stored, from the
 // store or from other nodes. A store that was restored from an older copy of its data
-// takes back nothing of it: operators write again what was lost.
+// takes back nothing of it until operators had time to write again what was lost.
 type Latest struct {
 	stored Stored
+	// era is the latest era in which the store was read.
+	era blplatform.Era
+	// held lists the failure domains that stay out until heldUntil although the store
+	// doesn't list them.
+	held      []string
+	heldUntil bltimer.Instant
 }
 
-// Merge returns what is in force after a read of the store: the later one of the two
-// versions of the configuration, at the revision of the read.
-func (l Latest) Merge(read Stored) Stored {
-	if l.stored.Version > read.Version {
-		read.Version, read.Text = l.stored.Version, l.stored.Text
+// WithRead returns the state after a read of the store, and what is in force then: the
+// later one of the two versions of the configuration, and the failure domains that are
+// out in the store or held out.
+func (l Latest) WithRead(read Stored, now bltimer.Instant) (Latest, Stored) {
+	l = l.withEra(read, now)
+	if blplatform.RevisionEra(read.Revision) == l.era {
+		// What the store lists again is no longer held: it says when that ends.
+		l.held = without(l.held, read.Out)
 	}
-	return read
+	if !now.Before(l.heldUntil) {
+		l.held = nil
+	}
+	merged := l.withLaterVersion(read)
+	merged.Out = union(read.Out, l.held)
+	return l.withStored(merged), merged
 }
 
-// MergeReceived returns what is in force after another node has sent what is in force
-// there. Its version may be later although its revision is earlier, if that node has
-// not read the restored store yet.
-func (l Latest) MergeReceived(received Stored) Stored {
-	merged := l.Merge(received)
+// WithReceived returns the state after another node has sent what is in force there,
+// and what is in force then. The version received may be later although its revision
+// is earlier, if that node has not read the restored store yet. A failure domain that
+// is out there stays out until the store lists it or restoreHold has passed, since the
+// other node may know what the store has lost.
+func (l Latest) WithReceived(received Stored, now bltimer.Instant) (Latest, Stored) {
+	merged := l.withLaterVersion(received)
 	if received.Revision < l.stored.Revision {
 		merged.Revision, merged.Out = l.stored.Revision, l.stored.Out
+		return l.withStored(merged), merged
+	}
+	l = l.withEra(received, now)
+	if added := without(received.Out, l.stored.Out); len(added) > 0 {
+		l.held, l.heldUntil = union(l.held, added), now.Add(restoreHold)
 	}
-	return merged
+	merged.Out = union(received.Out, l.held)
+	return l.withStored(merged), merged
 }
 
-// With returns the state after merged has come into force.
-func (l Latest) With(merged Stored) Latest {
+// HoldEnded reports whether failure domains were held out until a time that has passed,
+// so that the store is to be read again.
+func (l Latest) HoldEnded(now bltimer.Instant) bool {
+	return len(l.held) > 0 && !now.Before(l.heldUntil)
+}
+
+// withEra returns the state that holds out all failure domains that are out, if the
+// store was restored before the read.
+func (l Latest) withEra(read Stored, now bltimer.Instant) Latest {
+	era := blplatform.RevisionEra(read.Revision)
+	if era <= l.era {
+		return l
+	}
+	if l.stored.Revision != 0 {
+		l.held, l.heldUntil = union(l.held, l.stored.Out), now.Add(restoreHold)
+	}
+	l.era = era
+	return l
+}
+
+// withLaterVersion returns read with the configuration of the later version.
+func (l Latest) withLaterVersion(read Stored) Stored {
+	if l.stored.Version > read.Version {
+		read.Version, read.Text = l.stored.Version, l.stored.Text
+	}
+	return read
+}
+
+// withStored returns the state with merged in force.
+func (l Latest) withStored(merged Stored) Latest {
 	switch {
 	case merged.Revision >= l.stored.Revision:
 		l.stored = merged
@@ -54,3 +114,16 @@
 	}
 	return l
 }
+
+// union returns the names in either list, sorted, or nil if there are none.
+func union(a, b []string) []string {
+	if len(a)+len(b) == 0 {
+		return nil
+	}
+	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
+}
+
+// without returns the names in a that aren't in b.
+func without(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(name string) bool { return slices.Contains(b, name) })
+}
--- a/core/blconfig/stored_test.go
+++ b/core/blconfig/stored_test.go
@@ -1,9 +1,13 @@
 package blconfig_test
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	"bergamotlead/core/blconfig"
+	"bergamotlead/core/blplatform"
+	"bergamotlead/core/bltimer"
 )
 
 func TestPositionLaterThan(t *testing.T) {
@@ -62,17 +66,73 @@
 		},
 	}
 	for _, c := range cases {
-		latest := blconfig.Latest{}.With(known)
-		got := latest.Merge(c.read)
+		latest, _ := blconfig.Latest{}.WithRead(known, 0)
+		next, got := latest.WithRead(c.read, 0)
 		if c.received {
-			got = latest.MergeReceived(c.read)
+			next, got = latest.WithReceived(c.read, 0)
 		}
 		if got.Revision != c.want.Revision || !got.SameContents(c.want) {
 			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
 		}
-		again := latest.With(got).Merge(blconfig.Stored{Revision: 200, Version: 1, Text: "1"})
+		_, again := next.WithRead(blconfig.Stored{Revision: 200, Version: 1, Text: "1"}, 0)
 		if again.Version != c.want.Version {
 			t.Errorf("%s, then version 1: got version %d, want %d", c.name, again.Version, c.want.Version)
 		}
 	}
 }
+
+// TestHeldDomains checks how long a failure domain stays out that the store doesn't
+// list, after a restore or because another node sent it.
+func TestHeldDomains(t *testing.T) {
+	restored := func(number uint64, out ...string) blconfig.Stored {
+		return blconfig.Stored{Revision: blplatform.NewRevision(2, number), Version: 14, Text: "14", Out: out}
+	}
+	type step struct {
+		at       time.Duration
+		contents blconfig.Stored
+		received bool
+		want     []string
+	}
+	before := step{contents: blconfig.Stored{Revision: blplatform.NewRevision(1, 9), Version: 14, Text: "14", Out: []string{"a"}}, want: []string{"a"}}
+	cases := []struct {
+		name  string
+		steps []step
+	}{
+		{"lost and not written again", []step{
+			before, {at: time.Second, contents: restored(1), want: []string{"a"}},
+			{at: 5 * time.Second, contents: restored(2), want: []string{"a"}}, {at: 6 * time.Second, contents: restored(3)},
+		}},
+		{"written again and then taken back", []step{
+			before, {at: time.Second, contents: restored(1), want: []string{"a"}},
+			{at: 2 * time.Second, contents: restored(2, "a"), want: []string{"a"}}, {at: 3 * time.Second, contents: restored(3)},
+		}},
+		{"another one out in the copy", []step{
+			before, {at: time.Second, contents: restored(1, "b"), want: []string{"a", "b"}}, {at: 2 * time.Second, contents: restored(2), want: []string{"a"}},
+		}},
+		{"taken back without a restore", []step{
+			{contents: restored(1, "a"), want: []string{"a"}}, {at: time.Second, contents: restored(2)},
+		}},
+		{"a late read of the former era", []step{
+			before, {at: time.Second, contents: restored(1), want: []string{"a"}},
+			{at: time.Second, contents: before.contents, want: []string{"a"}}, {at: 2 * time.Second, contents: restored(2), want: []string{"a"}},
+		}},
+		{"a new node hears of it from another", []step{
+			{contents: restored(1)}, {contents: restored(1, "a"), received: true, want: []string{"a"}},
+			{at: time.Second, contents: restored(2), want: []string{"a"}}, {at: 6 * time.Second, contents: restored(3)},
+		}},
+	}
+	for _, c := range cases {
+		latest, got := blconfig.Latest{}, blconfig.Stored{}
+		for i, s := range c.steps {
+			now := bltimer.Instant(s.at)
+			if s.received {
+				latest, got = latest.WithReceived(s.contents, now)
+			} else {
+				latest, got = latest.WithRead(s.contents, now)
+			}
+			if !slices.Equal(got.Out, s.want) {
+				t.Errorf("%s, step %d: got %v, want %v", c.name, i+1, got.Out, s.want)
+			}
+		}
+	}
+}
