Back off from watches that bring nothing

Cause: only a failed attempt was followed by a delay.

Change: an attempt that is answered within 200 ms without a configuration that differs from the latest one counts like a failed one.

Seen failing before: TestWatchThatBringsNothingBacksOff: got 204,009 watches in 600 ms, want at most 4. It passes now.

--- a/io/blnode/config_watch.go
+++ b/io/blnode/config_watch.go
@@ -11,13 +11,32 @@
 // watchJob requests the next configuration after a revision.
 type watchJob struct {
 	revision uint64
-	// failures counts consecutive attempts that the source did not answer.
+	// digest is that of the configuration that the latest answer contained.
+	digest uint64
+	// failures counts consecutive attempts that the source did not answer, or answered
+	// at once without anything new.
 	failures int
 }
 
+// after returns the job that follows an answer which took elapsed.
+func (j watchJob) after(accepted blconfig.Accepted, elapsed time.Duration) watchJob {
+	nothingNew := accepted.Revision == 0 || accepted.Digest == j.digest
+	if nothingNew && elapsed < minWatchBackoff {
+		j.failures++
+	} else {
+		j.failures = 0
+	}
+	if accepted.Revision > 0 {
+		j.digest = accepted.Digest
+	}
+	j.revision = max(j.revision, accepted.Revision)
+	return j
+}
+
 const (
 	watchTimeout = time.Minute
-	// minWatchBackoff and maxWatchBackoff bound the delay after a failed attempt.
+	// minWatchBackoff and maxWatchBackoff bound the delay after a failed attempt, or one
+	// that brought nothing sooner than minWatchBackoff.
 	// A node that can't read configurations gets them from the lead meanwhile.
 	minWatchBackoff = 200 * time.Millisecond
 	maxWatchBackoff = 1600 * time.Millisecond
@@ -95,6 +114,7 @@
 	w.countCall("watch")
 	ctx, cancel := context.WithTimeout(context.Background(), watchTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	accepted, err := w.next(w.current.begin(ctx), job)
 	if revision, restarted := w.current.end(); restarted && err != nil {
 		w.requeue(watchJob{revision: revision})
@@ -108,11 +128,13 @@
 		w.requeue(job)
 		return
 	}
-	job.failures = 0
-	job.revision = max(job.revision, accepted.Revision)
 	if accepted.Revision > 0 {
 		w.onConfig(accepted)
 	}
+	job = job.after(accepted, time.Since(startedAt))
+	if job.failures > 0 {
+		time.Sleep(job.backoff())
+	}
 	w.requeue(job)
 }
 
--- a/io/blnode/config_watch_test.go
+++ b/io/blnode/config_watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,3 +80,40 @@
 		t.Errorf("watch after a missed change: got %+v, want %+v", got, want)
 	}
 }
+
+// repeatingSource is a configuration source whose watch answers at once with the same
+// configuration, as one does whose store has dropped the history again each time.
+type repeatingSource struct {
+	ConfigSource
+
+	accepted blconfig.Accepted
+	watches  *atomic.Int64
+}
+
+func (s repeatingSource) Watch(context.Context, uint64) (blconfig.Accepted, error) {
+	s.watches.Add(1)
+	return s.accepted, nil
+}
+
+// TestWatchThatBringsNothingBacksOff guards against a watch that asks the store again
+// without delay, as long as each answer comes at once and brings nothing.
+func TestWatchThatBringsNothingBacksOff(t *testing.T) {
+	for _, accepted := range []blconfig.Accepted{{}, blconfig.NewAcceptedPlan(5, blconfig.Plan{}, "same")} {
+		var watches atomic.Int64
+		jobs := make(chan watchJob, 1)
+		watcher := configWatcher{
+			source: repeatingSource{accepted: accepted, watches: &watches}, current: &currentWatch{}, enabled: func() bool { return true },
+			outage:   newOutageLog(hclog.NewNullLogger(), bltimer.NewSystem(), "lost", "regained"),
+			onConfig: func(blconfig.Accepted) {}, onRead: func(bool) {}, countCall: func(string) {},
+			requeue: func(job watchJob) { jobs <- job },
+		}
+		job, stopAt := watchJob{revision: 4}, time.Now().Add(3*minWatchBackoff)
+		for time.Now().Before(stopAt) {
+			watcher.perform(job)
+			job = <-jobs
+		}
+		if got, most := watches.Load(), int64(4); got > most {
+			t.Errorf("watches of revision %d in %s: got %d, want at most %d", accepted.Revision, 3*minWatchBackoff, got, most)
+		}
+	}
+}
