Take domains over from a node that read less of a restored store

What callers would see: requests into a failure domain whose evacuation was acknowledged, through a node without memory that fetched the lead's configuration after a restore.

Cause: the lead kept the revision of the former era with a text that hadn't changed, and a node that had read the copy at a later revision left out what the lead had out of service.

Change: blassign takes over the later revision of the same text, and blconfig.Latest holds the domains that a node with a later version has out, whatever its revision.

Seen failing before: TestLeadKnowsTheRevisionOfTheSameText: got 5, want 9; TestHeldDomains, "a new node hears of it from one that read less of the restored store": got [], want [a]. Both pass now.

--- a/core/blassign/config_test.go
+++ b/core/blassign/config_test.go
@@ -151,3 +151,17 @@
 		})
 	}
 }
+
+// TestLeadKnowsTheRevisionOfTheSameText guards against a lead that sends its
+// configuration at a revision from before a restore, so that nodes take what it has out
+// of service for older than the restored copy.
+func TestLeadKnowsTheRevisionOfTheSameText(t *testing.T) {
+	state := blassign.New(blassign.LeastMoves{})
+	state, _ = state.Decide(blassign.AuthorityChanged{Authority: bllead.Authority{Term: 1, Until: bltimer.Instant(time.Hour), MayChange: true}}, 0)
+	same := blconfig.NewAcceptedPlan(5, blconfig.Plan{}, "same")
+	state, _ = state.Decide(blassign.ConfigSeen{Accepted: same}, 0)
+	state, _ = state.Decide(blassign.ConfigSeen{Accepted: same.WithRevision(9)}, 0)
+	if got := state.Config().Revision; got != 9 {
+		t.Errorf("revision: got %d, want 9", got)
+	}
+}
--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -52,6 +52,7 @@
 	}
 	s.laterConfigAt = 0
 	if m.Accepted.SameAs(s.config) {
+		s.config = s.config.WithRevision(m.Accepted.Revision)
 		return s, nil
 	}
 	s.config = m.Accepted
--- a/core/blconfig/stored.go
+++ b/core/blconfig/stored.go
@@ -65,17 +65,26 @@
 func (l Latest) WithReceived(received Stored, now bltimer.Instant) (Latest, Stored) {
 	merged := l.withLaterVersion(received)
 	if received.Revision < l.stored.Revision {
-		merged.Revision, merged.Out = l.stored.Revision, l.stored.Out
+		if received.Version > l.stored.Version {
+			l = l.withHeld(received.Out, now)
+		}
+		merged.Revision, merged.Out = l.stored.Revision, union(l.stored.Out, l.held)
 		return l.withStored(merged), merged
 	}
-	l = l.withEra(received, now)
-	if added := without(received.Out, l.stored.Out); len(added) > 0 {
-		l.held, l.heldUntil = union(l.held, added), now.Add(restoreHold)
-	}
+	l = l.withEra(received, now).withHeld(received.Out, now)
 	merged.Out = union(received.Out, l.held)
 	return l.withStored(merged), merged
 }
 
+// withHeld returns the state that holds out the given failure domains as well, unless
+// they are out already.
+func (l Latest) withHeld(out []string, now bltimer.Instant) Latest {
+	if added := without(out, l.stored.Out); len(added) > 0 {
+		l.held, l.heldUntil = union(l.held, added), now.Add(restoreHold)
+	}
+	return l
+}
+
 // HoldEnded reports whether failure domains were held out until a time that has passed,
 // so that the store is to be read again.
 func (l Latest) HoldEnded(now bltimer.Instant) bool {
@@ -110,6 +119,7 @@
 	case merged.Revision >= l.stored.Revision:
 		l.stored = merged
 	case merged.Version > l.stored.Version:
+		// A late read of a later version.
 		l.stored.Version, l.stored.Text = merged.Version, merged.Text
 	}
 	return l
--- a/core/blconfig/stored_test.go
+++ b/core/blconfig/stored_test.go
@@ -120,6 +120,14 @@
 			{contents: restored(1)}, {contents: restored(1, "a"), received: true, want: []string{"a"}},
 			{at: time.Second, contents: restored(2), want: []string{"a"}}, {at: 6 * time.Second, contents: restored(3)},
 		}},
+		{"a new node hears of it from one that read less of the restored store", []step{
+			{contents: blconfig.Stored{Revision: blplatform.NewRevision(2, 3), Version: 11, Text: "11"}},
+			{contents: restored(1, "a"), received: true, want: []string{"a"}},
+			{at: time.Second, contents: restored(4), want: []string{"a"}}, {at: 6 * time.Second, contents: restored(5)},
+		}},
+		{"a node sends late what was taken back", []step{
+			{contents: restored(1, "a"), want: []string{"a"}}, {contents: restored(2)}, {contents: restored(1, "a"), received: true},
+		}},
 	}
 	for _, c := range cases {
 		latest, got := blconfig.Latest{}, blconfig.Stored{}
