Back off between attempts of an unresolved write

Cause: blplatform.Write repeats a write of unknown outcome without delay.

Change: it waits 10 ms, doubling up to 160 ms, before the next attempt.

Seen failing before: TestUnansweredWriteBacksOff: got 515,739 writes in 300 ms, want at most 10. It passes now.

--- a/core/blplatform/write.go
+++ b/core/blplatform/write.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Outcome is the outcome of a write as known to the writer.
@@ -28,13 +29,20 @@
 	Entry   Entry
 }
 
+// minWriteBackoff and maxWriteBackoff bound the delay before a write of unknown outcome
+// is repeated. It doubles with each attempt.
+const (
+	minWriteBackoff = 10 * time.Millisecond
+	maxWriteBackoff = 160 * time.Millisecond
+)
+
 // Write sets key by compare-and-swap and resolves unknown outcomes. The value must
 // be unique to this write. After an unknown outcome, Write retries the same write
 // until the revision has changed or ctx is done, so that any outcome other than
 // Unresolved is definite. The error explains any outcome other than Written.
 func Write(ctx context.Context, store Store, key string, revision uint64, value []byte) (WriteResult, error) {
 	unresolved := false
-	for {
+	for delay := minWriteBackoff; ; delay = min(2*delay, maxWriteBackoff) {
 		entry, err := store.CompareAndSwap(ctx, key, revision, value, "")
 		if err == nil {
 			return WriteResult{Outcome: Written, Entry: entry}, nil
@@ -48,8 +56,10 @@
 			return WriteResult{Outcome: NotSent}, fmt.Errorf("write %s: %w", key, err)
 		}
 		unresolved = true
-		if ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
 			return WriteResult{Outcome: Unresolved}, fmt.Errorf("resolve write of %s: %w", key, err)
+		case <-time.After(delay):
 		}
 	}
 }
--- a/core/blplatform/write_test.go
+++ b/core/blplatform/write_test.go
@@ -96,3 +96,19 @@
 		t.Errorf("outcome: got %s, %v, want unresolved and an error", result.Outcome, err)
 	}
 }
+
+// TestUnansweredWriteBacksOff guards against a writer that repeats a write without
+// delay, as long as the store breaks each connection at once.
+func TestUnansweredWriteBacksOff(t *testing.T) {
+	store := &fakeStore{script: make([]response, 1<<20)}
+	for i := range store.script {
+		store.script[i] = loseWrite
+	}
+	const span, most = 300 * time.Millisecond, 10
+	ctx, cancel := context.WithTimeout(t.Context(), span)
+	defer cancel()
+	result, _ := blplatform.Write(ctx, store, "k", 0, []byte("mine"))
+	if result.Outcome != blplatform.Unresolved || store.writes > most {
+		t.Errorf("writes in %s: got %d, %s, want at most %d, unresolved", span, store.writes, result.Outcome, most)
+	}
+}
