Restore the stand-in's store from a backup

Cause: the platform's store may be restored from an older copy of its data: acknowledged writes are gone and revisions are assigned again. The stand-in could not do this, so no process test could show what follows. POST /faults with restore_seconds and restore_down_ms makes it unavailable for that time, then returns records and revision of that many seconds before, without leases and their keys. Waiting watches and calls that a restore overtakes are cut, a watch beyond the revision gets status 410, and every answer has the header Bergamotlead-Store-Era. Result: go test ./standin/platform -count=10 passes, -race -count=3 as well; without the cut of watches TestRestoreCutsWaitingWatches fails. go test ./standin/... ./tools/... ./tests/ passes.

--- a/standin/platform/handlers.go
+++ b/standin/platform/handlers.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// eraHeader is the header of every answer with the number of restores of the store.
+const eraHeader = "Bergamotlead-Store-Era"
+
 type server struct {
 	state *state
 }
@@ -45,7 +48,8 @@
 // to every call.
 func (s server) instrument(kind string, handle http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		f := s.state.count(kind)
+		f, era := s.state.count(kind)
+		w.Header().Set(eraHeader, strconv.FormatUint(era, 10))
 		if f.DelayMS > 0 {
 			time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
 		}
@@ -57,6 +61,15 @@
 	}
 }
 
+// answer sends the response to a call of the store. A call during which the store was
+// restored gets none: the connection is closed.
+func (s server) answer(w http.ResponseWriter, status int, body any) {
+	if w.Header().Get(eraHeader) != strconv.FormatUint(s.state.currentEra(), 10) {
+		panic(http.ErrAbortHandler)
+	}
+	respond(w, status, body)
+}
+
 func respond(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -64,8 +77,8 @@
 }
 
 func (s server) get(w http.ResponseWriter, r *http.Request) {
-	current, _ := s.state.get(r.PathValue("key"))
-	respond(w, http.StatusOK, entryBody{Value: current.value, Revision: current.revision})
+	current := s.state.get(r.PathValue("key"))
+	s.answer(w, http.StatusOK, entryBody{Value: current.value, Revision: current.revision})
 }
 
 func (s server) watch(w http.ResponseWriter, r *http.Request) {
@@ -73,15 +86,22 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
-		current, changed := s.state.get(r.PathValue("key"))
-		if current.revision != revision {
-			respond(w, http.StatusOK, entryBody{Value: current.value, Revision: current.revision})
+		v := s.state.view(r.PathValue("key"))
+		body := entryBody{Value: v.record.value, Revision: v.record.revision}
+		switch {
+		case v.restoring:
+			panic(http.ErrAbortHandler)
+		case revision > v.revision:
+			s.answer(w, http.StatusGone, entryBody{})
+			return
+		case v.record.revision != revision:
+			s.answer(w, http.StatusOK, body)
 			return
 		}
 		select {
-		case <-changed:
+		case <-v.changed:
 		case <-timeout:
-			respond(w, http.StatusOK, entryBody{Value: current.value, Revision: current.revision})
+			s.answer(w, http.StatusOK, body)
 			return
 		case <-r.Context().Done():
 			return
@@ -114,7 +134,7 @@
 	case swapLeaseNotFound:
 		status = http.StatusGone
 	}
-	respond(w, status, entryBody{Value: current.value, Revision: current.revision})
+	s.answer(w, status, entryBody{Value: current.value, Revision: current.revision})
 }
 
 func (s server) openLease(w http.ResponseWriter, r *http.Request) {
@@ -125,7 +145,7 @@
 	}
 	id := s.state.openLease(time.Duration(body.TTL) * time.Millisecond)
 	s.loseAnswer()
-	respond(w, http.StatusOK, leaseBody{ID: id})
+	s.answer(w, http.StatusOK, leaseBody{ID: id})
 }
 
 func (s server) renewLease(w http.ResponseWriter, r *http.Request) {
@@ -138,10 +158,10 @@
 
 func (s server) respondLease(w http.ResponseWriter, alive bool) {
 	if !alive {
-		respond(w, http.StatusGone, leaseBody{})
+		s.answer(w, http.StatusGone, leaseBody{})
 		return
 	}
-	respond(w, http.StatusOK, leaseBody{})
+	s.answer(w, http.StatusOK, leaseBody{})
 }
 
 func (s server) calls(w http.ResponseWriter, _ *http.Request) {
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -30,6 +30,10 @@
 	LoseAnswers int `json:"lose_answers"`
 	// ExpireLeases expires all leases immediately.
 	ExpireLeases bool `json:"lapse_leases"`
+	// RestoreSeconds makes the store unavailable for RestoreDownMS and then returns it
+	// to its state of that many seconds before the fault.
+	RestoreSeconds float64 `json:"restore_seconds"`
+	RestoreDownMS  int     `json:"restore_down_ms"`
 }
 
 type state struct {
@@ -41,15 +45,22 @@
 	changed  chan struct{}
 	faults   faults
 	calls    map[string]int
+	// era counts the restores.
+	era     uint64
+	history history
+	// restore is the restore in progress, or nil.
+	restore *restore
 }
 
 func newState() *state {
-	return &state{
+	s := &state{
 		records: map[string]record{},
 		leases:  map[string]lease{},
 		changed: make(chan struct{}),
 		calls:   map[string]int{},
 	}
+	s.backUp(time.Now())
+	return s
 }
 
 // notify wakes all watches. The caller must hold the lock.
@@ -76,14 +87,31 @@
 			delete(s.records, key)
 		}
 	}
+	s.backUp(time.Now())
 	s.notify()
 }
 
-func (s *state) get(key string) (record, chan struct{}) {
+func (s *state) get(key string) record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases(time.Now())
-	return s.records[key], s.changed
+	return s.records[key]
+}
+
+// view is what a watch sees of a key.
+type view struct {
+	record   record
+	revision uint64
+	changed  chan struct{}
+	// restoring is set while the store is being restored.
+	restoring bool
+}
+
+func (s *state) view(key string) view {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases(time.Now())
+	return view{record: s.records[key], revision: s.revision, changed: s.changed, restoring: s.restore != nil}
 }
 
 type swapResult int
@@ -108,6 +136,7 @@
 	s.revision++
 	next := record{value: value, revision: s.revision, lease: leaseID}
 	s.records[key] = next
+	s.backUp(time.Now())
 	s.notify()
 	return next, swapDone
 }
@@ -144,11 +173,15 @@
 	return true
 }
 
-func (s *state) count(kind string) faults {
+// count counts a call and returns the faults that apply to it and the store's era.
+func (s *state) count(kind string) (faults, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[kind]++
-	return s.faults
+	s.endRestore(time.Now())
+	f := s.faults
+	f.Down = f.Down || s.restore != nil
+	return f, s.era
 }
 
 // loseAnswer reports whether the response to a write is to be dropped. It then
@@ -172,6 +205,11 @@
 		}
 		f.ExpireLeases = false
 	}
+	if f.RestoreSeconds > 0 {
+		age := time.Duration(f.RestoreSeconds * float64(time.Second))
+		s.beginRestore(time.Now(), age, time.Duration(f.RestoreDownMS)*time.Millisecond)
+		f.RestoreSeconds, f.RestoreDownMS = 0, 0
+	}
 	s.faults = f
 }
 
