Restore the store and stop nodes in calm in the soak

Cause: the soak never returned the store to an earlier state, and it counted requests without an answer only among other faults, where they are allowed. Change: restore_store is drawn for new plans. After its faults a run stops and starts each node in turn; a request that an upstream ran and no caller got an answer to is counted and must not occur.

--- a/tools/soak/inject.go
+++ b/tools/soak/inject.go
@@ -16,6 +16,10 @@
 	linkDelay         = 40 * time.Millisecond
 	brokenAnswerCount = 3
 	stopWait          = 20 * time.Second
+	// maxRestoreDown bounds the time without the store before it returns restored, and
+	// restoreAge is how much older than that it is at least.
+	maxRestoreDown = 2 * time.Second
+	restoreAge     = time.Second
 )
 
 // injector injects one fault at a host and ends it after its duration.
@@ -41,6 +45,7 @@
 	faultSilenceNode:        silenceNode,
 	faultResetNode:          resetNode,
 	faultConfig:             func(s *soak, _ plannedFault, host *blfleet.Host) error { return s.changeConfig(host) },
+	faultRestoreStore:       restoreStore,
 }
 
 // withProcessLock holds the host's process lock while a fault is injected, so that
@@ -133,6 +138,20 @@
 	}
 }
 
+// restoreStore returns the store to an earlier state after a time without it. Both
+// times follow from the duration of the fault.
+func restoreStore(s *soak, planned plannedFault, _ *blfleet.Host) error {
+	s.storeLock.Lock()
+	defer s.storeLock.Unlock()
+	down, age := min(planned.Duration, maxRestoreDown), restoreAge+2*planned.Duration
+	fault := map[string]any{"restore_seconds": age.Seconds(), "restore_down_ms": down.Milliseconds()}
+	if err := s.fleet.SetPlatformFaults(fault); err != nil {
+		return fmt.Errorf("restore store: %w", err)
+	}
+	time.Sleep(down)
+	return nil
+}
+
 // cutLink drops the data in one direction of the host's link of the given kind.
 // Connections that lost data stay silent, so they are reset when the cut ends.
 func cutLink(kind string) injector {
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -20,8 +20,12 @@
 	Seeds  uint64        `default:"1" help:"Number of seeds, one run each."`
 	Length time.Duration `default:"20s" help:"Length of a run."`
 	Hosts  int           `default:"5" help:"Hosts of the fleet."`
-	Root   string        `default:"." help:"Root of the module." type:"existingdir"`
-	Folder string        `help:"Folder for logs and reports; a new temporary folder when empty."`
+	// Restores and Stops are off in plans of seeds from before them.
+	Restores bool `default:"true" negatable:"" help:"Draw restores of the store as well."`
+	Stops    bool `default:"true" negatable:"" help:"Stop each node in turn after the faults, and check that no request is lost."`
+
+	Root   string `default:"." help:"Root of the module." type:"existingdir"`
+	Folder string `help:"Folder for logs and reports; a new temporary folder when empty."`
 }
 
 func main() {
@@ -55,7 +59,7 @@
 		return 0, fmt.Errorf("build programs: %w", err)
 	}
 	failed := 0
-	fmt.Println("seed    answered  not run  unknown  broken  p50 ms  p99 ms  recovered  verdict")
+	fmt.Println("seed    answered  not run  unknown  broken  p50 ms  p99 ms  recovered  lost  verdict")
 	for seed := args.Seed; seed < args.Seed+args.Seeds; seed++ {
 		s := newSoak(args, seed, binaries, filepath.Join(folder, fmt.Sprintf("seed_%d", seed)))
 		if err := s.execute(); err != nil {
--- a/tools/soak/plan.go
+++ b/tools/soak/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -28,9 +29,12 @@
 	faultSilenceNode        fault = "silence_node_link"
 	faultCutStore           fault = "cut_store_link"
 	faultConfig             fault = "change_config"
+	faultRestoreStore       fault = "restore_store"
 )
 
-// faults lists all faults to draw from. A repeated fault is drawn more often.
+// faults lists the faults to draw from, but for restores of the store. A repeated fault
+// is drawn more often. The list is part of the plan of a seed: another fault goes into
+// a list of its own.
 var faults = []fault{
 	faultKillNode, faultKillNode, faultStopNode, faultFreezeNode, faultFreezeNode, faultReloadNode, faultKillUpstream,
 	faultFreezeUpstream, faultSlowUpstream, faultBreakAnswers, faultStoreDown, faultStoreSlow, faultStoreLosesAnswers,
@@ -38,6 +42,17 @@
 	faultCutStore, faultConfig, faultConfig,
 }
 
+// restores lists the faults that are drawn in addition where restores are.
+var restores = []fault{faultRestoreStore, faultRestoreStore}
+
+// drawnFaults returns the faults to draw from.
+func drawnFaults(withRestores bool) []fault {
+	if withRestores {
+		return slices.Concat(faults, restores)
+	}
+	return faults
+}
+
 // plannedFault is one fault of a plan.
 type plannedFault struct {
 	Fault fault `json:"fault"`
@@ -61,8 +76,8 @@
 )
 
 // newPlan draws the faults of a run, which may overlap. The same seed gives the
-// same plan.
-func newPlan(seed uint64, length time.Duration, hosts int) []plannedFault {
+// same plan with the same faults to draw from.
+func newPlan(seed uint64, length time.Duration, hosts int, drawn []fault) []plannedFault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	between := func(from, to time.Duration) time.Duration {
 		return from + time.Duration(random.Int64N(int64(to-from)))
@@ -70,7 +85,7 @@
 	var plan []plannedFault
 	for at := between(minGap, maxGap); at < length-faultFreeTail; at += between(minGap, maxGap) {
 		plan = append(plan, plannedFault{
-			Fault: faults[random.IntN(len(faults))], At: at, Duration: min(between(minFaultDuration, maxFaultDuration), length-faultFreeTail-at+minFaultDuration),
+			Fault: drawn[random.IntN(len(drawn))], At: at, Duration: min(between(minFaultDuration, maxFaultDuration), length-faultFreeTail-at+minFaultDuration),
 			Host: random.IntN(hosts), Back: random.IntN(2) == 0,
 		})
 	}
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -42,6 +42,8 @@
 
 	traffic   *blfleet.Traffic
 	recovered time.Duration
+	// lost counts requests that ran without an answer in planned stops.
+	lost int
 
 	mu         sync.Mutex
 	violations []string
@@ -49,7 +51,7 @@
 
 func newSoak(args arguments, seed uint64, binaries, folder string) *soak {
 	return &soak{
-		args: args, seed: seed, binaries: binaries, folder: folder, plan: newPlan(seed, args.Length, args.Hosts),
+		args: args, seed: seed, binaries: binaries, folder: folder, plan: newPlan(seed, args.Length, args.Hosts, drawnFaults(args.Restores)),
 		links: map[string]*bllink.Link{}, processLocks: make([]sync.Mutex, args.Hosts), report: newReport(),
 	}
 }
@@ -101,6 +103,11 @@
 	if s.traffic.Outcomes()[blfleet.OutcomeAnswered] == 0 {
 		s.addViolation("answered requests: got 0, want some")
 	}
+	if s.args.Stops {
+		if err := s.checkStops(); err != nil {
+			return err
+		}
+	}
 	return s.report.write(filepath.Join(s.folder, "report.svg"), s.plan)
 }
 
@@ -242,9 +249,9 @@
 	if len(s.listViolations()) > 0 {
 		verdict = "FAILED"
 	}
-	return fmt.Sprintf("%-7d %8d  %7d  %7d  %6d  %6.1f  %6.1f  %7.1f s  %s", s.seed, outcomes[blfleet.OutcomeAnswered],
+	return fmt.Sprintf("%-7d %8d  %7d  %7d  %6d  %6.1f  %6.1f  %7.1f s  %4d  %s", s.seed, outcomes[blfleet.OutcomeAnswered],
 		outcomes["not_run"], outcomes["unknown"], outcomes[blfleet.OutcomeBroken],
-		s.report.percentileMS(50), s.report.percentileMS(99), s.recovered.Seconds(), verdict)
+		s.report.percentileMS(50), s.report.percentileMS(99), s.recovered.Seconds(), s.lost, verdict)
 }
 
 // applyInitialConfig applies the Dakar document.
