Keep one lead when the store is restored

What callers saw: after the platform's store came back from an older copy, two upstreams held the same keys, under fences of terms 1 and 2, or the whole fleet stayed without a lead that its nodes would follow.

Cause: the election rests on a record and a lease that never go back. A restored store shows an earlier record and no lease, so that the standby of the earlier record, or anyone where it names no standby, took over while the lead of the lost writes had authority by its own clock or by a promise; the new term was counted from the earlier record, so that it had been used; and the living lead gave way to the earlier record.

Change: the record holds the era in which it was written. A record of an earlier era than that of the answer gives no ground for a takeover: a process then waits for lease and margin since it first saw the era, and besides for the hold limit, unless it was that lead itself or its standby knows that the lead resigned or terminated. Known records are ordered by term, then by era and number of the write. A term exceeds era << 13 and every term that this process has heard of. A lead that still has authority acquires its lease again and writes its record again under the new era; it steps down for a later term only. A write that took effect in a later era than it was made in gains nothing. Terms stay below 2^29, so that fences stay below 2^53. Logged: a new era, a postponed takeover, a record written again.

Limits: copies that hold no record at all are left out of the model, since a process that starts after such a restore sees an empty store as a first start does; the model doesn't give out lease IDs twice.

--- a/core/bllead/decide.go
+++ b/core/bllead/decide.go
@@ -29,13 +29,16 @@
 // Decide computes the next state and the effects of one message. Authority that
 // has expired by now is revoked before the message is handled.
 func Decide(s State, message Message, now bltimer.Instant) (State, []Effect) {
-	before := s.stored
+	before := s
 	s, expired := expire(s, now)
 	next, effects := decide(s, message, now)
 	effects = append(expired, effects...)
-	if next.stored != before {
+	if next.stored != before.stored {
 		effects = append(effects, RecordSeen{Record: next.stored.Record})
 	}
+	if next.eraChanged && next.eraSince != before.eraSince {
+		effects = append(effects, EraSeen{Era: next.era})
+	}
 	return publishAuthority(next, effects, now)
 }
 
--- a/core/bllead/isolation.go
+++ b/core/bllead/isolation.go
@@ -55,7 +55,7 @@
 	s.releasedTerm = s.stored.Record.Term
 	s.isolatedSince = 0
 	s, write := s.withWrite(Record{Term: s.stored.Record.Term})
-	s, effects := stepDown(s)
+	s, effects := stepDown(s, now)
 	return s, append([]Effect{write}, effects...)
 }
 
--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -15,7 +15,7 @@
 		s = s.withEvent(eventHold)
 	}
 	if s.Role() == RoleHolding && !s.mayHold(now) {
-		return stepDown(s)
+		return stepDown(s, now)
 	}
 	return s, nil
 }
@@ -27,9 +27,10 @@
 	}
 	if s.shouldTransferLead(now) {
 		s.backoffUntil = now.Add(takeoverBackoff)
-		return transferToStandby(s)
+		return transferToStandby(s, now)
 	}
 	s, effects = renew(s, effects, now)
+	s, effects = rewriteRecord(s, effects, now)
 	s, effects = askStandby(s, effects, now)
 	s, effects = probeCandidate(s, effects, now)
 	return updateStandby(s, effects, now)
@@ -42,10 +43,16 @@
 	if s.timing.HoldLimit > 0 && !now.Before(s.leaseUntil.Add(s.timing.HoldLimit)) {
 		return false
 	}
-	return s.writing == nil && (now.Before(s.promiseUntil) || s.mayHoldAlone())
+	// A takeover after a restore counts the limit from the new era, so that a lead that
+	// has renewed its lease in it goes on only once its record shows that.
+	recorded := s.stored.Record.Era >= s.leaseEra
+	return s.writing == nil && recorded && (now.Before(s.promiseUntil) || s.mayHoldAlone())
 }
 
-func stepDown(s State) (State, []Effect) {
+func stepDown(s State, now bltimer.Instant) (State, []Effect) {
+	if s.leads() {
+		s.ledTerm, s.ledUntil = s.stored.Record.Term, now
+	}
 	s = s.withEvent(eventLose)
 	effects := []Effect{EndLease{Lease: s.lease}}
 	s.lease = ""
@@ -72,24 +79,24 @@
 }
 
 // leaseRegained moves a holding lead back to leading once the store answers again
-// and the record is still at the revision that this lead knows. Otherwise the
-// lead steps down.
-func leaseRegained(s State, m LeaseAcquired) (State, []Effect) {
-	if m.Claim != s.claim {
+// and the record is still at the revision that this lead knows, or was restored to an
+// earlier one, which the lead then writes again. Otherwise the lead steps down.
+func leaseRegained(s State, m LeaseAcquired, now bltimer.Instant) (State, []Effect) {
+	if m.Claim != s.claim || !m.Failed && s.isEarlierEra(m.LeaseRevision) {
 		return releaseStaleLease(s, m)
 	}
 	if m.Failed {
 		return s, nil
 	}
-	if m.Stored.Revision != s.stored.Revision {
-		s = s.withStored(m.Stored)
-		s.lease = m.Lease
-		return stepDown(s)
+	unchanged := m.Stored.Revision == s.found.Revision
+	s = s.withEraOf(m.LeaseRevision, now).withStored(m.Stored, now)
+	s.lease, s.leaseEra = m.Lease, s.era
+	if s.replaced() || !unchanged && !s.isBestCopy() {
+		return stepDown(s, now)
 	}
-	s.lease = m.Lease
 	s.leaseUntil = m.SentAt.Add(s.timing.Lease - s.timing.ClockMargin)
 	s.unansweredSince = 0
-	return s.withEvent(eventResume), nil
+	return rewriteRecord(s.withEvent(eventResume), nil, now)
 }
 
 func leaseRenewed(s State, m LeaseRenewed, now bltimer.Instant) (State, []Effect) {
@@ -97,6 +104,13 @@
 		return s, nil
 	}
 	if m.Lost {
+		s = s.withReadAfterLoss(m, now)
+		if s.leads() && s.replaced() {
+			return stepDown(s, now)
+		}
+		if s.lease == "" {
+			return s, nil
+		}
 		s.lease = ""
 		s.leaseUntil = min(s.leaseUntil, now)
 		return s, nil
@@ -110,6 +124,23 @@
 	return s, nil
 }
 
+// withReadAfterLoss returns the state after the store didn't know the lease. Where it
+// was restored, no other process can have ended the lease, and this lead acts until its
+// lease has expired by its own clock. It acquires another one at once.
+func (s State) withReadAfterLoss(m LeaseRenewed, now bltimer.Instant) State {
+	if !m.Read {
+		return s
+	}
+	if m.Stored.Revision == 0 && s.found.Revision != 0 {
+		s.lease = ""
+	}
+	s = s.withStored(m.Stored, now)
+	if s.lease == "" {
+		s.renewedAt = 0
+	}
+	return s
+}
+
 // resign transfers the lead to the standby when the process shuts down, so that
 // the takeover doesn't wait for the lease to expire.
 func resign(s State, now bltimer.Instant) (State, []Effect) {
@@ -120,24 +151,24 @@
 	if s.Role() == RoleLeading && s.writing == nil && s.timing.HoldLimit > 0 {
 		return releaseLeadToStandby(s, now)
 	}
-	return transferToStandby(s)
+	return transferToStandby(s, now)
 }
 
 // transferToStandby steps down and asks the standby, if there is one, to take
 // over.
-func transferToStandby(s State) (State, []Effect) {
+func transferToStandby(s State, now bltimer.Instant) (State, []Effect) {
 	standby, ok := s.standby()
 	if !ok {
-		return stepDown(s)
+		return stepDown(s, now)
 	}
-	return transferTo(s, standby)
+	return transferTo(s, standby, now)
 }
 
 // transferTo steps down and asks another process to take over. Any process is
 // eligible: once this lead has stepped down, no process acts as lead without the
 // store.
-func transferTo(s State, successor blvalue.Host) (State, []Effect) {
+func transferTo(s State, successor blvalue.Host, now bltimer.Instant) (State, []Effect) {
 	call := AskStandby{Term: s.stored.Record.Term, Standby: successor, Resigned: s.claim}
-	s, effects := stepDown(s)
+	s, effects := stepDown(s, now)
 	return s, append(effects, call)
 }
--- a/core/bllead/messages.go
+++ b/core/bllead/messages.go
@@ -39,6 +39,8 @@
 	SentAt bltimer.Instant
 	Claim  Claim
 	Lease  blplatform.LeaseID
+	// LeaseRevision is the revision of the lease's key.
+	LeaseRevision uint64
 	// Stored is the record as read after the lease was acquired.
 	Stored Stored
 	// Failed is set when the lease wasn't acquired.
@@ -51,6 +53,9 @@
 	Lease  blplatform.LeaseID
 	// Lost is set when the store has ended the lease.
 	Lost bool
+	// Stored is the record as read after the loss, if Read is set.
+	Stored Stored
+	Read   bool
 	// Failed is set when the store didn't answer.
 	Failed bool
 }
@@ -196,6 +201,8 @@
 type WriteRecord struct {
 	Base   uint64
 	Record Record
+	// Again is set when the store was restored and lacks the record.
+	Again bool
 }
 
 // AskStandby calls the standby, or the node to probe.
@@ -224,16 +231,29 @@
 // RecordSeen informs other duties that the known record has changed.
 type RecordSeen struct{ Record Record }
 
-func (ReadRecord) leadEffect()       {}
-func (AcquireLease) leadEffect()     {}
-func (RenewLease) leadEffect()       {}
-func (EndLease) leadEffect()         {}
-func (WriteRecord) leadEffect()      {}
-func (AskStandby) leadEffect()       {}
-func (AnswerStandby) leadEffect()    {}
-func (Identify) leadEffect()         {}
-func (AuthorityChanged) leadEffect() {}
-func (RecordSeen) leadEffect()       {}
+// EraSeen informs that the store has been restored from an older copy.
+type EraSeen struct{ Era blplatform.Era }
+
+// TakeoverPostponed informs that this process leaves the lead to others for now, since
+// the store was restored and a lead that it doesn't show may act.
+type TakeoverPostponed struct {
+	Era blplatform.Era
+	// Term is the latest term that this process knows of.
+	Term uint64
+}
+
+func (EraSeen) leadEffect()           {}
+func (TakeoverPostponed) leadEffect() {}
+func (ReadRecord) leadEffect()        {}
+func (AcquireLease) leadEffect()      {}
+func (RenewLease) leadEffect()        {}
+func (EndLease) leadEffect()          {}
+func (WriteRecord) leadEffect()       {}
+func (AskStandby) leadEffect()        {}
+func (AnswerStandby) leadEffect()     {}
+func (Identify) leadEffect()          {}
+func (AuthorityChanged) leadEffect()  {}
+func (RecordSeen) leadEffect()        {}
 
 // Authority is what a process may do as lead.
 type Authority struct {
@@ -246,6 +266,8 @@
 	// PriorExpiredAt is a time at which no earlier lead had authority any more.
 	PriorExpiredAt bltimer.Instant
 	Standby        blvalue.Host
+	// Era is the latest known era of the store.
+	Era blplatform.Era
 }
 
 // Holds reports whether the authority is valid at now.
--- a/core/bllead/record.go
+++ b/core/bllead/record.go
@@ -6,7 +6,10 @@
 // the store by a promise of the standby not to take over.
 package bllead
 
-import "bergamotlead/core/blvalue"
+import (
+	"bergamotlead/core/blplatform"
+	"bergamotlead/core/blvalue"
+)
 
 // Record is the lead record of a region as the store holds it.
 type Record struct {
@@ -15,6 +18,8 @@
 	Lead blvalue.Host
 	// Standby is the zero Host when none is appointed.
 	Standby blvalue.Host
+	// Era is the era of the store in which the writer wrote the record.
+	Era blplatform.Era
 	// WriteID uniquely identifies the write that produced this record.
 	WriteID string
 }
@@ -37,3 +42,16 @@
 	Record   Record
 	Revision uint64
 }
+
+// before reports whether the record is an earlier one than other: by term, then by the
+// era and the number of its write. Revisions alone don't tell, since a restored store
+// reports an earlier record under a later revision.
+func (s Stored) before(other Stored) bool {
+	if s.Record.Term != other.Record.Term {
+		return s.Record.Term < other.Record.Term
+	}
+	if s.Record.Era != other.Record.Era {
+		return s.Record.Era < other.Record.Era
+	}
+	return blplatform.RevisionNumber(s.Revision) < blplatform.RevisionNumber(other.Revision)
+}
--- /dev/null
+++ b/core/bllead/restored_test.go
@@ -0,0 +1,153 @@
+package bllead_test
+
+import (
+	"testing"
+	"time"
+
+	"bergamotlead/core/bllead"
+	"bergamotlead/core/blplatform"
+	"bergamotlead/core/blring"
+	"bergamotlead/core/blvalue"
+)
+
+// holdLimit is the hold limit of the processes that see a restored store.
+const holdLimit = 3 * time.Second
+
+// restoredAs returns a record of era zero as a store reports it in another era, under a
+// number that was assigned again.
+func restoredAs(stored bllead.Stored, era blplatform.Era) bllead.Stored {
+	stored.Revision = blplatform.NewRevision(era, 1)
+	return stored
+}
+
+// follower returns a process that knows the record of term 4 with lead x and standby a.
+func follower(t *testing.T) *process {
+	t.Helper()
+	p := newProcess(t)
+	p.state = p.state.WithTiming(bllead.Timing{Lease: lease, GrantTTL: ttl, ClockMargin: margin, HoldLimit: holdLimit})
+	p.send(bllead.RecordRead{SentAt: p.instant(), Stored: record(4, "x", "a"), LeaseHolder: "x_run", LeaseRevision: 50})
+	return p
+}
+
+// read delivers reads of the record for the given time, without a lease, and reports
+// whether the process acquires the lease.
+func (p *process) read(stored bllead.Stored, length time.Duration) bool {
+	for end := p.now + length; p.now < end; p.now += tick {
+		p.send(bllead.RecordRead{SentAt: p.instant(), Stored: stored})
+		if _, ok := effect[bllead.AcquireLease](p); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// TestRestoredRecordGivesNoQuickTakeover guards against a takeover by a record and an
+// absent lease of a restored store, while the lead of the lost writes still acts.
+func TestRestoredRecordGivesNoQuickTakeover(t *testing.T) {
+	called := func(p *process) {
+		p.send(bllead.StandbyAsked{Term: 4, Standby: "a_run", Reply: blring.NewReply[bllead.StandbyAnswer]()})
+	}
+	cases := []struct {
+		name   string
+		before func(p *process)
+		found  bllead.Stored
+		want   time.Duration
+	}{
+		{"named as standby", func(*process) {}, record(3, "x", "a"), lease + margin + holdLimit},
+		{"no standby named", func(*process) {}, record(3, "x", ""), lease + margin + holdLimit},
+		{"no lead named", func(*process) {}, bllead.Stored{Record: bllead.Record{Term: 3}, Revision: 30}, lease + margin + holdLimit},
+		{"called as standby, lead may run", called, record(3, "x", "a"), lease + margin + holdLimit},
+		{"called as standby, lead terminated", func(p *process) {
+			called(p)
+			p.send(bllead.Identified{Asked: "x_run", Incarnation: "x_again"})
+		}, record(4, "x", "a"), lease + margin},
+		{"a later term was heard of", func(p *process) {
+			called(p)
+			p.send(bllead.Identified{Asked: "x_run", Incarnation: "x_again"})
+			p.send(bllead.LeadResponded{Term: 5})
+		}, record(4, "x", "a"), lease + margin + holdLimit},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := follower(t)
+			c.before(p)
+			found := restoredAs(c.found, 1)
+			p.now += time.Second
+			if p.read(found, c.want) {
+				t.Fatalf("acquires the lease: got at %v, want no sooner than after %v", p.now, c.want)
+			}
+			if !p.read(found, 2*time.Second) {
+				t.Errorf("acquires the lease: got never, want after %v", c.want)
+			}
+		})
+	}
+}
+
+// TestTermAfterRestoreExceedsLostOnes guards against a term that an earlier era has used
+// already, since the record that held it is lost.
+func TestTermAfterRestoreExceedsLostOnes(t *testing.T) {
+	p := newProcess(t)
+	p.send(bllead.RecordRead{SentAt: p.instant(), Stored: bllead.Stored{
+		Record: bllead.Record{Term: 3, Era: 2}, Revision: blplatform.NewRevision(2, 7),
+	}})
+	p.send(bllead.LeaseAcquired{
+		SentAt: p.instant(), Claim: p.claim, Lease: "lease_1", LeaseRevision: blplatform.NewRevision(2, 8),
+		Stored: bllead.Stored{Record: bllead.Record{Term: 3, Era: 2}, Revision: blplatform.NewRevision(2, 7)},
+	})
+	write, ok := effect[bllead.WriteRecord](p)
+	if floor := bllead.TermFloor(2); !ok || write.Record.Term <= floor || write.Record.Era != 2 {
+		t.Errorf("record: got term %d of era %d, want more than %d of era 2", write.Record.Term, write.Record.Era, floor)
+	}
+}
+
+// leaseGone tells the lead that the restored store doesn't know its lease.
+func (p *process) leaseGone(found bllead.Stored) {
+	p.send(bllead.LeaseRenewed{SentAt: p.instant(), Lease: "lease_1", Lost: true, Read: true, Stored: found})
+}
+
+// TestLeadWritesItsRecordAgainAfterRestore guards against a lead that gives way to an
+// older record of a restored store, though it has authority and knows the later one.
+func TestLeadWritesItsRecordAgainAfterRestore(t *testing.T) {
+	older := bllead.Stored{Record: bllead.Record{Term: 1, Lead: host("a"), WriteID: "earlier"}, Revision: blplatform.NewRevision(1, 1)}
+	later := bllead.Stored{Record: bllead.Record{Term: 8200, Lead: host("c"), Era: 1}, Revision: blplatform.NewRevision(1, 9)}
+	cases := []struct {
+		name  string
+		found bllead.Stored
+		want  bool
+	}{
+		{"older record of the same term", older, true},
+		{"no record", bllead.Stored{}, true},
+		{"record of a later term", later, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.lead()
+			p.send(bllead.PeersSeen{Peers: []blvalue.Host{host("b"), host("c")}})
+			p.leaseGone(c.found)
+			if !c.want {
+				if p.holds() {
+					t.Error("authority: got true, want false")
+				}
+				return
+			}
+			if !p.holds() || p.state.Authority(p.instant()).MayChange {
+				t.Fatal("lead whose lease is gone: got no authority or permission to write, want authority alone")
+			}
+			p.send(bllead.Tick{})
+			if _, ok := effect[bllead.AcquireLease](p); !ok {
+				t.Fatalf("effects: got %v, want AcquireLease", p.effects)
+			}
+			p.send(bllead.LeaseAcquired{
+				SentAt: p.instant(), Claim: p.claim, Lease: "lease_2", LeaseRevision: blplatform.NewRevision(1, 9), Stored: c.found,
+			})
+			if !p.holds() {
+				t.Error("authority: got false, want true")
+			}
+			write, ok := effect[bllead.WriteRecord](p)
+			if !ok || write.Record.Term != 1 || write.Record.Era != 1 || write.Base != c.found.Revision {
+				t.Errorf("record written again: got %t %+v, want term 1, era 1", ok, write)
+			}
+		})
+	}
+}
--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -93,7 +93,7 @@
 // has much more capacity, or the host of this process is likely to be removed.
 func (s State) shouldTransferLead(now bltimer.Instant) bool {
 	standby, ok := s.standby()
-	if !ok || s.Role() != RoleLeading || s.writing != nil || !outranks(standby, s.self) && !s.retires(standby, now) {
+	if !ok || s.Role() != RoleLeading || s.writing != nil || s.restored() || !outranks(standby, s.self) && !s.retires(standby, now) {
 		return false
 	}
 	return now.Sub(s.leadSince) > 2*capacityMoveDelay && now.Sub(s.standbyContactAt) < s.timing.Lease && !s.missedRenewal(now)
@@ -103,7 +103,7 @@
 // answer or is no candidate any more, or a peer has far more capacity. It requires
 // the lease of the store.
 func updateStandby(s State, effects []Effect, now bltimer.Instant) (State, []Effect) {
-	if s.writing != nil || !now.Before(s.leaseUntil) || s.leaving {
+	if s.writing != nil || !now.Before(s.leaseUntil) || s.lease == "" || s.leaving {
 		return s, effects
 	}
 	current, ok := s.standby()
@@ -148,11 +148,12 @@
 
 func standbyAsked(s State, m StandbyAsked, now bltimer.Instant) (State, []Effect) {
 	answer := StandbyAnswer{Incarnation: s.self.Incarnation}
+	s.heardTerm = max(s.heardTerm, m.Term)
 	if m.Resigned != "" {
-		return leadTransferred(s, m, answer)
+		return leadTransferred(s, m, answer, now)
 	}
 	answer.Refusal = s.promiseRefusal(m, now)
-	answer.StoreAnswers = s.reachesStore(now)
+	answer.StoreAnswers = s.mayReplaceByStore(now)
 	if answer.Refusal == "" && m.WantPromise {
 		answer.Promised = true
 		s.promisedUntil = max(s.promisedUntil, now.Add(s.timing.Lease+s.timing.ClockMargin))
@@ -164,6 +165,7 @@
 	if m.Standby == s.self.Incarnation && s.Role() == RoleFollower && m.Term >= s.stored.Record.Term {
 		s.leadContactAt = now
 		s.standbyTerm = m.Term
+		s.standbyCalledAt = now
 		s, effects = probeStore(s, effects, m.WantPromise, now)
 	}
 	return s, effects
@@ -188,13 +190,14 @@
 
 // leadTransferred handles the lead's notice that it has stepped down. From then on
 // neither its lease nor a promise given to it prevents a takeover.
-func leadTransferred(s State, m StandbyAsked, answer StandbyAnswer) (State, []Effect) {
+func leadTransferred(s State, m StandbyAsked, answer StandbyAnswer, now bltimer.Instant) (State, []Effect) {
 	if m.Standby == s.self.Incarnation && s.Role() == RoleFollower && m.Term >= s.stored.Record.Term {
 		s.resignedTerm = m.Term
 		s.leadContactAt = 0
 		s.storeReadAt = 0
 		s.promisedUntil = 0
 		s.standbyTerm = m.Term
+		s.standbyCalledAt = now
 		s.resigned = m.Resigned
 	}
 	return s, []Effect{AnswerStandby{Reply: m.Reply, Answer: answer}}
@@ -223,7 +226,7 @@
 		return "a later term is known"
 	case s.leaving:
 		return "leaving"
-	case s.reachesStore(now):
+	case s.mayReplaceByStore(now):
 		return "the store answers here"
 	}
 	return ""
@@ -235,13 +238,19 @@
 	return s.storeContactAt != 0 && now.Sub(s.storeContactAt) < s.timing.Lease/2
 }
 
+// mayReplaceByStore reports whether this process reaches the store and could take over
+// by it. After a restore it couldn't yet, so that the lead had better go on.
+func (s State) mayReplaceByStore(now bltimer.Instant) bool {
+	return s.reachesStore(now) && !s.restored()
+}
+
 // candidateAnswered transfers the lead to the probed node if it reaches the store
 // while this lead doesn't.
-func candidateAnswered(s State, m StandbyAnswered) (State, []Effect) {
+func candidateAnswered(s State, m StandbyAnswered, now bltimer.Instant) (State, []Effect) {
 	if m.Asked != s.candidate.Incarnation || !m.Answer.StoreAnswers || s.Role() != RoleHolding || s.writing != nil {
 		return s, nil
 	}
-	return transferTo(s, s.candidate)
+	return transferTo(s, s.candidate, now)
 }
 
 func standbyAnswered(s State, m StandbyAnswered, now bltimer.Instant) (State, []Effect) {
@@ -250,14 +259,14 @@
 		return s, nil
 	}
 	if m.Asked != standby.Incarnation {
-		return candidateAnswered(s, m)
+		return candidateAnswered(s, m, now)
 	}
 	if m.Answer.Incarnation != standby.Incarnation {
 		return s.withEnded(standby.Incarnation, now), nil
 	}
 	s.standbyContactAt = now
 	if s.leads() && s.writing == nil && m.Answer.StoreAnswers && s.missedRenewal(now) {
-		return transferToStandby(s)
+		return transferToStandby(s, now)
 	}
 	if m.Answer.Promised && s.leads() && s.writing == nil {
 		s.promiseUntil = max(s.promiseUntil, m.SentAt.Add(s.timing.Lease-s.timing.ClockMargin))
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -35,7 +35,18 @@
 	timing    Timing
 	lifecycle bllifecycle.Lifecycle[Role, roleEvent]
 
+	// stored is the latest record that this process knows, and found the one that the
+	// store reported last. They differ after the store was restored.
 	stored Stored
+	found  Stored
+	// era is the era of the latest answer of the store that told it. It was first seen
+	// at eraSince. eraChanged is set when an earlier one had been seen before.
+	era        blplatform.Era
+	eraSince   bltimer.Instant
+	eraChanged bool
+	// postponedAt is the value of eraSince at which a postponed takeover was last
+	// reported.
+	postponedAt bltimer.Instant
 	// nodes is the number of nodes in the fleet, or zero if it is unknown.
 	nodes int
 	peers []blvalue.Host
@@ -57,9 +68,16 @@
 	lease blplatform.LeaseID
 	// claim identifies the latest attempt to acquire the lease, and claims counts
 	// the attempts.
-	claim            Claim
-	claims           uint64
-	leaseUntil       bltimer.Instant
+	claim      Claim
+	claims     uint64
+	leaseUntil bltimer.Instant
+	// leaseEra is the era in which the lease was acquired.
+	leaseEra blplatform.Era
+	// ledTerm is the term in which this process was last lead, until ledUntil.
+	ledTerm  uint64
+	ledUntil bltimer.Instant
+	// rewrittenAt is when the record was last written again after a restore.
+	rewrittenAt      bltimer.Instant
 	promiseUntil     bltimer.Instant
 	standbyContactAt bltimer.Instant
 	// writing is the write of the record whose outcome isn't known yet, or nil.
@@ -93,6 +111,10 @@
 	// standbyTerm is the term of the lead that last called this process as its
 	// standby. The latest record read may be older than that term.
 	standbyTerm uint64
+	// standbyCalledAt is when it did, and heardTerm the latest term that another
+	// process has told of.
+	standbyCalledAt bltimer.Instant
+	heardTerm       uint64
 	// startedAt is when this process first sent a read that the store answered.
 	startedAt bltimer.Instant
 	// leaseAbsentSince is the time of the first in the current series of reads that
@@ -162,13 +184,6 @@
 	return s
 }
 
-func (s State) withStored(stored Stored) State {
-	if stored.Revision >= s.stored.Revision {
-		s.stored = stored
-	}
-	return s
-}
-
 func (s State) withEnded(incarnation blvalue.Incarnation, now bltimer.Instant) State {
 	if incarnation != "" && !s.hasEnded(incarnation) {
 		s.ended = s.ended.With(incarnation, now)
@@ -211,7 +226,8 @@
 	return Authority{
 		Term:           s.stored.Record.Term,
 		Until:          until,
-		MayChange:      now.Before(s.leaseUntil),
+		MayChange:      now.Before(s.leaseUntil) && s.lease != "",
+		Era:            s.era,
 		PriorExpiredAt: s.priorExpiredAt,
 		Standby:        s.stored.Record.Standby,
 	}
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -62,14 +62,14 @@
 }
 
 func recordRead(s State, m RecordRead, now bltimer.Instant) (State, []Effect) {
-	if m.Failed {
+	if m.Failed || s.isEarlierEra(max(m.Stored.Revision, m.LeaseRevision)) {
 		return s, nil
 	}
 	s.storeContactAt = now
 	if s.startedAt == 0 {
 		s.startedAt = max(m.SentAt, 1)
 	}
-	s = s.withStored(m.Stored).withLeaseAbsence(m.LeaseHolder == "", m.SentAt)
+	s = s.withEraOf(m.LeaseRevision, now).withStored(m.Stored, now).withLeaseAbsence(m.LeaseHolder == "", m.SentAt)
 	for _, incarnation := range m.Lost {
 		s = s.withEnded(incarnation, now)
 	}
@@ -79,7 +79,7 @@
 	}
 	free := m.LeaseHolder == "" || s.hasEnded(m.LeaseHolder) || m.LeaseClaim != "" && m.LeaseClaim == s.resigned
 	if !free || !s.mayTakeOver(now) {
-		return s, nil
+		return s.postponement(now)
 	}
 	s = s.withEvent(eventAcquire)
 	s.acquireSentAt = now
@@ -165,16 +165,19 @@
 
 // mayLead reports whether this process is eligible to lead. It is if the record
 // doesn't exist, names no lead, no standby or names this process, if the lead has
-// asked it to take over, or if the hold limit has passed. Otherwise lead and standby
+// asked it to take over, or if the hold limit has passed. Where the store was restored
+// since the record was written, none of this holds. Otherwise lead and standby
 // must both have terminated, or the lead alone where the hold is bounded. A lead
 // without a standby can't go on without its lease: nobody gives it a promise.
 func (s State) mayLead(now bltimer.Instant) bool {
-	asked := s.resigned != "" && s.resignedTerm == s.stored.Record.Term &&
-		s.resigned.Holder() == s.stored.Record.Lead.Incarnation
-	if asked || s.stored.Revision == 0 || s.stored.Record.Lead.IsZero() || s.stored.Record.Names(s.self.Incarnation) || s.holdLimitPassed(now) {
+	if s.restored() {
+		return s.mayLeadAfterRestore(now)
+	}
+	record := s.found.Record
+	asked := s.resigned != "" && s.resignedTerm == record.Term && s.resigned.Holder() == record.Lead.Incarnation
+	if asked || s.found.Revision == 0 || record.Lead.IsZero() || record.Names(s.self.Incarnation) || s.holdLimitPassed(now) {
 		return true
 	}
-	record := s.stored.Record
 	if record.Standby.IsZero() {
 		return true
 	}
@@ -187,8 +190,8 @@
 }
 
 func leaseAcquired(s State, m LeaseAcquired, now bltimer.Instant) (State, []Effect) {
-	if s.Role() == RoleHolding {
-		return leaseRegained(s, m)
+	if s.Role() == RoleHolding || s.leads() && s.lease == "" {
+		return leaseRegained(s, m, now)
 	}
 	if s.Role() != RoleAcquiring || m.Claim != s.claim {
 		return releaseStaleLease(s, m)
@@ -196,15 +199,16 @@
 	if m.Failed {
 		return s.withEvent(eventLose), nil
 	}
-	s = s.withStored(m.Stored)
+	earlier := s.isEarlierEra(m.LeaseRevision)
+	s = s.withEraOf(m.LeaseRevision, now).withStored(m.Stored, now)
 	leaseUntil := m.SentAt.Add(s.timing.Lease - s.timing.ClockMargin)
-	if !s.mayLead(now) || !now.Before(leaseUntil) || now.Before(s.promisedUntil) {
+	if earlier || !s.mayLead(now) || !now.Before(leaseUntil) || now.Before(s.promisedUntil) {
 		return s.withEvent(eventLose), []Effect{EndLease{Lease: m.Lease}}
 	}
 	s = s.withEvent(eventClaim)
-	s.lease = m.Lease
+	s.lease, s.leaseEra = m.Lease, s.era
 	s.leaseUntil = leaseUntil
-	record := Record{Term: s.stored.Record.Term + 1, Lead: s.self, Standby: s.chooseStandby("")}
+	record := Record{Term: s.nextTerm(), Lead: s.self, Standby: s.chooseStandby("")}
 	var write WriteRecord
 	s, write = s.withWrite(record)
 	return s, []Effect{write}
@@ -235,6 +239,7 @@
 }
 
 func leadResponded(s State, m LeadResponded, now bltimer.Instant) State {
+	s.heardTerm = max(s.heardTerm, m.Term)
 	if m.Term >= s.stored.Record.Term {
 		s.leadContactAt = now
 	}
--- a/core/bllead/write.go
+++ b/core/bllead/write.go
@@ -23,8 +23,9 @@
 func (s State) withWrite(record Record) (State, WriteRecord) {
 	s.promiseUntil = 0
 	s.writeSeq++
+	record.Era = s.era
 	record.WriteID = fmt.Sprintf("%s.%d", s.self.Incarnation, s.writeSeq)
-	write := WriteRecord{Base: s.stored.Revision, Record: record}
+	write := WriteRecord{Base: s.found.Revision, Record: record}
 	s.writing = &write
 	s.inDoubt = false
 	return s, write
@@ -42,14 +43,14 @@
 	}
 	switch m.Outcome {
 	case blplatform.Written:
-		return recordAccepted(s.withoutWrite().withStored(m.Current), now)
+		return recordAccepted(s.withoutWrite().withStored(m.Current, now), now)
 	case blplatform.Conflicted:
-		return recordConflicted(s.withoutWrite().withStored(m.Current))
+		return recordConflicted(s.withoutWrite().withStored(m.Current, now), now)
 	case blplatform.NotSent:
 		if s.inDoubt {
 			return s, nil
 		}
-		return recordNotSent(s.withoutWrite())
+		return recordNotSent(s.withoutWrite(), now)
 	case blplatform.Unresolved:
 		s.inDoubt = true
 		s.writeTriedAt = now
@@ -57,9 +58,9 @@
 	return s, nil
 }
 
-func recordNotSent(s State) (State, []Effect) {
+func recordNotSent(s State, now bltimer.Instant) (State, []Effect) {
 	if s.Role() == RoleClaiming {
-		return stepDown(s)
+		return stepDown(s, now)
 	}
 	return s, nil
 }
@@ -70,8 +71,8 @@
 	if s.Role() != RoleClaiming {
 		return s, nil
 	}
-	if !now.Before(s.leaseUntil) {
-		return stepDown(s)
+	if !now.Before(s.leaseUntil) || s.restored() {
+		return stepDown(s, now)
 	}
 	s = s.withEvent(eventGain)
 	// With a slow store little of the lease may be left, so it is renewed at once.
@@ -81,10 +82,10 @@
 }
 
 // recordConflicted ends the role of a process whose write lost to another write of
-// the record.
-func recordConflicted(s State) (State, []Effect) {
-	if s.Role() == RoleFollower {
+// the record. A lead whose write met a restored record writes it again instead.
+func recordConflicted(s State, now bltimer.Instant) (State, []Effect) {
+	if s.Role() == RoleFollower || s.isBestCopy() {
 		return s, nil
 	}
-	return stepDown(s)
+	return stepDown(s, now)
 }
--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -1,7 +1,7 @@
 package blproof_test
 
 import (
-	"strconv"
+	"fmt"
 	"time"
 
 	"bergamotlead/core/blassign"
@@ -14,7 +14,16 @@
 	"bergamotlead/core/blvalue"
 )
 
+var debug bool
+
 func (n *node) deliverToLead(message bllead.Message) {
+	defer func(r bllead.Role) {
+		if debug && n.sim.now > 6*time.Second {
+			if _, tick := message.(bllead.Tick); !tick || r != n.lead.Role() {
+				println(n.sim.now.String(), n.index, fmt.Sprintf("%T %+v", message, message), string(r), "->", string(n.lead.Role()))
+			}
+		}
+	}(n.lead.Role())
 	var effects []bllead.Effect
 	n.lead, effects = bllead.Decide(n.lead, message, n.clock())
 	n.sim.checkLeads()
@@ -101,26 +110,28 @@
 	case bllead.ReadRecord:
 		n.callStore(false, func() func() {
 			read := bllead.RecordRead{SentAt: sentAt, LeaseHolder: sim.store.currentHolder(sim.now), LeaseClaim: sim.store.leaseClaim,
-				LeaseRevision: sim.store.leaseRevision(sim.now), Stored: sim.store.record}
+				LeaseRevision: sim.store.leaseRevision(sim.now), Stored: sim.store.record()}
 			return func() { n.deliverToLead(read) }
 		}, func(bool) { n.deliverToLead(bllead.RecordRead{SentAt: sentAt, Failed: true}) })
 	case bllead.AcquireLease:
 		n.callStore(true, func() func() {
 			id, ok := sim.store.acquireLease(e.Claim, e.Revision, leaseTTL, sim.now)
 			result := bllead.LeaseAcquired{
-				SentAt: sentAt, Claim: e.Claim, Lease: blplatform.LeaseID(strconv.Itoa(id)), Stored: sim.store.record, Failed: !ok,
+				SentAt: sentAt, Claim: e.Claim, Lease: id, LeaseRevision: sim.store.leaseRevision(sim.now), Stored: sim.store.record(),
+				Failed: !ok,
 			}
 			return func() { n.deliverToLead(result) }
 		}, func(bool) { n.deliverToLead(bllead.LeaseAcquired{SentAt: sentAt, Claim: e.Claim, Failed: true}) })
 	case bllead.RenewLease:
-		id, _ := strconv.Atoi(string(e.Lease))
 		n.callStore(true, func() func() {
-			ok := sim.store.renewLease(id, leaseTTL, sim.now)
-			return func() { n.deliverToLead(bllead.LeaseRenewed{SentAt: sentAt, Lease: e.Lease, Lost: !ok}) }
+			ok := sim.store.renewLease(e.Lease, leaseTTL, sim.now)
+			stored := sim.store.record()
+			return func() {
+				n.deliverToLead(bllead.LeaseRenewed{SentAt: sentAt, Lease: e.Lease, Lost: !ok, Read: !ok, Stored: stored})
+			}
 		}, func(bool) { n.deliverToLead(bllead.LeaseRenewed{SentAt: sentAt, Lease: e.Lease, Failed: true}) })
 	case bllead.EndLease:
-		id, _ := strconv.Atoi(string(e.Lease))
-		n.callStore(true, func() func() { sim.store.endLease(id); return func() {} }, func(bool) {})
+		n.callStore(true, func() func() { sim.store.endLease(e.Lease); return func() {} }, func(bool) {})
 	case bllead.WriteRecord:
 		n.writeRecord(e)
 	case bllead.AskStandby:
@@ -151,7 +162,7 @@
 		if sim.store.writeRecord(e.Base, e.Record) {
 			outcome = blplatform.Written
 		}
-		current := sim.store.record
+		current := sim.store.record()
 		if sim.recordAnswersToLose > 0 {
 			sim.recordAnswersToLose--
 			return nil
@@ -251,7 +262,7 @@
 		}, func(bool) {})
 	case blassign.LoadChunk:
 		n.callStore(false, func() func() {
-			loaded := blassign.ChunkLoaded{Term: e.Term, ID: e.ID, Chunk: sim.store.chunks[e.ID.Index]}
+			loaded := blassign.ChunkLoaded{Term: e.Term, ID: e.ID, Chunk: sim.store.chunk(e.ID.Index)}
 			return func() { n.deliverToAssign(loaded) }
 		}, func(bool) { n.deliverToAssign(blassign.ChunkLoaded{Term: e.Term, ID: e.ID, Failed: true}) })
 	case blassign.WriteChunk:
@@ -282,7 +293,7 @@
 		if sim.store.writeChunk(e.ID.Index, e.Base, e.Chunk) {
 			outcome = blplatform.Written
 		}
-		current := sim.store.chunks[e.ID.Index]
+		current := sim.store.chunk(e.ID.Index)
 		return func() { report(outcome, current) }
 	}, func(sent bool) {
 		if sent {
--- a/core/blproof/ownership_test.go
+++ b/core/blproof/ownership_test.go
@@ -170,6 +170,14 @@
 // runScheduleWithHoldLimit is like runSchedule, but a lead holds its role without
 // the store for no longer than limit. A limit of zero means no bound.
 func runScheduleWithHoldLimit(t *rapid.T, m mutation, limit time.Duration) *simulation {
+	sim := drawSchedule(t, m, limit)
+	sim.runUntil(simulationLength)
+	return sim
+}
+
+// drawSchedule draws a random fault schedule and returns a simulation of it that
+// hasn't run yet.
+func drawSchedule(t *rapid.T, m mutation, limit time.Duration) *simulation {
 	sim := newSimulationWithHoldLimit(rapid.Uint64().Draw(t, "seed"), nodeCount, m, limit)
 	sim.lostAnswersPerThousand = rapid.SampledFrom([]int{0, 5, 100}).Draw(t, "lost answers per thousand")
 	sim.slowMessagesPerThousand = 20
@@ -177,7 +185,6 @@
 	for _, f := range rapid.SliceOfN(faultGenerator(), 0, 12).Draw(t, "faults") {
 		sim.scheduleFault(f)
 	}
-	sim.runUntil(simulationLength)
 	return sim
 }
 
--- a/core/blproof/simulation_test.go
+++ b/core/blproof/simulation_test.go
@@ -148,9 +148,18 @@
 		n.start()
 		sim.schedule(time.Duration(sim.random.IntN(int(tickInterval))), n.tick)
 	}
+	sim.takeCopies()
 	return sim
 }
 
+// copyInterval is how often the store takes a copy of its data.
+const copyInterval = 100 * time.Millisecond
+
+func (sim *simulation) takeCopies() {
+	sim.store.takeCopy(sim.now)
+	sim.schedule(copyInterval, sim.takeCopies)
+}
+
 func (sim *simulation) schedule(d time.Duration, action func()) {
 	sim.seq++
 	heap.Push(&sim.events, event{at: sim.now + d, seq: sim.seq, action: action})
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -135,6 +135,10 @@
 		n.authorityChanged(e.Authority)
 	case bllead.RecordSeen:
 		blduty.PutBlocking[blmember.Message](n.duties.member.Put, blmember.RecordSeen{Record: e.Record})
+	case bllead.EraSeen:
+		n.logger.Info("the store was restored from an older copy", "era", uint64(e.Era))
+	case bllead.TakeoverPostponed:
+		n.logger.Info("takeover postponed after a restore of the store", "era", uint64(e.Era), "term", e.Term)
 	case bllead.AnswerStandby:
 		e.Reply.Put(e.Answer)
 	case bllead.RenewLease, bllead.AcquireLease, bllead.EndLease:
--- a/io/blnode/lead_work.go
+++ b/io/blnode/lead_work.go
@@ -157,7 +157,7 @@
 		return result
 	}
 	result.Lease = lease
-	err = s.setLeaseKey(e, lease)
+	result.LeaseRevision, err = s.setLeaseKey(e, lease)
 	if err == nil {
 		result.Stored, err = s.readStored()
 	}
@@ -175,14 +175,17 @@
 	return s.store.NewLease(ctx, s.leaseTTL()) //nolint:wrapcheck // only whether it failed matters
 }
 
-func (s leadStore) setLeaseKey(e bllead.AcquireLease, lease blplatform.LeaseID) error {
+// setLeaseKey attaches the lead key to the lease and returns its revision.
+func (s leadStore) setLeaseKey(e bllead.AcquireLease, lease blplatform.LeaseID) (uint64, error) {
 	ctx, cancel := storeContext(s.leaseTTL())
 	defer cancel()
 	s.countCall("swap")
-	_, err := s.store.CompareAndSwap(ctx, s.keys.LeadLease(), e.Revision, []byte(e.Claim), lease)
-	return err //nolint:wrapcheck // only whether it failed matters
+	entry, err := s.store.CompareAndSwap(ctx, s.keys.LeadLease(), e.Revision, []byte(e.Claim), lease)
+	return entry.Revision, err //nolint:wrapcheck // only whether it failed matters
 }
 
+// renewLease extends the lease. If the store doesn't know it, the record is read, which
+// tells whether the store was restored.
 func (s leadStore) renewLease(e bllead.RenewLease) bllead.LeaseRenewed {
 	result := bllead.LeaseRenewed{SentAt: s.clock.Now(), Lease: e.Lease}
 	ctx, cancel := storeContext(s.leaseTTL())
@@ -192,6 +195,10 @@
 	var lost blplatform.LeaseLostError
 	result.Lost = errors.As(err, &lost)
 	result.Failed = err != nil && !result.Lost
+	if result.Lost {
+		result.Stored, err = s.readStored()
+		result.Read = err == nil
+	}
 	return result
 }
 
@@ -211,6 +218,9 @@
 	if err != nil {
 		return result
 	}
+	if e.Again {
+		s.logger.Info("lead record written again", "era", uint64(e.Record.Era), "term", e.Record.Term)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
 	s.countCall("swap")
--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -54,16 +54,17 @@
 }
 
 type recordBody struct {
-	Term    uint64   `json:"term"`
-	Lead    hostBody `json:"lead"`
-	Standby hostBody `json:"standby"`
-	WriteID string   `json:"write_id"`
+	Term    uint64         `json:"term"`
+	Era     blplatform.Era `json:"era,omitempty"`
+	Lead    hostBody       `json:"lead"`
+	Standby hostBody       `json:"standby"`
+	WriteID string         `json:"write_id"`
 }
 
 // EncodeRecord encodes a lead record as JSON.
 func EncodeRecord(record bllead.Record) ([]byte, error) {
 	body, err := json.Marshal(recordBody{
-		Term: record.Term, Lead: hostBody(record.Lead), Standby: hostBody(record.Standby), WriteID: record.WriteID,
+		Term: record.Term, Era: record.Era, Lead: hostBody(record.Lead), Standby: hostBody(record.Standby), WriteID: record.WriteID,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode lead record: %w", err)
@@ -73,7 +74,7 @@
 
 // maxTerm is the highest term. Upstreams compare fences as numbers in JSON, in which
 // higher ones are not exact.
-const maxTerm = 1 << 28
+const maxTerm = 1<<29 - 1
 
 // TermError reports a term that no lead can have written.
 type TermError struct {
@@ -93,10 +94,11 @@
 }
 
 // UnreadableRecord returns what an entry that is no lead record says: neither who is
-// lead nor who is standby. Each term took at least one write, so the revision of the
-// entry is not below any earlier term.
+// lead nor who is standby. Each term took at least one write, so the number of the
+// entry's revision is not below the number of terms of any era.
 func UnreadableRecord(entry blplatform.Entry) bllead.Stored {
-	return bllead.Stored{Record: bllead.Record{Term: entry.Revision}, Revision: entry.Revision}
+	term := bllead.TermFloor(blplatform.RevisionEra(entry.Revision)) + blplatform.RevisionNumber(entry.Revision)
+	return bllead.Stored{Record: bllead.Record{Term: term}, Revision: entry.Revision}
 }
 
 // unreadableOwner stands for the unknown earlier owners of an unreadable chunk.
@@ -125,7 +127,7 @@
 	}
 	return bllead.Stored{
 		Record: bllead.Record{
-			Term: body.Term, Lead: blvalue.Host(body.Lead), Standby: blvalue.Host(body.Standby), WriteID: body.WriteID,
+			Term: body.Term, Era: body.Era, Lead: blvalue.Host(body.Lead), Standby: blvalue.Host(body.Standby), WriteID: body.WriteID,
 		},
 		Revision: entry.Revision,
 	}, nil
