Write a document again that a restored store has lost

What callers saw: in the process test, after a restore from before an accepted change, all hosts served a withdrawn client key again (some 100 requests a host in 7 s, both cases) and refused the new one with 401.

Cause: the native document has no version of an operator, so documents were ordered by revision, and the older copy has the later one in the new era. Nobody outside writes a document to the store again.

Change: a document's version is one above the revision that its change replaced, so it rises with each change and from era to era. Nodes send it to each other in the first line of the source. The lead's document source writes the latest known document again, with its version, when the store holds an earlier one; no change is accepted before that. Compare-and-swap protects a change that came meanwhile.

Ruled out: the version in the stored value alone, since a follower that becomes lead has it from the former lead only.

--- a/io/blnode/apply.go
+++ b/io/blnode/apply.go
@@ -42,9 +42,9 @@
 	if violations := blconfig.CheckChange(current.Document, document); len(violations) > 0 {
 		return refusedChange(blconfig.ValidationError{Violations: violations}.Error())
 	}
-	result, maxGrantTTL := n.writeConfig(ctx, change, current.Document, document)
+	result, maxGrantTTL := n.writeConfig(ctx, change, current, document)
 	if result.Result == blproto.ApplyReply_RESULT_ACCEPTED {
-		accepted := blconfig.NewAccepted(result.Revision, document, string(change.Document))
+		accepted := newAccepted(result.Revision, changeVersion(change.BaseRevision), document, string(change.Document))
 		n.publishConfig(accepted.WithMaxGrantTTL(maxGrantTTL))
 		result.InForce = n.waitInForce(ctx, result.Revision, change.Wait)
 	}
@@ -56,9 +56,10 @@
 }
 
 // writeConfig writes the document and reports only outcomes that are certain. It
-// also returns the longer grant_ttl of the document and the one that it replaces.
+// also returns the longer grant_ttl of the document and the one that it replaces. As
+// long as the store holds an earlier one than that in force, no change is accepted.
 func (n *Node) writeConfig(
-	ctx context.Context, change blgrpc.Change, before, after blconfig.Document,
+	ctx context.Context, change blgrpc.Change, before blconfig.Accepted, after blconfig.Document,
 ) (blgrpc.ChangeResult, time.Duration) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
 	defer cancel()
@@ -66,8 +67,11 @@
 	if err != nil {
 		return refusedChange(err.Error()), 0
 	}
+	if documentVersion(stored) < before.Version {
+		return refusedChange("the store was restored from an older copy; the configuration in force is written again first"), 0
+	}
 	maxGrantTTL := max(grantTTL(stored.Document), blconfig.NewPlan(after).Timing.GrantTTL)
-	differences := blconfig.Difference(before, after)
+	differences := blconfig.Difference(before.Document, after)
 	settings := make([]string, 0, len(differences))
 	for _, difference := range differences {
 		settings = append(settings, difference.Path.String())
--- a/io/blnode/status.go
+++ b/io/blnode/status.go
@@ -106,7 +106,8 @@
 // Config returns the configuration in force on this node.
 func (n *Node) Config() bloperator.Config {
 	config := n.duties.admit.View().Config()
-	return bloperator.Config{Revision: config.Revision, Document: config.Source}
+	_, text := splitSource(config.Source)
+	return bloperator.Config{Revision: config.Revision, Document: text}
 }
 
 // Change stores a configuration. It forwards the change to the lead if this node
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -41,6 +41,9 @@
 }
 
 func (n *Node) newWorkers() {
+	if source, ok := n.platform.Config.(documentSource); ok {
+		n.platform.Config = source.withKnown(n.LatestConfig)
+	}
 	lead := leadStore{
 		store: n.store, keys: n.keys, self: n.self, clock: n.clock, leaseTTL: n.leaseTTL,
 		put:       func(m bllead.Message) error { return n.duties.lead.Put(m) },
--- a/tests/restored_test.go
+++ b/tests/restored_test.go
@@ -36,16 +36,16 @@
 }
 
 // rotateKey replaces the client key of an account through a configuration change and
-// returns the withdrawn key.
-func (f *fleet) rotateKey(name string) string {
+// returns both. The traffic reads ClientKeys, which therefore keep the withdrawn key.
+func (f *fleet) rotateKey(name string) (withdrawn, next string) {
 	f.t.Helper()
-	withdrawn := f.ClientKeys[name]
-	f.ClientKeys[name] = withdrawn + "_next"
-	sum := sha256.Sum256([]byte(f.ClientKeys[name]))
+	withdrawn = f.ClientKeys[name]
+	next = withdrawn + "_next"
+	sum := sha256.Sum256([]byte(next))
 	f.apply(f.editedDocument(func(d blconfig.Document) blconfig.Document {
 		return withValue(d, blconfig.SectionAccounts, name, "key_digests", list(hex.EncodeToString(sum[:])))
 	}))
-	return withdrawn
+	return withdrawn, next
 }
 
 // servesEveryKey reports whether a key of about each partition is answered, through
@@ -224,14 +224,14 @@
 			time.Sleep(time.Second)
 			before := time.Now()
 			time.Sleep(300 * time.Millisecond)
-			withdrawn := f.rotateKey(rotated)
+			withdrawn, next := f.rotateKey(rotated)
 			time.Sleep(500 * time.Millisecond)
 			f.setPlatformFaults(map[string]any{
 				"restore_seconds": time.Since(before).Seconds(), "restore_down_ms": restoreDown.Milliseconds(),
 			})
 			c.change(f)
 			f.checkWithdrawn(withdrawn, restoreDown+settleTime)
-			f.checkServed(f.ClientKeys[rotated])
+			f.checkServed(next)
 			f.changeAgain()
 		})
 	}
