Ignore a new lead's offer for holdings given up since

Cause: before the grants of earlier terms have expired, a new lead renews what a holder reports. Its answer to a report sent before the holder gave a partition up grants that partition again. The stored owner prevented this, except where the move is lost with the store's latest writes.

Change: a holder ignores an offer of a later term when its grant has changed since it sent the report that the offer answers, as it did when the grant had expired since. Its next report is answered with what it then holds.

--- a/core/blgrant/grant.go
+++ b/core/blgrant/grant.go
@@ -58,6 +58,8 @@
 	Fence       blvalue.Fence
 	Set         blvalue.PartitionSet
 	Until       bltimer.Instant
+	// setAt is when Set last changed.
+	setAt bltimer.Instant
 	// revoked holds the partitions that are no longer granted but may still be in
 	// use.
 	revoked blvalue.PartitionSet
@@ -125,11 +127,12 @@
 }
 
 // isStaleOffer reports whether an offer of another term answers a report that
-// no longer holds: the grant has expired since the report was sent, and another
-// holder may have the partitions that it listed.
+// no longer holds: the grant has expired or changed since the report was sent, and
+// another holder may have the partitions that it listed.
 func (g Grant) isStaleOffer(offer Offer, sentAt, now bltimer.Instant) bool {
 	expired := g.Until != 0 && !now.Before(g.Until) && sentAt.Before(g.Until)
-	return expired && g.Fence.Term < offer.Fence.Term
+	changed := g.setAt != 0 && sentAt.Before(g.setAt)
+	return (expired || changed) && g.Fence.Term < offer.Fence.Term
 }
 
 func (g Grant) withoutRevoked() Grant {
--- a/core/blgrant/state.go
+++ b/core/blgrant/state.go
@@ -93,6 +93,9 @@
 			continue
 		}
 		next := grant.WithOffer(offer, m.SentAt).withHandoversReported(m.SentAt)
+		if next.Fence != grant.Fence {
+			next.setAt = max(now, 1)
+		}
 		s.grants = s.grants.With(offer.Upstream, next)
 		s = s.renewRunning(next)
 		var released []Effect
