Learn of a restore where the lease has come back as well

Cause: a lead took a new era from the loss of its lease only. It then held on by its standby's promise, while others counted the hold limit from the moment at which they saw the era.

Change: after a renewal without an answer, a lead reads the record as soon as the store answers again, which tells the era. A lease that came back with its key is kept, and counts for the new era once it was renewed in it; until then the lead writes nothing. Others count the hold limit, and lease and margin, from the first read in the new era that finds no lease. A lease acquired just before a restore gives no term when the record was read after it.

--- a/core/bllead/era.go
+++ b/core/bllead/era.go
@@ -33,9 +33,9 @@
 	return max(s.stored.Record.Term, s.heardTerm)
 }
 
-// withEraOf returns the state after an answer of the store that holds the revision. A
-// lease of an earlier era doesn't exist in a later one, and what earlier reads say of
-// the lease's absence is void.
+// withEraOf returns the state after an answer of the store that holds the revision. What
+// earlier reads say of the lease's absence is void in a later era. A lease of the lead
+// may be lost, or have been restored, which the next renewal tells.
 func (s State) withEraOf(revision uint64, now bltimer.Instant) State {
 	era := blplatform.RevisionEra(revision)
 	if revision == 0 || s.eraSince != 0 && era <= s.era {
@@ -44,12 +44,15 @@
 	s.eraChanged = s.eraChanged || s.eraSince != 0
 	s.era, s.eraSince = era, max(now, 1)
 	s.leaseAbsentSince = 0
-	if s.leaseEra < era {
-		s.lease = ""
-	}
+	s.renewedAt = 0
 	return s
 }
 
+// hasLease reports whether the lead has a lease that exists in the present era.
+func (s State) hasLease() bool {
+	return s.lease != "" && s.leaseEra >= s.era
+}
+
 // isEarlierEra reports whether an answer with the revision was given before the store
 // was restored.
 func (s State) isEarlierEra(revision uint64) bool {
@@ -109,15 +112,11 @@
 // mayLeadAfterRestore reports whether this process is eligible to lead while the store
 // holds a record of an earlier era, or none. A lead of that era may act until its lease
 // has expired by its own clock, and then for as long as its standby promises. It has
-// stopped when the hold limit has passed since the new era was first seen. A process may
+// stopped when the lease has been absent for the hold limit in the new era. A process may
 // know it earlier.
 func (s State) mayLeadAfterRestore(now bltimer.Instant) bool {
-	since := now.Sub(s.eraSince)
-	expiry := s.timing.Lease + s.timing.ClockMargin
-	if s.timing.HoldLimit > 0 && since > expiry+s.timing.HoldLimit {
-		return true
-	}
-	return since > expiry && s.remembersLead()
+	expired := s.leaseAbsentSince != 0 && now.Sub(s.leaseAbsentSince) > s.timing.Lease+s.timing.ClockMargin
+	return s.holdLimitPassed(now) || expired && s.remembersLead()
 }
 
 // remembersLead reports whether this process knows by its own memory that no other one
@@ -148,7 +147,7 @@
 // of an earlier era than the lease.
 func rewriteRecord(s State, effects []Effect, now bltimer.Instant) (State, []Effect) {
 	current := s.writing != nil && s.writing.Record.Era >= s.era
-	if current || s.lease == "" || s.stored.Record.Era >= s.leaseEra || s.leaving {
+	if current || !s.hasLease() || s.stored.Record.Era >= s.leaseEra || s.leaving {
 		return s, effects
 	}
 	if s.rewrittenAt != 0 && now.Sub(s.rewrittenAt) < s.timing.renewInterval() {
--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -90,6 +90,9 @@
 	}
 	unchanged := m.Stored.Revision == s.found.Revision
 	s = s.withEraOf(m.LeaseRevision, now).withStored(m.Stored, now)
+	if s.isEarlierEra(m.LeaseRevision) && !s.replaced() {
+		return s, []Effect{EndLease{Lease: m.Lease}}
+	}
 	s.lease, s.leaseEra = m.Lease, s.era
 	if s.replaced() || !unchanged && !s.isBestCopy() {
 		return stepDown(s, now)
@@ -100,6 +103,7 @@
 }
 
 func leaseRenewed(s State, m LeaseRenewed, now bltimer.Instant) (State, []Effect) {
+	s.renewalFailed = s.renewalFailed || m.Failed
 	if m.Failed || m.Lease != s.lease {
 		return s, nil
 	}
@@ -108,10 +112,11 @@
 		if s.leads() && s.replaced() {
 			return stepDown(s, now)
 		}
-		if s.lease == "" {
+		gone := s.leaseEra < s.era || s.lease == ""
+		s.lease = ""
+		if gone {
 			return s, nil
 		}
-		s.lease = ""
 		s.leaseUntil = min(s.leaseUntil, now)
 		return s, nil
 	}
@@ -121,6 +126,12 @@
 		s = s.withEvent(eventResume)
 	}
 	s.leaseUntil = max(s.leaseUntil, m.SentAt.Add(s.timing.Lease-s.timing.ClockMargin))
+	if !m.SentAt.Before(s.eraSince) {
+		s.leaseEra = s.era
+	}
+	if s.renewalFailed {
+		return s, []Effect{ReadRecord{}}
+	}
 	return s, nil
 }
 
@@ -135,12 +146,24 @@
 		s.lease = ""
 	}
 	s = s.withStored(m.Stored, now)
-	if s.lease == "" {
-		s.renewedAt = 0
-	}
+	s.renewedAt = 0
 	return s
 }
 
+// recordReadByLead handles a read of the record by a lead, which makes one when the store
+// answers again: the store may have been restored meanwhile. A lease that was restored
+// with its key is kept.
+func recordReadByLead(s State, m RecordRead, now bltimer.Instant) (State, []Effect) {
+	s.renewalFailed = false
+	if s.replaced() {
+		return stepDown(s, now)
+	}
+	if s.leaseEra < s.era && m.LeaseClaim != s.claim {
+		s.lease = ""
+	}
+	return s, nil
+}
+
 // resign transfers the lead to the standby when the process shuts down, so that
 // the takeover doesn't wait for the lease to expire.
 func resign(s State, now bltimer.Instant) (State, []Effect) {
--- a/core/bllead/restored_test.go
+++ b/core/bllead/restored_test.go
@@ -100,6 +100,21 @@
 	}
 }
 
+// TestLeaseOfEarlierEraGivesNoTerm guards against a lease that is acquired just before
+// the store is restored, and a record that is read after. The lease doesn't exist any
+// more, so that another process may acquire it.
+func TestLeaseOfEarlierEraGivesNoTerm(t *testing.T) {
+	p := newProcess(t)
+	p.send(bllead.RecordRead{SentAt: p.instant(), Stored: record(4, "x", "")})
+	p.send(bllead.LeaseAcquired{
+		SentAt: p.instant(), Claim: p.claim, Lease: "lease_1", LeaseRevision: 50,
+		Stored: bllead.Stored{Record: bllead.Record{Term: 8200, Era: 1}, Revision: blplatform.NewRevision(1, 9)},
+	})
+	if got, want := p.state.Role(), bllead.RoleFollower; got != want {
+		t.Errorf("role: got %s, want %s", got, want)
+	}
+}
+
 // leaseGone tells the lead that the restored store doesn't know its lease.
 func (p *process) leaseGone(found bllead.Stored) {
 	p.send(bllead.LeaseRenewed{SentAt: p.instant(), Lease: "lease_1", Lost: true, Read: true, Stored: found})
--- a/core/bllead/standby.go
+++ b/core/bllead/standby.go
@@ -103,7 +103,7 @@
 // answer or is no candidate any more, or a peer has far more capacity. It requires
 // the lease of the store.
 func updateStandby(s State, effects []Effect, now bltimer.Instant) (State, []Effect) {
-	if s.writing != nil || !now.Before(s.leaseUntil) || s.lease == "" || s.leaving {
+	if s.writing != nil || !now.Before(s.leaseUntil) || !s.hasLease() || s.leaving {
 		return s, effects
 	}
 	current, ok := s.standby()
--- a/core/bllead/state.go
+++ b/core/bllead/state.go
@@ -71,8 +71,10 @@
 	claim      Claim
 	claims     uint64
 	leaseUntil bltimer.Instant
-	// leaseEra is the era in which the lease was acquired.
+	// leaseEra is the latest era in which the lease is known to have existed.
 	leaseEra blplatform.Era
+	// renewalFailed is set from a renewal without an answer until the record is read.
+	renewalFailed bool
 	// ledTerm is the term in which this process was last lead, until ledUntil.
 	ledTerm  uint64
 	ledUntil bltimer.Instant
@@ -226,7 +228,7 @@
 	return Authority{
 		Term:           s.stored.Record.Term,
 		Until:          until,
-		MayChange:      now.Before(s.leaseUntil) && s.lease != "",
+		MayChange:      now.Before(s.leaseUntil) && s.hasLease(),
 		Era:            s.era,
 		PriorExpiredAt: s.priorExpiredAt,
 		Standby:        s.stored.Record.Standby,
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -74,6 +74,9 @@
 		s = s.withEnded(incarnation, now)
 	}
 	s = s.withOwnEarlierRunsEnded(now)
+	if s.leads() {
+		return recordReadByLead(s, m, now)
+	}
 	if s.Role() != RoleFollower || s.leaving {
 		return s, nil
 	}
@@ -117,7 +120,7 @@
 		return s
 	}
 	if s.leaseAbsentSince == 0 || at.Sub(s.leaseAbsentAt) > s.timing.Lease {
-		s.leaseAbsentSince = max(at, 1)
+		s.leaseAbsentSince = max(at, s.eraSince, 1)
 	}
 	s.leaseAbsentAt = at
 	return s
@@ -199,8 +202,9 @@
 	if m.Failed {
 		return s.withEvent(eventLose), nil
 	}
-	earlier := s.isEarlierEra(m.LeaseRevision)
 	s = s.withEraOf(m.LeaseRevision, now).withStored(m.Stored, now)
+	// The store may have been restored between the lease and the read of the record.
+	earlier := s.isEarlierEra(m.LeaseRevision)
 	leaseUntil := m.SentAt.Add(s.timing.Lease - s.timing.ClockMargin)
 	if earlier || !s.mayLead(now) || !now.Before(leaseUntil) || now.Before(s.promisedUntil) {
 		return s.withEvent(eventLose), []Effect{EndLease{Lease: m.Lease}}
--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -109,7 +109,7 @@
 	switch e := effect.(type) {
 	case bllead.ReadRecord:
 		n.callStore(false, func() func() {
-			read := bllead.RecordRead{SentAt: sentAt, LeaseHolder: sim.store.currentHolder(sim.now), LeaseClaim: sim.store.leaseClaim,
+			read := bllead.RecordRead{SentAt: sentAt, LeaseHolder: sim.store.currentHolder(sim.now), LeaseClaim: sim.store.data.leaseClaim,
 				LeaseRevision: sim.store.leaseRevision(sim.now), Stored: sim.store.record()}
 			return func() { n.deliverToLead(read) }
 		}, func(bool) { n.deliverToLead(bllead.RecordRead{SentAt: sentAt, Failed: true}) })
--- a/core/blproof/restored_test.go
+++ b/core/blproof/restored_test.go
@@ -11,6 +11,8 @@
 // comes back from a copy that is age older than at.
 type restore struct {
 	at, length, age time.Duration
+	// keepsLease is set where the copy holds leases, which then begin anew.
+	keepsLease bool
 }
 
 // restoreGenerator generates random restores that start no later than lastFaultAt.
@@ -23,6 +25,8 @@
 			at:     milliseconds(t, 0, int(lastFaultAt/time.Millisecond), "at"),
 			length: milliseconds(t, 0, 3000, "length"),
 			age:    milliseconds(t, 0, 5000, "age"),
+
+			keepsLease: rapid.Bool().Draw(t, "keeps lease"),
 		}
 	})
 }
@@ -33,7 +37,7 @@
 		sim.storeDown = true
 		copiedAt := sim.now - r.age
 		sim.schedule(r.length, func() {
-			sim.store.restore(copiedAt)
+			sim.store.restore(copiedAt, r.keepsLease, sim.now)
 			sim.storeDown = false
 		})
 	})
--- a/core/blproof/store_test.go
+++ b/core/blproof/store_test.go
@@ -18,6 +18,11 @@
 	record  bllead.Stored
 	chunks  map[int]blassign.Chunk
 	number  uint64
+	// The lease, whose time begins anew when it is restored.
+	leaseClaim     bllead.Claim
+	leaseID        blplatform.LeaseID
+	leaseNumber    uint64
+	leaseExpiresAt time.Duration
 }
 
 // clone returns a copy taken at now.
@@ -28,17 +33,13 @@
 }
 
 // memoryStore is an in-memory model of the platform's store. Its lease expires by
-// simulated time. It can be restored from an older copy: the lease is then gone, the
-// era is the next one, and the numbers after the copy are assigned again. Writes are
+// simulated time. It can be restored from an older copy: the lease is then gone, or that
+// of the copy has its whole time to live again, the era is the next one, and the numbers after the copy are assigned again. Writes are
 // compared by number alone, so that a late write of an earlier era may take effect.
 type memoryStore struct {
-	data           storedData
-	era            blplatform.Era
-	copies         []storedData
-	leaseClaim     bllead.Claim
-	leaseID        blplatform.LeaseID
-	leaseNumber    uint64
-	leaseExpiresAt time.Duration
+	data   storedData
+	era    blplatform.Era
+	copies []storedData
 }
 
 func newMemoryStore() *memoryStore {
@@ -52,7 +53,7 @@
 
 // restore replaces the data by the latest copy that was taken at or before at, or by
 // the first one that holds a record.
-func (s *memoryStore) restore(at time.Duration) {
+func (s *memoryStore) restore(at time.Duration, keepsLease bool, now time.Duration) {
 	found := false
 	for _, data := range s.copies {
 		if data.record.Revision != 0 && (!found || data.takenAt <= at) {
@@ -60,7 +61,11 @@
 		}
 	}
 	s.era++
-	s.leaseExpiresAt = 0
+	if keepsLease && s.data.leaseExpiresAt > s.data.takenAt {
+		s.data.leaseExpiresAt = now + leaseTTL
+		return
+	}
+	s.data.leaseExpiresAt = 0
 }
 
 // record returns the lead record as the store reports it.
@@ -80,10 +85,10 @@
 // currentHolder returns the holder of the lease, or an empty incarnation if the
 // lease is not held or has expired.
 func (s *memoryStore) currentHolder(now time.Duration) blvalue.Incarnation {
-	if now >= s.leaseExpiresAt {
+	if now >= s.data.leaseExpiresAt {
 		return ""
 	}
-	return s.leaseClaim.Holder()
+	return s.data.leaseClaim.Holder()
 }
 
 // leaseRevision returns the revision of the lease's key, or zero if the key does
@@ -92,7 +97,7 @@
 	if s.currentHolder(now) == "" {
 		return 0
 	}
-	return blplatform.NewRevision(s.era, s.leaseNumber)
+	return blplatform.NewRevision(s.era, s.data.leaseNumber)
 }
 
 // acquireLease acquires the lease if its key is still at revision.
@@ -103,24 +108,24 @@
 		return "", false
 	}
 	s.data.number++
-	s.leaseNumber = s.data.number
-	s.leaseID = blplatform.LeaseID(fmt.Sprintf("%d.%d", s.era, s.leaseNumber))
-	s.leaseClaim = claim
-	s.leaseExpiresAt = now + ttl
-	return s.leaseID, true
+	s.data.leaseNumber = s.data.number
+	s.data.leaseID = blplatform.LeaseID(fmt.Sprintf("%d.%d", s.era, s.data.leaseNumber))
+	s.data.leaseClaim = claim
+	s.data.leaseExpiresAt = now + ttl
+	return s.data.leaseID, true
 }
 
 func (s *memoryStore) renewLease(id blplatform.LeaseID, ttl, now time.Duration) bool {
-	if s.currentHolder(now) == "" || id != s.leaseID {
+	if s.currentHolder(now) == "" || id != s.data.leaseID {
 		return false
 	}
-	s.leaseExpiresAt = now + ttl
+	s.data.leaseExpiresAt = now + ttl
 	return true
 }
 
 func (s *memoryStore) endLease(id blplatform.LeaseID) {
-	if id == s.leaseID {
-		s.leaseExpiresAt = 0
+	if id == s.data.leaseID {
+		s.data.leaseExpiresAt = 0
 	}
 }
 
