--- a/tools/soak/soak_test.go
+++ b/tools/soak/soak_test.go
@@ -13,13 +13,17 @@
 // failed before.
 func TestShortRuns(t *testing.T) {
 	cases := []struct {
-		name string
-		seed uint64
+		name     string
+		seed     uint64
+		restores bool
 	}{
-		{"arbitrary seed", 1},
+		{"arbitrary seed", 1, false},
 		// All pot servers were missing at the lead at the same time, and computing
 		// their weights crashed the lead's process.
-		{"all servers missing at the lead", 5},
+		{"all servers missing at the lead", 5, false},
+		// A lead that began after a restore ignored what the store held, since its
+		// revisions were lower, and keys stayed unserved.
+		{"store restored", 104, true},
 	}
 	binaries := t.TempDir()
 	if err := blfleet.Build(filepath.Join("..", ".."), binaries); err != nil {
@@ -27,7 +31,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			args := arguments{Length: 20 * time.Second, Hosts: 5, Root: filepath.Join("..", "..")}
+			args := arguments{Length: 20 * time.Second, Hosts: 5, Root: filepath.Join("..", ".."), Restores: c.restores}
 			s := newSoak(args, c.seed, binaries, t.TempDir())
 			if err := s.execute(); err != nil {
 				t.Fatalf("execute: %v", err)
