Let held failure domains return where the store hasn't changed

What callers would see: a failure domain that was held out after a restore gets no work for good, until operators change anything else.

Cause: when the hold has ended the store is read again, and the domain is in. Where nothing in the store has changed since the last read, that configuration has the same version and revision as the one of the hold, and every duty ignores it as not later. The hold isn't tried again.

Change: a configuration says whether failure domains are held out (Accepted.Held). Of two at the same position the one without a hold is later, which can't turn back.

Seen failing before: TestEndOfHoldReplacesTheConfiguration: got no later one than that of the hold. It passes now.

--- a/core/blconfig/document.go
+++ b/core/blconfig/document.go
@@ -112,7 +112,9 @@
 	// StoredVersion is the version that the store holds. It is earlier than Version
 	// after the store was restored from an older copy.
 	StoredVersion uint64
-	Document      Document
+	// Held is set while failure domains are held out that the store may not list.
+	Held     bool
+	Document Document
 	// Source is the text from which the configuration was decoded.
 	Source string
 	// Plan is the typed form of the configuration, which decisions read.
--- a/core/blconfig/position.go
+++ b/core/blconfig/position.go
@@ -22,11 +22,21 @@
 	return Position{Version: a.Version, Revision: a.Revision}
 }
 
-// LaterThan reports whether the configuration is to replace other.
+// LaterThan reports whether the configuration is to replace other. Held domains return
+// at the end of their time, where nothing in the store need have changed.
 func (a Accepted) LaterThan(other Accepted) bool {
+	if a.Position() == other.Position() {
+		return other.Held && !a.Held
+	}
 	return a.Position().LaterThan(other.Position())
 }
 
+// WithHeld returns the configuration with whether failure domains are held out.
+func (a Accepted) WithHeld(held bool) Accepted {
+	a.Held = held
+	return a
+}
+
 // WithVersion returns the configuration with the version that operators gave it.
 func (a Accepted) WithVersion(version uint64) Accepted {
 	a.Version = version
--- a/core/blconfig/stored.go
+++ b/core/blconfig/stored.go
@@ -20,9 +20,11 @@
 	Text    string
 	// Out lists the names of the failure domains that must get no work, sorted.
 	Out []string
+	// Held is set where Out holds failure domains that the store may not list.
+	Held bool
 }
 
-// SameContents reports whether both differ in their revisions at most.
+// SameContents reports whether both differ in their revisions and Held at most.
 func (s Stored) SameContents(other Stored) bool {
 	return s.Version == other.Version && s.Text == other.Text && slices.Equal(s.Out, other.Out)
 }
@@ -53,7 +55,7 @@
 		l.held = nil
 	}
 	merged := l.withLaterVersion(read)
-	merged.Out = union(read.Out, l.held)
+	merged.Out, merged.Held = union(read.Out, l.held), len(l.held) > 0
 	return l.withStored(merged), merged
 }
 
@@ -68,11 +70,11 @@
 		if received.Version > l.stored.Version {
 			l = l.withHeld(received.Out, now)
 		}
-		merged.Revision, merged.Out = l.stored.Revision, union(l.stored.Out, l.held)
+		merged.Revision, merged.Out, merged.Held = l.stored.Revision, union(l.stored.Out, l.held), len(l.held) > 0
 		return l.withStored(merged), merged
 	}
 	l = l.withEra(received, now).withHeld(received.Out, now)
-	merged.Out = union(received.Out, l.held)
+	merged.Out, merged.Held = union(received.Out, l.held), len(l.held) > 0
 	return l.withStored(merged), merged
 }
 
