End the watch of the configuration with the hold of domains

What callers would see: a failure domain that was held out after a restore gets no work for up to 35 s where 5 s are meant, unless operators change anything else.

Cause: the end of the hold was noticed only when a watch ended without a change, and the store keeps a watch open for 30 s. The test of the hold uses a store that answers watches at once.

Change: a watch waits no longer than the hold lasts (blconfig.Latest.HoldLeft).

Seen failing before: TestWatchEndsWithTheHold: waits: got [30s 30s], want 3s until the end of the hold and then 30s. It passes now.

--- a/core/blconfig/stored.go
+++ b/core/blconfig/stored.go
@@ -87,10 +87,10 @@
 	return l
 }
 
-// HoldEnded reports whether failure domains were held out until a time that has passed,
-// so that the store is to be read again.
-func (l Latest) HoldEnded(now bltimer.Instant) bool {
-	return len(l.held) > 0 && !now.Before(l.heldUntil)
+// HoldLeft returns how long failure domains are held out yet, and whether any are. Once
+// nothing of that time is left, the store is to be read again.
+func (l Latest) HoldLeft(now bltimer.Instant) (time.Duration, bool) {
+	return max(l.heldUntil.Sub(now), 0), len(l.held) > 0
 }
 
 // withEra returns the state that holds out all failure domains that are out, if the
