Give no term to a claim that isn't the latest known record

What callers would see: two leads in one term, so that an upstream gets partitions with a fence that another one had.

Cause: the term of a lead is that of the latest known record. Since records of an earlier revision are no longer taken over, a process whose claim was written could gain the lead while it knew a later record of another process, read from the restored store before the answer to its write; or while it knew the record before its own, if the answer named no era.

Change: bllead.recordAccepted steps down unless the latest known record names this process as lead.

Seen failing before: TestClaimOfAnotherRecordGivesNoTerm: role: got leading in term 16385, and leading in term 8196, want follower. It passes now.

--- a/core/bllead/restored_test.go
+++ b/core/bllead/restored_test.go
@@ -166,3 +166,44 @@
 		})
 	}
 }
+
+// TestClaimOfAnotherRecordGivesNoTerm guards against a process that leads in the term of
+// another one: its own record is written, but the store has shown a later one meanwhile,
+// or the answer doesn't tell its era.
+func TestClaimOfAnotherRecordGivesNoTerm(t *testing.T) {
+	const era = 1
+	revision := func(number uint64) uint64 { return blplatform.NewRevision(era, number) }
+	ended := bllead.Stored{Record: bllead.Record{Term: bllead.TermFloor(era) + 4, Era: era, Lead: host("x")}, Revision: revision(40)}
+	later := bllead.Stored{Record: bllead.Record{Term: bllead.TermFloor(era+1) + 1, Era: era + 1, Lead: host("x")}, Revision: blplatform.NewRevision(era+1, 40)}
+	cases := []struct {
+		name string
+		// read is a record that is read before the answer to the write.
+		read bllead.Stored
+		// written is the revision in that answer.
+		written uint64
+		want    bllead.Role
+	}{
+		{"written", ended, revision(41), bllead.RoleLeading},
+		{"written before a later record", later, revision(41), bllead.RoleFollower},
+		{"answer without an era", ended, 41, bllead.RoleFollower},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.send(bllead.RecordRead{SentAt: p.instant(), Stored: ended})
+			p.send(bllead.LeaseAcquired{SentAt: p.instant(), Claim: p.claim, Lease: "lease_1", LeaseRevision: revision(50), Stored: ended})
+			write, ok := effect[bllead.WriteRecord](p)
+			if !ok {
+				t.Fatalf("effects: got %v, want WriteRecord", p.effects)
+			}
+			p.send(bllead.RecordRead{SentAt: p.instant(), Stored: c.read})
+			p.send(bllead.RecordWritten{
+				WriteID: write.Record.WriteID, Outcome: blplatform.Written,
+				Current: bllead.Stored{Record: write.Record, Revision: c.written},
+			})
+			if got := p.state.Role(); got != c.want {
+				t.Errorf("role: got %s in term %d, want %s", got, p.state.Authority(p.instant()).Term, c.want)
+			}
+		})
+	}
+}
--- a/core/bllead/write.go
+++ b/core/bllead/write.go
@@ -65,13 +65,15 @@
 	return s, nil
 }
 
+// recordAccepted makes a process lead whose claim is written, unless the latest known
+// record is another one: the term would be that of its lead.
 func recordAccepted(s State, now bltimer.Instant) (State, []Effect) {
 	s.standbyContactAt = now
 	s.promiseUntil = 0
 	if s.Role() != RoleClaiming {
 		return s, nil
 	}
-	if !now.Before(s.leaseUntil) || s.restored() {
+	if !now.Before(s.leaseUntil) || s.restored() || s.replaced() {
 		return stepDown(s, now)
 	}
 	s = s.withEvent(eventGain)
