Learn of a restore from a renewal of the lease

What callers would see: keys of servers that have ended or joined since a restore stay unserved or unbalanced for good. And, where the store gives the number of the lost lease out again, two leads: one renews the lease of the other.

Cause: a lead read the record after a restore only if one of its renewals had failed or its lease was gone. If the store was away for less than the time between two renewals and its lease came back, or its number stood for another one, it stayed in the former era. Its chunks then had revisions of an era that it didn't know, and weren't written again; as long as one of them is restored, nothing is placed.

Change: the answer to a renewal tells the era of the store (blplatform.EraReader). In a later era than the known one it extends nothing; the record and the claim in the lease's key are read first, and a lease under another claim is dropped.

Seen failing before: TestLeadLearnsOfARestoreWithoutOutage: partitions unserved: got 2, want 0. TestLeaseNumberGivenOutAgainIsNoLease fails without the rule: authority before the claim is known: got until 10.595 s, want 10.47 s.

--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -1,6 +1,7 @@
 package bllead
 
 import (
+	"bergamotlead/core/blplatform"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 )
@@ -122,6 +123,11 @@
 	}
 	s.storeContactAt = now
 	s.unansweredSince = 0
+	if blplatform.FromEarlierEra(blplatform.NewRevision(s.era, 1), m.Era) {
+		// The lease may be another process's that was given the same number again. The
+		// claim in the lease's key tells.
+		return s, []Effect{ReadRecord{}}
+	}
 	if s.Role() == RoleHolding {
 		s = s.withEvent(eventResume)
 	}
--- a/core/bllead/messages.go
+++ b/core/bllead/messages.go
@@ -51,6 +51,8 @@
 type LeaseRenewed struct {
 	SentAt bltimer.Instant
 	Lease  blplatform.LeaseID
+	// Era is the latest era in which the store has answered, or zero if that is unknown.
+	Era blplatform.Era
 	// Lost is set when the store has ended the lease.
 	Lost bool
 	// Stored is the record as read after the loss, if Read is set.
--- a/core/bllead/restored_test.go
+++ b/core/bllead/restored_test.go
@@ -207,3 +207,45 @@
 		})
 	}
 }
+
+// TestLeaseNumberGivenOutAgainIsNoLease guards against a lead that renews the lease of
+// another process, to which the restored store has given the number of the lost one.
+func TestLeaseNumberGivenOutAgainIsNoLease(t *testing.T) {
+	cases := []struct {
+		name string
+		// mine is set where the restored store holds this lead's own lease.
+		mine bool
+	}{{"own lease restored", true}, {"lease of another process", false}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.lead()
+			read := bllead.RecordRead{
+				Stored:     bllead.Stored{Record: p.state.Record(), Revision: blplatform.NewRevision(1, 1)},
+				LeaseClaim: "c_run#1", LeaseHolder: "c_run", LeaseRevision: blplatform.NewRevision(1, 9),
+			}
+			if c.mine {
+				read.LeaseClaim, read.LeaseHolder = p.claim, "a_run"
+			}
+			until := p.state.Authority(p.instant()).Until
+			p.now += lease / 4
+			p.send(bllead.LeaseRenewed{SentAt: p.instant(), Lease: "lease_1", Era: 1})
+			if got := p.state.Authority(p.instant()).Until; got != until {
+				t.Errorf("authority before the claim is known: got until %v, want %v", got, until)
+			}
+			if _, ok := effect[bllead.ReadRecord](p); !ok {
+				t.Fatalf("effects: got %v, want ReadRecord", p.effects)
+			}
+			read.SentAt = p.instant()
+			p.send(read)
+			p.send(bllead.Tick{})
+			if _, renews := effect[bllead.RenewLease](p); renews != c.mine {
+				t.Errorf("renews the lease: got %t, want %t", renews, c.mine)
+			}
+			p.send(bllead.LeaseRenewed{SentAt: p.instant(), Lease: "lease_1", Era: 1})
+			if got := p.state.Authority(p.instant()); got.MayChange != c.mine || got.Until > until != c.mine {
+				t.Errorf("authority after the next renewal: got %+v, want one that is extended and may change the store: %t", got, c.mine)
+			}
+		})
+	}
+}
--- a/core/blplatform/store.go
+++ b/core/blplatform/store.go
@@ -59,6 +59,12 @@
 	List(ctx context.Context, prefix string) ([]Entry, error)
 }
 
+// EraReader is implemented by stores that tell how often they were restored.
+type EraReader interface {
+	// Era returns the latest era in which the store has answered.
+	Era() Era
+}
+
 // ConflictError reports that a key was not at the expected revision.
 type ConflictError struct {
 	Current Entry
--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -125,9 +125,9 @@
 	case bllead.RenewLease:
 		n.callStore(true, func() func() {
 			ok := sim.store.renewLease(e.Lease, leaseTTL, sim.now)
-			stored := sim.store.record()
+			stored, era := sim.store.record(), sim.store.era
 			return func() {
-				n.deliverToLead(bllead.LeaseRenewed{SentAt: sentAt, Lease: e.Lease, Lost: !ok, Read: !ok, Stored: stored})
+				n.deliverToLead(bllead.LeaseRenewed{SentAt: sentAt, Lease: e.Lease, Era: era, Lost: !ok, Read: !ok, Stored: stored})
 			}
 		}, func(bool) { n.deliverToLead(bllead.LeaseRenewed{SentAt: sentAt, Lease: e.Lease, Failed: true}) })
 	case bllead.EndLease:
--- a/core/blproof/restored_test.go
+++ b/core/blproof/restored_test.go
@@ -86,3 +86,28 @@
 		}
 	}
 }
+
+// TestLeadLearnsOfARestoreWithoutOutage guards against a lead that moves nothing any more,
+// since no call of its failed while the store was restored with its lease.
+func TestLeadLearnsOfARestoreWithoutOutage(t *testing.T) {
+	sim := newSteadySimulation(t, mutation{})
+	sim.scheduleRestore(restore{at: time.Second, age: 300 * time.Millisecond, keepsLease: true})
+	for i, at := range []time.Duration{3 * time.Second, 8 * time.Second} {
+		sim.schedule(at, func() {
+			for _, n := range sim.nodes {
+				if n != sim.leadNode() && n != sim.standbyNode() && !n.down {
+					n.down = true
+					t.Logf("node %d ends at %v (%d)", n.index, sim.now, i)
+					return
+				}
+			}
+		})
+	}
+	sim.runUntil(steadyAt + 16*time.Second)
+	if got := sim.unservedPartitions(); got > 0 {
+		t.Errorf("partitions unserved: got %d, want 0", got)
+	}
+	if len(sim.violations) > 0 {
+		t.Errorf("violations: got %s, want none", sim.violations[0])
+	}
+}
--- a/io/blnode/lead_work.go
+++ b/io/blnode/lead_work.go
@@ -195,6 +195,9 @@
 	var lost blplatform.LeaseLostError
 	result.Lost = errors.As(err, &lost)
 	result.Failed = err != nil && !result.Lost
+	if reader, ok := s.store.(blplatform.EraReader); ok {
+		result.Era = reader.Era()
+	}
 	if result.Lost {
 		result.Stored, err = s.readStored()
 		result.Read = err == nil
--- a/io/blstore/client.go
+++ b/io/blstore/client.go
@@ -30,6 +30,11 @@
 	return &Client{transport: NewTransport(address, eraHeader)}
 }
 
+// Era implements blplatform.EraReader.
+func (c *Client) Era() blplatform.Era {
+	return c.transport.Era()
+}
+
 type entryBody struct {
 	Value    []byte `json:"value"`
 	Revision uint64 `json:"revision"`
