Read the record often enough to know that the lease is absent

What callers would see: a fleet of 188 nodes or more without a lead for good, once lead and standby have ended on hosts that don't come back.

Cause: any process may take over once the lease has been absent for the hold limit. Reads that are further apart than a lease (1.5 s on the platform) start the absence anew, and in such a fleet the interval between reads exceeds it (1.56 s at 195 nodes, 2 s from 250 on).

Change: while the lease is absent, the interval is at most three quarters of a lease. At 710 nodes these are 631 reads a second instead of 355, by calculation, and only while there is no lease.

Seen failing before: TestLargeFleetReplacesALostLead: acquires the lease: got never, want once the hold limit has passed. It passes now.

--- a/core/bllead/restored_test.go
+++ b/core/bllead/restored_test.go
@@ -249,3 +249,24 @@
 		})
 	}
 }
+
+// TestLargeFleetReplacesALostLead guards against a fleet without a lead for good: its
+// followers read the record so seldom that they never know how long the lease is absent.
+func TestLargeFleetReplacesALostLead(t *testing.T) {
+	p := newProcess(t)
+	p.state = p.state.WithTiming(bllead.Timing{Lease: 1500 * time.Millisecond, GrantTTL: 2 * time.Second, ClockMargin: margin, HoldLimit: holdLimit})
+	p.send(bllead.NodesCounted{Nodes: 195})
+	p.send(bllead.RecordRead{SentAt: p.instant(), Stored: record(4, "x", "b"), LeaseHolder: "x_run", LeaseRevision: 50})
+	found := restoredAs(record(3, "y", "b"), 1)
+	for end := p.now + 30*time.Second; p.now < end; p.now += tick {
+		p.send(bllead.Tick{})
+		if _, ok := effect[bllead.ReadRecord](p); !ok {
+			continue
+		}
+		p.send(bllead.RecordRead{SentAt: p.instant(), Stored: found})
+		if _, ok := effect[bllead.AcquireLease](p); ok {
+			return
+		}
+	}
+	t.Error("acquires the lease: got never, want once the hold limit has passed")
+}
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -34,9 +34,21 @@
 	case s.hasEnded(s.stored.Record.Lead.Incarnation):
 		interval = leadEndedReadInterval
 	}
-	return min(interval*time.Duration(max(s.nodes, nodesPerReadInterval))/nodesPerReadInterval, maxReadInterval)
+	interval = min(interval*time.Duration(max(s.nodes, nodesPerReadInterval))/nodesPerReadInterval, maxReadInterval)
+	if s.leaseAbsentSince != 0 {
+		// Reads that are further apart than a lease never add up to an absence.
+		interval = min(interval, s.timing.Lease*absentReadPercent/percent)
+	}
+	return interval
 }
 
+const (
+	// absentReadPercent is the longest interval between reads while the lease is absent,
+	// in percent of the duration of a lease.
+	absentReadPercent = 75
+	percent           = 100
+)
+
 // leadTimedOut reports whether contact with the lead has been lost for too long:
 // half a lease for the standby, which the lead calls four times per lease. Other
 // processes learn of the lead from the answers to their heartbeats, and wait for
