--- a/core/bllead/restored_test.go
+++ b/core/bllead/restored_test.go
@@ -166,3 +166,107 @@
 		})
 	}
 }
+
+// TestClaimOfAnotherRecordGivesNoTerm guards against a process that leads in the term of
+// another one: its own record is written, but the store has shown a later one meanwhile,
+// or the answer doesn't tell its era.
+func TestClaimOfAnotherRecordGivesNoTerm(t *testing.T) {
+	const era = 1
+	revision := func(number uint64) uint64 { return blplatform.NewRevision(era, number) }
+	ended := bllead.Stored{Record: bllead.Record{Term: bllead.TermFloor(era) + 4, Era: era, Lead: host("x")}, Revision: revision(40)}
+	later := bllead.Stored{Record: bllead.Record{Term: bllead.TermFloor(era+1) + 1, Era: era + 1, Lead: host("x")}, Revision: blplatform.NewRevision(era+1, 40)}
+	cases := []struct {
+		name string
+		// read is a record that is read before the answer to the write.
+		read bllead.Stored
+		// written is the revision in that answer.
+		written uint64
+		want    bllead.Role
+	}{
+		{"written", ended, revision(41), bllead.RoleLeading},
+		{"written before a later record", later, revision(41), bllead.RoleFollower},
+		{"answer without an era", ended, 41, bllead.RoleFollower},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.send(bllead.RecordRead{SentAt: p.instant(), Stored: ended})
+			p.send(bllead.LeaseAcquired{SentAt: p.instant(), Claim: p.claim, Lease: "lease_1", LeaseRevision: revision(50), Stored: ended})
+			write, ok := effect[bllead.WriteRecord](p)
+			if !ok {
+				t.Fatalf("effects: got %v, want WriteRecord", p.effects)
+			}
+			p.send(bllead.RecordRead{SentAt: p.instant(), Stored: c.read})
+			p.send(bllead.RecordWritten{
+				WriteID: write.Record.WriteID, Outcome: blplatform.Written,
+				Current: bllead.Stored{Record: write.Record, Revision: c.written},
+			})
+			if got := p.state.Role(); got != c.want {
+				t.Errorf("role: got %s in term %d, want %s", got, p.state.Authority(p.instant()).Term, c.want)
+			}
+		})
+	}
+}
+
+// TestLeaseNumberGivenOutAgainIsNoLease guards against a lead that renews the lease of
+// another process, to which the restored store has given the number of the lost one.
+func TestLeaseNumberGivenOutAgainIsNoLease(t *testing.T) {
+	cases := []struct {
+		name string
+		// mine is set where the restored store holds this lead's own lease.
+		mine bool
+	}{{"own lease restored", true}, {"lease of another process", false}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProcess(t)
+			p.lead()
+			read := bllead.RecordRead{
+				Stored:     bllead.Stored{Record: p.state.Record(), Revision: blplatform.NewRevision(1, 1)},
+				LeaseClaim: "c_run#1", LeaseHolder: "c_run", LeaseRevision: blplatform.NewRevision(1, 9),
+			}
+			if c.mine {
+				read.LeaseClaim, read.LeaseHolder = p.claim, "a_run"
+			}
+			until := p.state.Authority(p.instant()).Until
+			p.now += lease / 4
+			p.send(bllead.LeaseRenewed{SentAt: p.instant(), Lease: "lease_1", Era: 1})
+			if got := p.state.Authority(p.instant()).Until; got != until {
+				t.Errorf("authority before the claim is known: got until %v, want %v", got, until)
+			}
+			if _, ok := effect[bllead.ReadRecord](p); !ok {
+				t.Fatalf("effects: got %v, want ReadRecord", p.effects)
+			}
+			read.SentAt = p.instant()
+			p.send(read)
+			p.send(bllead.Tick{})
+			if _, renews := effect[bllead.RenewLease](p); renews != c.mine {
+				t.Errorf("renews the lease: got %t, want %t", renews, c.mine)
+			}
+			p.send(bllead.LeaseRenewed{SentAt: p.instant(), Lease: "lease_1", Era: 1})
+			if got := p.state.Authority(p.instant()); got.MayChange != c.mine || got.Until > until != c.mine {
+				t.Errorf("authority after the next renewal: got %+v, want one that is extended and may change the store: %t", got, c.mine)
+			}
+		})
+	}
+}
+
+// TestLargeFleetReplacesALostLead guards against a fleet without a lead for good: its
+// followers read the record so seldom that they never know how long the lease is absent.
+func TestLargeFleetReplacesALostLead(t *testing.T) {
+	p := newProcess(t)
+	p.state = p.state.WithTiming(bllead.Timing{Lease: 1500 * time.Millisecond, GrantTTL: 2 * time.Second, ClockMargin: margin, HoldLimit: holdLimit})
+	p.send(bllead.NodesCounted{Nodes: 195})
+	p.send(bllead.RecordRead{SentAt: p.instant(), Stored: record(4, "x", "b"), LeaseHolder: "x_run", LeaseRevision: 50})
+	found := restoredAs(record(3, "y", "b"), 1)
+	for end := p.now + 30*time.Second; p.now < end; p.now += tick {
+		p.send(bllead.Tick{})
+		if _, ok := effect[bllead.ReadRecord](p); !ok {
+			continue
+		}
+		p.send(bllead.RecordRead{SentAt: p.instant(), Stored: found})
+		if _, ok := effect[bllead.AcquireLease](p); ok {
+			return
+		}
+	}
+	t.Error("acquires the lease: got never, want once the hold limit has passed")
+}
