Make the test of a chunk's conflict after a restore meet one

The case "a write conflicts with the earlier one" passed with the rule that it guards taken out (blassign.isOlderCopy): the lead wrote nothing, since a second without heartbeats had ended all its members, and the expected owners were read after the conflict, so that adopted ones counted as the lead's.

Now the heartbeats are recent, the expected owners are those before the restore, and a case without a conflict fails. Without the rule: chunk 0: got era 1 with other owners or none. With it the test passes.

--- a/core/blassign/restored_test.go
+++ b/core/blassign/restored_test.go
@@ -17,6 +17,8 @@
 	number uint64
 	chunks map[blassign.ChunkID]blassign.Chunk
 	again  int
+	// conflicts counts the writes that met another chunk than expected.
+	conflicts int
 }
 
 func (c *chunkStore) reported(id blassign.ChunkID) blassign.Chunk {
@@ -40,6 +42,8 @@
 			if e.Again {
 				c.again++
 			}
+		} else {
+			c.conflicts++
 		}
 		result.Current = c.reported(e.ID)
 		return result
@@ -94,14 +98,14 @@
 			if c.conflict {
 				h.heartbeats[0].Leaving = true
 				h.sendHeartbeatQuietly(0)
-				h.now = h.now.Add(time.Second)
-				store.run(h, blassign.Tick{})
+				h.now = h.now.Add(100 * time.Millisecond)
+				if store.run(h, blassign.Tick{}); store.conflicts == 0 {
+					t.Fatal("writes that met the restored chunk: got 0, want some")
+				}
 				h.heartbeats[0].Leaving = false
 				h.sendHeartbeatQuietly(0)
 			}
 			store.run(h, authorityIn(1, 1, h))
-			ownership, _ = h.state.Ownership("pot")
-			owners = ownership.Owners()
 			for range 8 {
 				h.now = h.now.Add(2 * time.Second / 10)
 				store.run(h, blassign.Tick{})
