--- a/core/bllead/era.go
+++ b/core/bllead/era.go
@@ -12,8 +12,8 @@
 	// store. The era is above them, so that a term exceeds those of earlier eras even
 	// where the records that held them are lost.
 	termsPerEraBits = 13
-	// standbyMemory is how long before a new era of the store was seen the lead may have
-	// last called its standby for the standby to rely on it.
+	// standbyMemory is how long before a new era of the store was seen a process must have
+	// been called as standby, or have been lead, to rely on that.
 	standbyMemory = 4 * time.Second
 )
 
--- a/core/blproof/store_test.go
+++ b/core/blproof/store_test.go
@@ -34,8 +34,9 @@
 
 // memoryStore is an in-memory model of the platform's store. Its lease expires by
 // simulated time. It can be restored from an older copy: the lease is then gone, or that
-// of the copy has its whole time to live again, the era is the next one, and the numbers after the copy are assigned again. Writes are
-// compared by number alone, so that a late write of an earlier era may take effect.
+// of the copy has its whole time to live again, the era is the next one, and the numbers
+// after the copy are assigned again. Writes are compared by number alone, so that a late
+// write of an earlier era may take effect.
 type memoryStore struct {
 	data   storedData
 	era    blplatform.Era
