Let process tests wait for every node before the first call

Evidence: with host_1 started 2 s late the others have a lead after 55 ms, and the same call fails in the same way (trial, not kept). Change: deploy, soak, demo and measure wait until each node answers its operators and there is a lead.

--- a/tests/main_test.go
+++ b/tests/main_test.go
@@ -70,8 +70,8 @@
 	}
 	t.Cleanup(started.Stop)
 	f := &fleet{Fleet: started, t: t}
-	if _, err := f.WaitLead(startWait); err != nil {
-		t.Fatalf("wait for lead: %v", err)
+	if _, err := f.WaitReady(startWait); err != nil {
+		t.Fatalf("wait for fleet: %v", err)
 	}
 	document, err := f.Document(filepath.Join("..", "configs", "dakar.toml"), edit)
 	if err != nil {
--- a/tools/blfleet/wait.go
+++ b/tools/blfleet/wait.go
@@ -37,6 +37,23 @@
 	return lead, err
 }
 
+// WaitReady waits until every node answers its operators and one has the role of lead,
+// and returns the lead's host.
+func (f *Fleet) WaitReady(limit time.Duration) (*Host, error) {
+	err := waitFor(limit, "all nodes", func() bool {
+		for _, host := range f.Hosts {
+			if _, err := f.Status(host); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		return nil, err
+	}
+	return f.WaitLead(limit)
+}
+
 // WaitOwners waits until all partitions of the service are granted.
 func (f *Fleet) WaitOwners(service blvalue.ServiceName, partitions int, limit time.Duration) error {
 	return waitFor(limit, "owners of "+string(service), func() bool {
--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -63,7 +63,7 @@
 }
 
 func (d *demo) configure() error {
-	lead, err := d.fleet.WaitLead(startWait)
+	lead, err := d.fleet.WaitReady(startWait)
 	if err != nil {
 		return fmt.Errorf("wait for lead: %w", err)
 	}
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -93,7 +93,7 @@
 }
 
 func (d *deployment) configure(edit func(blconfig.Document) blconfig.Document) error {
-	if _, err := d.WaitLead(startWait); err != nil {
+	if _, err := d.WaitReady(startWait); err != nil {
 		return fmt.Errorf("wait for lead: %w", err)
 	}
 	document, err := d.Document(filepath.Join("configs", "dakar.toml"), edit)
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return fmt.Errorf("start fleet: %w", err)
 	}
-	if _, err := s.fleet.WaitLead(startWait); err != nil {
+	if _, err := s.fleet.WaitReady(startWait); err != nil {
 		s.stop()
 		return fmt.Errorf("start fleet: %w", err)
 	}
