--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -113,6 +113,8 @@
 		return failed, fmt.Errorf("leave: %w", err)
 	}
 	time.Sleep(7 * time.Second)
+	// It ends while it is at work on an unsafe request, if it gets one.
+	await(time.Second, s.runsUnsafe)
 	ended := time.Now()
 	s.stop()
 	time.Sleep(2 * time.Second)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -70,6 +70,8 @@
 	holds   map[int]*hold
 	past    []hold
 	running int
+	// unsafe is the number of running requests that may not be repeated.
+	unsafe  int
 	waiting int
 	stopped bool
 	seq     uint64
@@ -393,11 +395,17 @@
 		w.WriteHeader(status)
 		return
 	}
+	if r.Method == http.MethodPost {
+		s.unsafe++
+	}
 	s.mu.Unlock()
 	s.log.run(s.name, id, r, len(body))
 	time.Sleep(s.workOn(key))
 	s.mu.Lock()
 	s.running--
+	if r.Method == http.MethodPost {
+		s.unsafe--
+	}
 	s.keys[key].running--
 	s.idle.Broadcast()
 	stopped := s.stopped
@@ -414,6 +422,12 @@
 	_, _ = fmt.Fprintf(w, "answer of %s to %s\n", s.id, id)
 }
 
+func (s *server) runsUnsafe() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unsafe > 0
+}
+
 // setWork sets how long the server works on a request.
 func (s *server) setWork(work time.Duration) {
 	s.mu.Lock()
