--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -56,7 +56,7 @@
 	time.Sleep(6 * time.Second)
 	m := f.machines[1]
 	if trouble {
-		address, err := freeAddress("127.0.0.1")
+		address, err := freeAddress(loopback(2))
 		if err != nil {
 			return failed, err
 		}
@@ -260,7 +260,7 @@
 	m := f.machines[1]
 	const foreign = "huze11x"
 	if trouble {
-		address, err := freeAddress("127.0.0.12")
+		address, err := freeAddress(loopback(12))
 		if err != nil {
 			return failed, err
 		}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -97,6 +97,14 @@
 // taken holds the ports that this process has chosen.
 var taken sync.Map
 
+// loopback returns a loopback address of this process, so that scripts beside each other
+// don't take each other's ports.
+func loopback(host int) string {
+	const nets = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%nets, pid/nets%nets, host)
+}
+
 // freeAddress returns an address on which nobody listens.
 func freeAddress(ip string) (string, error) {
 	for range maxTries {
@@ -135,7 +143,7 @@
 	m := &machine{name: fmt.Sprintf("sidecar-%s-%d", zone, number), zone: zone, service: service}
 	for _, address := range []*string{&m.outbound, &m.control, &m.ready, &m.node, &m.operator, &m.app} {
 		var err error
-		if *address, err = freeAddress(fmt.Sprintf("127.0.0.%d", 10+number)); err != nil {
+		if *address, err = freeAddress(loopback(10+number)); err != nil {
 			return nil, err
 		}
 	}
@@ -329,12 +337,26 @@
 		return f.heldKeys() == keyCount
 	})
 	if !ok {
-		return fmt.Errorf("the fleet serves nothing: %d keys are held", f.heldKeys())
+		return fmt.Errorf("the fleet serves nothing: %d keys are held; %s", f.heldKeys(), f.notReady())
 	}
 	f.log.add("all nodes are ready, and all keys are held")
 	return nil
 }
 
+// notReady names the nodes that are not ready, with the last line of their output.
+func (f *fleet) notReady() string {
+	var list []string
+	for _, m := range f.machines {
+		if m.process == nil || m.isReady() {
+			continue
+		}
+		output, _ := os.ReadFile(filepath.Join(f.folder, m.name+".log"))
+		lines := strings.Split(strings.TrimSpace(string(output)), "\n")
+		list = append(list, m.name+": "+lines[len(lines)-1])
+	}
+	return "not ready: " + strings.Join(list, "; ")
+}
+
 // answer is what a client got.
 type answer struct {
 	id, path       string
