--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -143,7 +143,7 @@
 	m := &machine{name: fmt.Sprintf("sidecar-%s-%d", zone, number), zone: zone, service: service}
 	for _, address := range []*string{&m.outbound, &m.control, &m.ready, &m.node, &m.operator, &m.app} {
 		var err error
-		if *address, err = freeAddress(loopback(10+number)); err != nil {
+		if *address, err = freeAddress(loopback(10 + number)); err != nil {
 			return nil, err
 		}
 	}
