bltimer: the clocks of the operating system are a dependency

A test of a node needs clocks that count a suspension; until now only tests of bltimer could give them. The monotonic clock is read from its own origin, so that it can be compared with the clock since boot.

--- a/core/bltimer/system.go
+++ b/core/bltimer/system.go
@@ -9,14 +9,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// clocks are the clocks of the operating system. Their readings count from arbitrary
-// origins.
-type clocks interface {
-	// now reads the monotonic clock, which doesn't count the time for which the host is
+// Clocks are the clocks of an operating system.
+type Clocks interface {
+	// Now reads the monotonic clock, which doesn't count the time for which the host is
 	// suspended, and the time of day, which does.
-	now() (monotonic, timeOfDay time.Duration)
-	// sinceBoot reads the monotonic clock that counts that time.
-	sinceBoot() (time.Duration, error)
+	Now() (monotonic, timeOfDay time.Duration)
+	// SinceBoot reads the clock that counts from the same origin as the monotonic one,
+	// and counts that time.
+	SinceBoot() (time.Duration, error)
 }
 
 const (
@@ -35,7 +35,7 @@
 // System is a Clock that reads the clocks of the operating system. It reads the slow
 // one, which counts suspensions, only if the others disagree, and each checkInterval.
 type System struct {
-	clocks clocks
+	clocks Clocks
 	// origin is the reading of the monotonic clock at instant zero.
 	origin time.Duration
 	// bootLead is how far the clock since boot was ahead of the monotonic one then, or
@@ -54,16 +54,17 @@
 
 // NewSystem returns a system clock whose instant zero is the time of the call.
 func NewSystem() *System {
-	return newSystem(osClocks{start: time.Now()})
+	return NewSystemFrom(newOSClocks())
 }
 
-func newSystem(c clocks) *System {
+// NewSystemFrom returns a system clock that reads the given clocks.
+func NewSystemFrom(c Clocks) *System {
 	s := &System{clocks: c}
 	shortest := time.Duration(math.MaxInt64)
 	for range maxCheckTries {
-		before, _ := c.now()
-		boot, err := c.sinceBoot()
-		after, _ := c.now()
+		before, _ := c.Now()
+		boot, err := c.SinceBoot()
+		after, _ := c.Now()
 		s.err = err
 		if after-before < shortest {
 			// Time may have passed between the readings. The lead is rather too large, so
@@ -71,7 +72,7 @@
 			shortest, s.bootLead = after-before, boot-before
 		}
 	}
-	monotonic, timeOfDay := c.now()
+	monotonic, timeOfDay := c.Now()
 	s.origin = monotonic
 	s.skew.Store(int64(timeOfDay - monotonic))
 	s.checkedAt.Store(int64(monotonic))
@@ -83,7 +84,7 @@
 
 // Now returns the time since the clock was created.
 func (s *System) Now() Instant {
-	monotonic, timeOfDay := s.clocks.now()
+	monotonic, timeOfDay := s.clocks.Now()
 	if s.err == nil && s.mayHaveBeenSuspended(monotonic, timeOfDay) {
 		s.check()
 	}
@@ -105,9 +106,9 @@
 // to notice a suspension in between.
 func (s *System) check() {
 	for range maxCheckTries {
-		before, timeOfDayBefore := s.clocks.now()
-		boot, err := s.clocks.sinceBoot()
-		after, timeOfDayAfter := s.clocks.now()
+		before, timeOfDayBefore := s.clocks.Now()
+		boot, err := s.clocks.SinceBoot()
+		after, timeOfDayAfter := s.clocks.Now()
 		skew := timeOfDayAfter - after
 		s.checkedAt.Store(int64(after))
 		if err != nil || (skew-(timeOfDayBefore-before)).Abs() > maxSkewChange {
@@ -131,18 +132,37 @@
 
 // osClocks are the clocks of this host.
 type osClocks struct {
-	start time.Time
+	// start is a time, and origin the reading of the monotonic clock then.
+	start  time.Time
+	origin time.Duration
+	// err is why that clock couldn't be read. The others can't be compared with it then.
+	err error
+}
+
+func newOSClocks() osClocks {
+	start := time.Now()
+	origin, err := readClock(unix.CLOCK_MONOTONIC)
+	return osClocks{start: start, origin: origin, err: err}
 }
 
-func (c osClocks) now() (monotonic, timeOfDay time.Duration) {
+// Now implements Clocks.
+func (c osClocks) Now() (monotonic, timeOfDay time.Duration) {
 	now := time.Now()
-	return now.Sub(c.start), time.Duration(now.UnixNano())
+	return c.origin + now.Sub(c.start), time.Duration(now.UnixNano())
+}
+
+// SinceBoot implements Clocks.
+func (c osClocks) SinceBoot() (time.Duration, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
+	return readClock(unix.CLOCK_BOOTTIME)
 }
 
-func (osClocks) sinceBoot() (time.Duration, error) {
+func readClock(id int32) (time.Duration, error) {
 	var reading unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &reading); err != nil {
-		return 0, fmt.Errorf("read the clock since boot: %w", err)
+	if err := unix.ClockGettime(id, &reading); err != nil {
+		return 0, fmt.Errorf("read clock %d: %w", id, err)
 	}
 	return time.Duration(reading.Nano()), nil
 }
--- a/core/bltimer/system_test.go
+++ b/core/bltimer/system_test.go
@@ -16,9 +16,9 @@
 	reads int
 }
 
-func (c *fakeClocks) now() (monotonic, timeOfDay time.Duration) { return c.monotonic, c.timeOfDay }
+func (c *fakeClocks) Now() (monotonic, timeOfDay time.Duration) { return c.monotonic, c.timeOfDay }
 
-func (c *fakeClocks) sinceBoot() (time.Duration, error) {
+func (c *fakeClocks) SinceBoot() (time.Duration, error) {
 	c.reads++
 	boot := c.boot
 	c.pass(c.delay)
@@ -69,7 +69,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			readings := &fakeClocks{monotonic: time.Hour, timeOfDay: 1000 * time.Hour, boot: 5 * time.Hour}
-			s := newSystem(readings)
+			s := NewSystemFrom(readings)
 			c.run(readings, s)
 			if got, want := s.Now(), Instant(c.want); got != want {
 				t.Errorf("now: got %v, want %v", time.Duration(got), time.Duration(want))
@@ -82,7 +82,7 @@
 // process was held up between two readings when it started.
 func TestSlowStartCountsAsSuspension(t *testing.T) {
 	readings := &fakeClocks{delay: 300 * time.Millisecond}
-	s := newSystem(readings)
+	s := NewSystemFrom(readings)
 	readings.delay = 0
 	readings.pass(time.Second)
 	if got, want := s.Now(), Instant(time.Second); got != want {
@@ -93,7 +93,7 @@
 // TestClockSinceBootIsReadRarely checks that the slow clock isn't read for each message.
 func TestClockSinceBootIsReadRarely(t *testing.T) {
 	readings := &fakeClocks{}
-	s := newSystem(readings)
+	s := NewSystemFrom(readings)
 	const readsPerSecond = 1000
 	for range readsPerSecond {
 		readings.pass(time.Second / readsPerSecond)
