Log what tells the causes of two owners apart

The logs couldn't tell a suspension of before a process's start from none, nor how long an upstream took to return its partitions, nor which orders stayed without an answer.

--- a/cmd/bergamotlead/main.go
+++ b/cmd/bergamotlead/main.go
@@ -51,6 +51,9 @@
 	if err := clock.Err(); err != nil {
 		logger.Warn("suspensions of the host aren't noticed", "error", err)
 	}
+	if suspended := clock.SuspendedBefore(); suspended > 0 {
+		logger.Warn("host was suspended before the start", "suspended_ms", suspended.Milliseconds())
+	}
 	platform := blnode.DefaultPlatform
 	if settings.Platform != nil {
 		platform = bladapter.New
--- a/core/bltimer/instant.go
+++ b/core/bltimer/instant.go
@@ -32,4 +32,7 @@
 	// Suspended returns the time for which the host has been suspended since the clock
 	// was created. Now counts it, and other clocks of the host may not.
 	Suspended() time.Duration
+	// SuspendedBefore returns the time for which the host had been suspended, since it
+	// was booted, when the clock was created.
+	SuspendedBefore() time.Duration
 }
--- a/core/bltimer/manual.go
+++ b/core/bltimer/manual.go
@@ -25,6 +25,9 @@
 	return time.Duration(m.suspended.Load())
 }
 
+// SuspendedBefore returns zero.
+func (m *Manual) SuspendedBefore() time.Duration { return 0 }
+
 // Suspend moves the clock forward by a suspension of the host.
 func (m *Manual) Suspend(d time.Duration) {
 	m.suspended.Add(int64(d))
--- a/core/bltimer/system.go
+++ b/core/bltimer/system.go
@@ -97,6 +97,14 @@
 	return time.Duration(s.suspended.Load())
 }
 
+// SuspendedBefore implements Clock. It is zero if suspensions can't be counted.
+func (s *System) SuspendedBefore() time.Duration {
+	if s.err != nil || s.bootLead < minSuspension {
+		return 0
+	}
+	return s.bootLead
+}
+
 func (s *System) mayHaveBeenSuspended(monotonic, timeOfDay time.Duration) bool {
 	change := timeOfDay - monotonic - time.Duration(s.skew.Load())
 	return change.Abs() > maxSkewChange || monotonic-time.Duration(s.checkedAt.Load()) > checkInterval
--- a/core/bltimer/system_test.go
+++ b/core/bltimer/system_test.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// TestEarlierSuspensionIsUnknown guards against a process that doesn't know that its host
+// was suspended before it started.
+func TestEarlierSuspensionIsUnknown(t *testing.T) {
+	readings := &fakeClocks{monotonic: time.Hour, timeOfDay: 1000 * time.Hour, boot: time.Hour + 6*time.Second}
+	s := NewSystemFrom(readings)
+	readings.suspend(time.Second)
+	s.Now()
+	if got, want := s.SuspendedBefore(), 6*time.Second; got != want {
+		t.Errorf("suspended before the start: got %v, want %v", got, want)
+	}
+	if got, want := s.Suspended(), time.Second; got != want {
+		t.Errorf("suspended since: got %v, want %v", got, want)
+	}
+}
+
 // TestSlowStartCountsAsSuspension guards against a clock that jumps ahead because the
 // process was held up between two readings when it started.
 func TestSlowStartCountsAsSuspension(t *testing.T) {
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -239,7 +239,9 @@
 
 // sendOrders sends orders to an upstream that keeps its grants itself.
 func (n *Node) sendOrders(send blreconciler.Send) {
+	startedAt := n.clock.Now()
 	answers := n.platform.Orders.Send(context.Background(), send)
+	n.logOrders(send, answers, n.clock.Now().Sub(startedAt))
 	blduty.PutBlocking[blreconciler.Message](n.duties.reconciler.Put, blreconciler.OrdersAnswered{
 		Incarnation: send.Upstream.Incarnation, Answers: answers,
 	})
