Take partitions back after a suspension with one order

Callers saw two upstreams run requests on the same keys after a suspension of hosts. A node that lived on took its partitions back with one call for each range, each proven by the end of its connection, and only after the orders that were in flight. On a busy machine that took longer than the users' half a second.

All partitions are taken back with one order now, on a thread of its own beside the other orders. It is sent once the node's own grant has expired, so it costs nothing that could still be served. A grant sent before it may have arrived before it and proves nothing.

TestUpstreamHoldsPartitionsAfterSuspension asserted one release for each partition; it asserts the one order, and no grant before its answer. TestReleaseUnansweredAfterSuspension asserts the return at the answer instead of a tick later.

--- a/core/blreconciler/messages.go
+++ b/core/blreconciler/messages.go
@@ -54,11 +54,15 @@
 	KindGrant Kind = "grant"
 	// KindRelease takes a partition back.
 	KindRelease Kind = "release"
+	// KindReleaseAll takes all partitions back. The upstream refuses later grants below
+	// its fence.
+	KindReleaseAll Kind = "release_all"
 )
 
 // Order is one call to the upstream.
 type Order struct {
-	Kind      Kind
+	Kind Kind
+	// Partition is not used by KindReleaseAll.
 	Partition blvalue.Partition
 	Fence     blvalue.Fence
 	// Until is when the grant of a KindGrant order expires.
@@ -107,6 +111,9 @@
 	Orders     []Order
 }
 
+// Reclaim takes all partitions back with one order, beside a Send that is unanswered.
+type Reclaim struct{ Send }
+
 // HoldingsChanged reports to the grant duty which partitions the upstream holds
 // and which it has returned.
 type HoldingsChanged struct{ Holdings blgrant.UpstreamHoldings }
--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -8,8 +8,10 @@
 
 // reconcile reports changes to the grant duty and sends the orders that are due.
 func (s State) reconcile(now bltimer.Instant) (State, []Effect) {
-	s, effects := s.withoutOutlasting(now).reportChanges(now)
-	if s.sending || s.stopped || s.upstream.Incarnation == "" || s.partitions == 0 {
+	s, effects := s.withoutExpiredReclaim(now).withoutOutlasting(now).reportChanges(now)
+	s, reclaims := s.reclaimEffects(now)
+	effects = append(effects, reclaims...)
+	if s.sending || s.stopped || s.reclaim.due || s.upstream.Incarnation == "" || s.partitions == 0 {
 		return s, effects
 	}
 	var orders []Order
@@ -29,9 +31,11 @@
 		return s, effects
 	}
 	s.sending = true
-	return s, append(effects, Send{
-		Upstream: s.upstream, Address: s.address, Partitions: s.partitions, Orders: orders,
-	})
+	return s, append(effects, s.send(orders...))
+}
+
+func (s State) send(orders ...Order) Send {
+	return Send{Upstream: s.upstream, Address: s.address, Partitions: s.partitions, Orders: orders}
 }
 
 // maxOrdersPerSend bounds the orders in flight at once.
@@ -98,14 +102,11 @@
 	if m.Incarnation != s.upstream.Incarnation {
 		return s, nil
 	}
-	s.sending = false
 	reachable, stopped := false, false
 	for _, answer := range m.Answers {
 		reachable = reachable || answer.Result == ResultDone || answer.Result == ResultRefused
 		stopped = stopped || answer.Result == ResultStopped
-		if state, ok := s.states.Get(answer.Order.Partition); ok {
-			s.states = s.states.With(answer.Order.Partition, s.withAnswer(state, answer))
-		}
+		s = s.answered(answer, now)
 	}
 	s.stopped = stopped
 	s, effects := s.reconcile(now)
@@ -118,6 +119,18 @@
 	return s, effects
 }
 
+// answered records the answer to one order.
+func (s State) answered(answer Answer, now bltimer.Instant) State {
+	if answer.Order.Kind == KindReleaseAll {
+		return s.reclaimAnswered(answer, now)
+	}
+	s.sending = false
+	if state, ok := s.states.Get(answer.Order.Partition); ok {
+		s.states = s.states.With(answer.Order.Partition, s.withAnswer(state, answer))
+	}
+	return s
+}
+
 func (s State) withAnswer(state partitionState, answer Answer) partitionState {
 	state.sending = false
 	order := answer.Order
@@ -134,6 +147,9 @@
 	state.mayHoldUntil = max(state.mayHoldUntil, order.Until.Add(s.timing.ClockMargin))
 	switch answer.Result {
 	case ResultDone:
+		if answer.SentAt.Before(s.reclaimedAt) {
+			return state
+		}
 		state.heldUntil = max(state.heldUntil, order.Until.Add(-s.timing.ClockMargin))
 		state.mayOutlast = state.mayOutlast && answer.SentAt.Before(s.resumedAt)
 		state.handover = ""
--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -62,6 +62,11 @@
 	// withdrawn is set when partitions of the grant have been taken back because it had
 	// expired. They are granted again if it is renewed.
 	withdrawn bool
+	// reclaim is the task to take all partitions back.
+	reclaim reclaim
+	// reclaimedAt is when the upstream last returned all partitions. A grant that was
+	// sent before may have arrived before.
+	reclaimedAt bltimer.Instant
 }
 
 // New returns the state of a node without an upstream.
@@ -71,7 +76,7 @@
 
 // Busy reports whether the duty has partitions to renew or release.
 func (s State) Busy() bool {
-	return s.states.Len() > 0
+	return s.states.Len() > 0 || s.reclaim.due
 }
 
 // Decide returns the next state and the effects of one message.
--- a/core/blreconciler/state_test.go
+++ b/core/blreconciler/state_test.go
@@ -26,6 +26,7 @@
 	state    blreconciler.State
 	grant    blgrant.Grant
 	orders   []blreconciler.Order
+	reclaims []blreconciler.Order
 	holdings blgrant.UpstreamHoldings
 	stopped  bool
 }
@@ -51,6 +52,8 @@
 		switch e := effect.(type) {
 		case blreconciler.Send:
 			n.orders = e.Orders
+		case blreconciler.Reclaim:
+			n.reclaims = e.Orders
 		case blreconciler.HoldingsChanged:
 			n.holdings = e.Holdings
 		case blreconciler.UpstreamStopped:
--- a/core/blreconciler/suspension.go
+++ b/core/blreconciler/suspension.go
@@ -17,6 +17,7 @@
 	}
 	s.resumedAt = now
 	began := now.Add(-length)
+	s.reclaim = s.reclaim.withSuspension(began, length)
 	for p, state := range s.states.All() {
 		if began.Before(state.mayHoldUntil) {
 			state.mayHoldUntil = state.mayHoldUntil.Add(length)
@@ -31,7 +32,8 @@
 }
 
 // withoutOutlasting takes back the partitions that the upstream may hold although the
-// node's own grant has expired.
+// node's own grant has expired. One order for all partitions ends sooner than one for
+// each, and the node's grants are expired anyway.
 func (s State) withoutOutlasting(now bltimer.Instant) State {
 	if s.resumedAt == 0 || now.Before(s.grant.Until) {
 		return s
@@ -43,6 +45,7 @@
 		state.releasing = true
 		s.states = s.states.With(p, state)
 		s.withdrawn = true
+		s.reclaim = s.reclaim.withDue(state.mayHoldUntil)
 	}
 	return s
 }
--- a/core/blreconciler/suspension_test.go
+++ b/core/blreconciler/suspension_test.go
@@ -23,11 +23,12 @@
 	n := restartNode(t)
 	resumed := ordersExpired + 2*ttl
 	n.send(blreconciler.Tick{Suspended: 2 * ttl}, resumed)
-	if got, want := n.countOrders(blreconciler.KindRelease), 2; got != want {
-		t.Fatalf("releases after the suspension: got %d, want %d", got, want)
-	}
-	n.answer(blreconciler.ResultDone, resumed)
+	n.wantReleaseOfAll(n.grant.Fence)
 	n.offer(1, resumed, 3, 4)
+	if got := n.countOrders(blreconciler.KindGrant); got != 0 {
+		t.Errorf("grants before the release is answered: got %d, want 0", got)
+	}
+	n.answerReclaim("run_1", blreconciler.ResultDone, resumed)
 	if got, want := n.countOrders(blreconciler.KindGrant), 2; got != want {
 		t.Errorf("grants once the node's grant is renewed: got %d, want %d", got, want)
 	}
@@ -45,7 +46,6 @@
 		t.Error("returned at the end of the suspension: got true, want false")
 	}
 	n.answer(blreconciler.ResultDone, resumed)
-	n.send(blreconciler.Tick{Suspended: 2 * ttl}, resumed+ttl+margin)
 	if got := n.holdings.Released.Has(3); !got {
 		t.Error("returned once it is released: got false, want true")
 	}
@@ -57,12 +57,12 @@
 	n := restartNode(t)
 	resumed := ordersExpired + ttl/2 + 3*margin
 	n.send(blreconciler.Tick{Suspended: ttl / 2}, resumed)
-	if got := n.countOrders(blreconciler.KindRelease); got != 0 {
+	if got := n.countOrders(blreconciler.KindRelease) + len(n.reclaims); got != 0 {
 		t.Errorf("releases while the grant lasts: got %d, want 0", got)
 	}
 	n.answer(blreconciler.ResultDone, resumed)
 	n.send(blreconciler.Tick{Suspended: ttl / 2}, ordersExpired+2*ttl)
-	if got := n.countOrders(blreconciler.KindRelease); got != 0 {
+	if got := n.countOrders(blreconciler.KindRelease) + len(n.reclaims); got != 0 {
 		t.Errorf("releases of partitions that were granted after the suspension: got %d, want 0", got)
 	}
 }
--- a/core/blvalue/key.go
+++ b/core/blvalue/key.go
@@ -26,6 +26,11 @@
 	return uint16(int(p) * width), uint16((int(p)+1)*width - 1)
 }
 
+// AllShards returns the first and the last shard of all partitions.
+func AllShards() (first, last uint16) {
+	return 0, shardSpace - 1
+}
+
 // PartitionOf returns the partition, out of count hash partitions, to which key
 // belongs. It returns zero when count is not positive.
 func PartitionOf(key Key, count int) Partition {
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -36,6 +36,7 @@
 	nudge      *blduty.Worker[blassign.Nudge]
 	upstream   *blduty.Worker[grantJob]
 	reconciler *blduty.Worker[blreconciler.Send]
+	reclaim    *blduty.Worker[blreconciler.Reclaim]
 	reload     *blduty.Worker[reloadJob]
 	fetch      *blduty.Worker[fetchJob]
 }
@@ -92,6 +93,7 @@
 		nudge:      blduty.NewWorker("nudge", shortQueueCapacity, nudgeSender{client: n.client}.perform),
 		upstream:   blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock).perform),
 		reconciler: blduty.NewWorker("reconciler", 1, n.sendOrders),
+		reclaim:    blduty.NewWorker("reclaim", 1, n.reclaim),
 		reload: blduty.NewWorker("reload", 1, configReloader{
 			source: n.platform.Config, onConfig: n.publishLocalConfig, onRead: n.configSourceChanged,
 			inForce: n.configInForce, onMissed: current.restart,
@@ -121,6 +123,7 @@
 	w.nudge.Start()
 	w.upstream.Start()
 	w.reconciler.Start()
+	w.reclaim.Start()
 	w.reload.Start()
 	w.fetch.Start()
 }
@@ -138,6 +141,7 @@
 	w.nudge.Stop()
 	w.upstream.Stop()
 	w.reconciler.Stop()
+	w.reclaim.Stop()
 	w.reload.Stop()
 	w.fetch.Stop()
 }
@@ -247,6 +251,9 @@
 	})
 }
 
+// reclaim takes all partitions of an upstream back.
+func (n *Node) reclaim(r blreconciler.Reclaim) { n.sendOrders(r.Send) }
+
 // publishConfig passes a configuration to the duties that act for the lead: assign
 // and quota.
 func (n *Node) publishConfig(accepted blconfig.Accepted) {
