A node that starts after a suspension takes back what its earlier run granted

Callers saw two upstreams run requests on the same keys for up to 3.2 s: hosts were suspended for seconds, their nodes were killed as the hosts resumed and started again 200 ms later, and the upstreams went on. Their clocks didn't count the suspension, the lead had given the keys to others, and the new processes remembered nothing to take back.

Cause: what a process knows of suspensions began with the process.

The clock since boot less the monotonic one outlives a process. If it shows a suspension, a node takes all partitions back before anything else, at the address that the settings name, without waiting for the upstream's announcement. Once it has a fence it repeats the order, before its first grant, for upstreams that compare.

--- a/core/blreconciler/messages.go
+++ b/core/blreconciler/messages.go
@@ -54,8 +54,9 @@
 	KindGrant Kind = "grant"
 	// KindRelease takes a partition back.
 	KindRelease Kind = "release"
-	// KindReleaseAll takes all partitions back. The upstream refuses later grants below
-	// its fence.
+	// KindReleaseAll takes all partitions back, those that the node doesn't know of
+	// included. Its fence is zero if the node knows of none: the upstream must not count
+	// it as one that it has seen, and refuse the grants that follow.
 	KindReleaseAll Kind = "release_all"
 )
 
@@ -103,7 +104,8 @@
 // Effect is an action requested by the reconciler duty.
 type Effect interface{ reconcilerEffect() }
 
-// Send calls the upstream, once for each order.
+// Send calls the upstream, once for each order. The upstream is unknown if it hasn't
+// announced itself yet.
 type Send struct {
 	Upstream   blvalue.Upstream
 	Address    string
--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -97,9 +97,10 @@
 	return p.released && !now.Before(p.unansweredUntil) || !now.Before(max(p.mayHoldUntil, p.unansweredUntil))
 }
 
-// ordersAnswered records the upstream's answers.
+// ordersAnswered records the upstream's answers. One to an order that was sent before the
+// upstream had announced itself names no incarnation.
 func (s State) ordersAnswered(m OrdersAnswered, now bltimer.Instant) (State, []Effect) {
-	if m.Incarnation != s.upstream.Incarnation {
+	if m.Incarnation != s.upstream.Incarnation && m.Incarnation != "" {
 		return s, nil
 	}
 	reachable, stopped := false, false
@@ -108,8 +109,13 @@
 		stopped = stopped || answer.Result == ResultStopped
 		s = s.answered(answer, now)
 	}
-	s.stopped = stopped
+	if m.Incarnation == s.upstream.Incarnation {
+		s.stopped = stopped
+	}
 	s, effects := s.reconcile(now)
+	if m.Incarnation == "" {
+		return s, effects
+	}
 	if reachable {
 		effects = append(effects, UpstreamResponded{Incarnation: m.Incarnation})
 	}
--- a/core/blreconciler/reclaim.go
+++ b/core/blreconciler/reclaim.go
@@ -8,13 +8,16 @@
 )
 
 // reclaim is the task to take back all partitions of an upstream that may hold some for
-// longer than this node's clock tells.
+// longer than this node and the lead know.
 type reclaim struct {
 	due bool
 	// sending is set while an order is in flight.
 	sending bool
 	// until is the time from which the upstream holds none of them any more.
 	until bltimer.Instant
+	// unfenced is set when the upstream has answered an order without a fence. The node
+	// repeats the order once it knows its fence, before its first grant.
+	unfenced bool
 	// retryAt is the time of the next attempt after one that failed.
 	retryAt bltimer.Instant
 }
@@ -50,20 +53,30 @@
 // wait for other orders, which may take long.
 func (s State) reclaimEffects(now bltimer.Instant) (State, []Effect) {
 	r := s.reclaim
-	if !r.due || r.sending || s.stopped || now.Before(r.retryAt) {
+	if !r.due || r.sending || s.stopped || s.address == "" || now.Before(r.retryAt) {
+		return s, nil
+	}
+	fence := s.grant.Fence
+	if r.unfenced && fence == (blvalue.Fence{}) {
 		return s, nil
 	}
 	s.reclaim.sending = true
-	return s, []Effect{Reclaim{Send: s.send(Order{Kind: KindReleaseAll, Fence: s.grant.Fence})}}
+	return s, []Effect{Reclaim{Send: s.send(Order{Kind: KindReleaseAll, Fence: fence})}}
 }
 
-// reclaimAnswered records the answer to the order that takes all partitions back.
+// reclaimAnswered records the answer to the order that takes all partitions back. It is
+// also called for an upstream that hadn't announced itself when the order was sent.
 func (s State) reclaimAnswered(answer Answer, now bltimer.Instant) State {
 	s.reclaim.sending = false
-	if answer.Result == ResultDone {
+	unfenced := answer.Order.Fence == (blvalue.Fence{})
+	switch {
+	case answer.Result == ResultDone && !unfenced:
 		return s.reclaimed(answer.Order.Fence, now)
+	case unfenced && (answer.Result == ResultDone || answer.Result == ResultRefused):
+		s.reclaim.unfenced = true
+	default:
+		s.reclaim.retryAt = now.Add(reclaimPause)
 	}
-	s.reclaim.retryAt = now.Add(reclaimPause)
 	return s
 }
 
--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -62,6 +62,9 @@
 	// withdrawn is set when partitions of the grant have been taken back because it had
 	// expired. They are granted again if it is renewed.
 	withdrawn bool
+	// earlierRunUntil is the time from which the upstream holds nothing any more that an
+	// earlier run of this node granted.
+	earlierRunUntil bltimer.Instant
 	// reclaim is the task to take all partitions back.
 	reclaim reclaim
 	// reclaimedAt is when the upstream last returned all partitions. A grant that was
@@ -69,9 +72,26 @@
 	reclaimedAt bltimer.Instant
 }
 
-// New returns the state of a node without an upstream.
+// New returns the state of a node that has just started and knows of no upstream.
 func New(timing Timing) State {
-	return State{timing: timing}
+	return State{timing: timing, earlierRunUntil: bltimer.Instant(0).Add(timing.GrantTTL + timing.ClockMargin)}
+}
+
+// WithAddress returns a state that expects the upstream at address before it has
+// announced itself.
+func (s State) WithAddress(address string) State {
+	s.address = address
+	return s
+}
+
+// WithSuspendedBefore returns the state of a node whose host was suspended for the given
+// time before the node started. What an earlier run of it granted may last at the
+// upstream, whose clock may have stood still as well.
+func (s State) WithSuspendedBefore(suspended time.Duration) State {
+	if suspended > 0 {
+		s.reclaim = s.reclaim.withDue(s.earlierRunUntil)
+	}
+	return s
 }
 
 // Busy reports whether the duty has partitions to renew or release.
@@ -107,7 +127,10 @@
 	}
 	next := State{
 		timing: s.timing, upstream: m.Upstream, address: m.Address, startedAt: now, partitions: s.partitions,
-		suspended: s.suspended, resumedAt: s.resumedAt,
+		suspended: s.suspended, resumedAt: s.resumedAt, earlierRunUntil: s.earlierRunUntil, reclaim: s.reclaim,
+	}
+	if s.upstream.Incarnation != "" {
+		next.reclaim.sending = false
 	}
 	if m.Upstream.ID != "" && m.Upstream.ID == s.upstream.ID {
 		next.states = s.takenBySuccessor(now)
--- a/core/blreconciler/suspension.go
+++ b/core/blreconciler/suspension.go
@@ -18,6 +18,10 @@
 	s.resumedAt = now
 	began := now.Add(-length)
 	s.reclaim = s.reclaim.withSuspension(began, length)
+	if began.Before(s.earlierRunUntil) {
+		s.earlierRunUntil = s.earlierRunUntil.Add(length)
+		s.reclaim = s.reclaim.withDue(s.earlierRunUntil)
+	}
 	for p, state := range s.states.All() {
 		if began.Before(state.mayHoldUntil) {
 			state.mayHoldUntil = state.mayHoldUntil.Add(length)
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -57,13 +57,18 @@
 		admit: blduty.New("admit", ringCapacity, n.newAdmission(), bladmit.Decide, n.performAdmit, n.clock),
 		route: blduty.New("route", ringCapacity, blroute.New(selection{Domain: n.self.Domain}),
 			blroute.Decide[selection], n.performRoute, n.clock),
-		deliver: blduty.New("deliver", ringCapacity, bldeliver.New().WithDomain(n.self.Domain), bldeliver.Decide, n.performDeliver, n.clock),
-		reconciler: blduty.New("reconciler", ringCapacity, blreconciler.New(blreconciler.Timing{
-			GrantTTL: n.platform.Timing.GrantTTL, ClockMargin: n.platform.Timing.ClockMargin,
-		}), blreconciler.Decide, n.performReconciler, n.clock),
+		deliver:    blduty.New("deliver", ringCapacity, bldeliver.New().WithDomain(n.self.Domain), bldeliver.Decide, n.performDeliver, n.clock),
+		reconciler: blduty.New("reconciler", ringCapacity, n.newReconciliation(), blreconciler.Decide, n.performReconciler, n.clock),
 	}
 }
 
+// newReconciliation returns the initial state of the reconciler duty.
+func (n *Node) newReconciliation() blreconciler.State {
+	return blreconciler.New(blreconciler.Timing{
+		GrantTTL: n.platform.Timing.GrantTTL, ClockMargin: n.platform.Timing.ClockMargin,
+	}).WithAddress(n.platform.UpstreamAddress).WithSuspendedBefore(n.clock.SuspendedBefore())
+}
+
 // newAdmission returns the initial state of the admission duty. Where only the lead
 // reads configurations, requests wait for a lead, since a node without one doesn't
 // know of withdrawn keys.
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bergamotlead/core/blplatform"
+	"bergamotlead/core/blreconciler"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blgrpc"
@@ -144,6 +145,8 @@
 	}
 	n.workers.start()
 	n.duties.start()
+	// What an earlier run of the node granted is taken back before anything else.
+	n.logDropped("reconciler", n.duties.reconciler.Put(blreconciler.Tick{Suspended: n.clock.Suspended()}))
 	n.subscribeTicks()
 	n.timer.Start()
 	go n.serveNodes(listener)
--- a/io/blnode/platform.go
+++ b/io/blnode/platform.go
@@ -55,6 +55,9 @@
 	Transport http.RoundTripper
 	// Orders is nil on platforms where no upstream keeps its grants itself.
 	Orders OrderSender
+	// UpstreamAddress is the address at which an upstream that keeps its grants takes
+	// orders before it has announced itself, or empty if it is unknown.
+	UpstreamAddress string
 	// Announcements returns the HTTP handler for the upstreams' announcements. It
 	// passes them to the membership duty by put, and calls rejected with the reason
 	// why it rejected one.
--- a/io/blsettings/process.go
+++ b/io/blsettings/process.go
@@ -62,6 +62,9 @@
 type Platform struct {
 	// Service is the service of the upstream on the same host.
 	Service blvalue.ServiceName `toml:"service"`
+	// UpstreamAddress is the address of the upstream on the same host, or empty if it
+	// is unknown before the upstream announces itself.
+	UpstreamAddress string `toml:"upstream_address"`
 	// FailureDomains lists all failure domains of the deployment.
 	FailureDomains []blvalue.DomainName `toml:"failure_domains"`
 	// UpstreamHeartbeat is the interval between announcements of an upstream.
