Each decision of the reconciler counts suspensions of the host

Two upstreams held the same ranges after hosts were suspended. The duty learned of a suspension by its ticks, but decided other messages by the time after it: an answer that arrived at the resume before a tick made partitions count as returned whose release had got no answer, while the upstream held them by its own clock. The state is brought up to the clock's suspensions before each decision now.

TestAnswerBeforeTickAfterSuspension failed before. Tests that gave suspensions with a tick give them to the state; what they assert is unchanged.

--- a/core/blreconciler/messages.go
+++ b/core/blreconciler/messages.go
@@ -17,10 +17,7 @@
 type Message interface{ reconcilerMessage() }
 
 // Tick tells the duty that time has passed.
-type Tick struct {
-	// Suspended is the time for which the host has been suspended so far.
-	Suspended time.Duration
-}
+type Tick struct{}
 
 // GrantChanged carries the grant of the local upstream.
 type GrantChanged struct{ Grant blgrant.Grant }
--- a/core/blreconciler/reclaim_test.go
+++ b/core/blreconciler/reclaim_test.go
@@ -111,7 +111,8 @@
 	n.sendUpstreamSeen("run_1", restartedAt)
 	n.send(blreconciler.Tick{}, restartedAt)
 	n.wantNoOrders("before the suspension")
-	n.send(blreconciler.Tick{Suspended: 2 * ttl}, restartedAt+2*ttl)
+	n.suspended = 2 * ttl
+	n.send(blreconciler.Tick{}, restartedAt+2*ttl)
 	n.wantReleaseOfAll(blvalue.Fence{})
 }
 
@@ -125,7 +126,8 @@
 		t.Fatalf("renewals: got %d, want %d", got, want)
 	}
 	resumed := renewal + 2*ttl
-	n.send(blreconciler.Tick{Suspended: 2 * ttl}, resumed)
+	n.suspended = 2 * ttl
+	n.send(blreconciler.Tick{}, resumed)
 	n.wantReleaseOfAll(n.grant.Fence)
 	n.answerReclaim("run_1", blreconciler.ResultDone, resumed)
 	n.offer(1, resumed, 3, 4)
--- /dev/null
+++ b/core/blreconciler/resume_test.go
@@ -0,0 +1,25 @@
+package blreconciler_test
+
+import (
+	"testing"
+
+	"bergamotlead/core/blreconciler"
+)
+
+// TestAnswerBeforeTickAfterSuspension guards against a second owner: an answer that arrived
+// at the resume before a tick was handled without the suspension, and a partition whose
+// release had failed counted as returned.
+func TestAnswerBeforeTickAfterSuspension(t *testing.T) {
+	n := restartNode(t)
+	n.offer(2, ordersExpired+margin, 4)
+	if got, want := n.countOrders(blreconciler.KindRelease), 1; got != want {
+		t.Fatalf("releases: got %d, want %d", got, want)
+	}
+	resumed := ordersExpired + 2*ttl
+	n.suspended = 2*ttl - margin
+	n.answer(blreconciler.ResultUnknown, resumed)
+	n.send(blreconciler.Tick{}, resumed+margin)
+	if got := n.holdings.Released.Has(3); got {
+		t.Error("returned before the release is answered: got true, want false")
+	}
+}
--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -56,7 +56,7 @@
 	// same ID would take them.
 	stopped bool
 	// suspended is the time for which the host has been suspended, and resumedAt when
-	// the duty last learned that it had been.
+	// this state last changed with it.
 	suspended time.Duration
 	resumedAt bltimer.Instant
 	// withdrawn is set when partitions of the grant have been taken back because it had
@@ -103,7 +103,7 @@
 func Decide(s State, message Message, now bltimer.Instant) (State, []Effect) {
 	switch m := message.(type) {
 	case Tick:
-		return s.withSuspension(m.Suspended, now).reconcile(now)
+		return s.reconcile(now)
 	case UpstreamSeen:
 		return s.upstreamSeen(m, now), nil
 	case GrantChanged:
--- a/core/blreconciler/state_test.go
+++ b/core/blreconciler/state_test.go
@@ -29,6 +29,8 @@
 	reclaims []blreconciler.Order
 	holdings blgrant.UpstreamHoldings
 	stopped  bool
+	// suspended is the time for which the host has been suspended.
+	suspended time.Duration
 }
 
 func newNode(t *testing.T) *node {
@@ -47,7 +49,8 @@
 
 func (n *node) send(message blreconciler.Message, now time.Duration) {
 	var effects []blreconciler.Effect
-	n.state, effects = blreconciler.Decide(n.state, message, bltimer.Instant(now))
+	state := n.state.WithSuspended(n.suspended, bltimer.Instant(now))
+	n.state, effects = blreconciler.Decide(state, message, bltimer.Instant(now))
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case blreconciler.Send:
--- a/core/blreconciler/suspension.go
+++ b/core/blreconciler/suspension.go
@@ -6,10 +6,12 @@
 	"bergamotlead/core/bltimer"
 )
 
-// withSuspension handles a suspension of the host, given the time of all so far. The
-// upstream on the same host was suspended as well, and its clock may not have counted
-// that: what it held before it may hold for as much longer.
-func (s State) withSuspension(suspended time.Duration, now bltimer.Instant) State {
+// WithSuspended returns the state at now, when the host has been suspended for the given
+// time so far. Each decision needs it: one by a state from before a suspension would take
+// what the upstream holds for expired. The upstream on the same host was suspended as well,
+// and its clock may not have counted that: what it held before it may hold for as much
+// longer.
+func (s State) WithSuspended(suspended time.Duration, now bltimer.Instant) State {
 	length := suspended - s.suspended
 	s.suspended = suspended
 	if length <= 0 {
--- a/core/blreconciler/suspension_test.go
+++ b/core/blreconciler/suspension_test.go
@@ -22,7 +22,8 @@
 func TestUpstreamHoldsPartitionsAfterSuspension(t *testing.T) {
 	n := restartNode(t)
 	resumed := ordersExpired + 2*ttl
-	n.send(blreconciler.Tick{Suspended: 2 * ttl}, resumed)
+	n.suspended = 2 * ttl
+	n.send(blreconciler.Tick{}, resumed)
 	n.wantReleaseOfAll(n.grant.Fence)
 	n.offer(1, resumed, 3, 4)
 	if got := n.countOrders(blreconciler.KindGrant); got != 0 {
@@ -41,7 +42,8 @@
 	n.offer(2, ordersExpired+margin, 4)
 	n.answer(blreconciler.ResultUnknown, ordersExpired+margin)
 	resumed := ordersExpired + 2*ttl
-	n.send(blreconciler.Tick{Suspended: 2 * ttl}, resumed)
+	n.suspended = 2 * ttl
+	n.send(blreconciler.Tick{}, resumed)
 	if got := n.holdings.Released.Has(3); got {
 		t.Error("returned at the end of the suspension: got true, want false")
 	}
@@ -56,12 +58,14 @@
 func TestSuspensionWithinGrant(t *testing.T) {
 	n := restartNode(t)
 	resumed := ordersExpired + ttl/2 + 3*margin
-	n.send(blreconciler.Tick{Suspended: ttl / 2}, resumed)
+	n.suspended = ttl / 2
+	n.send(blreconciler.Tick{}, resumed)
 	if got := n.countOrders(blreconciler.KindRelease) + len(n.reclaims); got != 0 {
 		t.Errorf("releases while the grant lasts: got %d, want 0", got)
 	}
 	n.answer(blreconciler.ResultDone, resumed)
-	n.send(blreconciler.Tick{Suspended: ttl / 2}, ordersExpired+2*ttl)
+	n.suspended = ttl / 2
+	n.send(blreconciler.Tick{}, ordersExpired+2*ttl)
 	if got := n.countOrders(blreconciler.KindRelease) + len(n.reclaims); got != 0 {
 		t.Errorf("releases of partitions that were granted after the suspension: got %d, want 0", got)
 	}
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -58,10 +58,18 @@
 		route: blduty.New("route", ringCapacity, blroute.New(selection{Domain: n.self.Domain}),
 			blroute.Decide[selection], n.performRoute, n.clock),
 		deliver:    blduty.New("deliver", ringCapacity, bldeliver.New().WithDomain(n.self.Domain), bldeliver.Decide, n.performDeliver, n.clock),
-		reconciler: blduty.New("reconciler", ringCapacity, n.newReconciliation(), blreconciler.Decide, n.performReconciler, n.clock),
+		reconciler: blduty.New("reconciler", ringCapacity, n.newReconciliation(), n.decideReconciliation, n.performReconciler, n.clock),
 	}
 }
 
+// decideReconciliation is the decision of the reconciler duty, by what the clock tells of
+// suspensions of the host.
+func (n *Node) decideReconciliation(
+	s blreconciler.State, m blreconciler.Message, now bltimer.Instant,
+) (blreconciler.State, []blreconciler.Effect) {
+	return blreconciler.Decide(s.WithSuspended(n.clock.Suspended(), now), m, now)
+}
+
 // newReconciliation returns the initial state of the reconciler duty.
 func (n *Node) newReconciliation() blreconciler.State {
 	return blreconciler.New(blreconciler.Timing{
@@ -123,7 +131,7 @@
 	bltimer.SubscribeWhile(n.timer, reloadPeriod, n.workers.reload.Ring(),
 		func(bltimer.Tick) reloadJob { return reloadJob{} }, n.reloadDue)
 	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.reconciler.Ring(),
-		func(tick bltimer.Tick) blreconciler.Message { return blreconciler.Tick{Suspended: tick.Suspended} },
+		func(bltimer.Tick) blreconciler.Message { return blreconciler.Tick{} },
 		func() bool { return n.duties.reconciler.View().Busy() })
 	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.grant.Ring(),
 		func(bltimer.Tick) blgrant.Message { return blgrant.Tick{} },
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -146,7 +146,7 @@
 	n.workers.start()
 	n.duties.start()
 	// What an earlier run of the node granted is taken back before anything else.
-	n.logDropped("reconciler", n.duties.reconciler.Put(blreconciler.Tick{Suspended: n.clock.Suspended()}))
+	n.logDropped("reconciler", n.duties.reconciler.Put(blreconciler.Tick{}))
 	n.subscribeTicks()
 	n.timer.Start()
 	go n.serveNodes(listener)
