A grant in flight at a suspension lasts longer at the upstream

The upstream took a grant that was in flight when its host was suspended; the answer arrived after the resume, and the node reckoned the end of the grant by a clock that counts the suspension, while the upstream's may not. It took the partition for expired too early, and nothing took it back. The time of suspensions while an order is in flight is kept with the partition and added to the end of the grant; the partition counts as one that may outlast the node's grant, also if it is offered again meanwhile.

TestGrantInFlightAtSuspension failed before: no release, and returned at once.

--- a/core/blreconciler/granted.go
+++ b/core/blreconciler/granted.go
@@ -38,7 +38,8 @@
 		}
 		state = partitionState{
 			fence: s.grant.Fence, handover: handover,
-			mayHoldUntil: max(state.mayHoldUntil, s.startedAt.Add(s.timing.GrantTTL)), unansweredUntil: state.unansweredUntil, sending: state.sending,
+			mayHoldUntil: max(state.mayHoldUntil, s.startedAt.Add(s.timing.GrantTTL)), unansweredUntil: state.unansweredUntil,
+			mayOutlast: state.mayOutlast, sending: state.sending, suspendedInFlight: state.suspendedInFlight,
 		}
 		s.states = s.states.With(p, state)
 	}
--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -137,8 +137,11 @@
 	return s
 }
 
+// withAnswer records the answer to an order for one partition. A grant that was in flight at
+// a suspension may last as much longer at the upstream.
 func (s State) withAnswer(state partitionState, answer Answer) partitionState {
-	state.sending = false
+	inFlight := state.suspendedInFlight
+	state.sending, state.suspendedInFlight = false, 0
 	order := answer.Order
 	if order.Kind == KindRelease {
 		if answer.Result == ResultDone && state.releasing {
@@ -150,7 +153,9 @@
 	if answer.Result == ResultUnsent || answer.Result == ResultStopped {
 		return state
 	}
-	state.mayHoldUntil = max(state.mayHoldUntil, order.Until.Add(s.timing.ClockMargin))
+	expires := order.Until.Add(s.timing.ClockMargin + inFlight)
+	state.mayHoldUntil = max(state.mayHoldUntil, expires)
+	state.mayOutlast = state.mayOutlast || inFlight > 0
 	switch answer.Result {
 	case ResultDone:
 		if answer.SentAt.Before(s.reclaimedAt) {
@@ -163,7 +168,7 @@
 		state.heldUntil = 0
 		state.fence = s.grant.Fence
 	case ResultUnknown:
-		state.unansweredUntil = max(state.unansweredUntil, order.Until.Add(s.timing.ClockMargin))
+		state.unansweredUntil = max(state.unansweredUntil, expires)
 	case ResultUnsent, ResultStopped:
 	}
 	return state
--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -23,8 +23,10 @@
 	// unansweredUntil is the time from which the last order without an answer
 	// can't take effect any more.
 	unansweredUntil bltimer.Instant
-	// sending is set while an order is in flight.
-	sending bool
+	// sending is set while an order is in flight, and suspendedInFlight is the time for
+	// which the host has been suspended meanwhile.
+	sending           bool
+	suspendedInFlight time.Duration
 	// releasing is set when the partition is to be released.
 	releasing bool
 	// released is set when the upstream has returned the partition.
@@ -145,7 +147,7 @@
 	var taken bltable.Table[blvalue.Partition, partitionState]
 	for p, state := range s.states.All() {
 		if state.sending {
-			expires := s.grant.Until.Add(s.timing.ClockMargin)
+			expires := s.grant.Until.Add(s.timing.ClockMargin + state.suspendedInFlight)
 			state.mayHoldUntil = max(state.mayHoldUntil, expires)
 			state.unansweredUntil = max(state.unansweredUntil, expires)
 		}
--- a/core/blreconciler/suspension.go
+++ b/core/blreconciler/suspension.go
@@ -32,6 +32,9 @@
 		if began.Before(state.unansweredUntil) {
 			state.unansweredUntil = state.unansweredUntil.Add(length)
 		}
+		if state.sending {
+			state.suspendedInFlight += length
+		}
 		s.states = s.states.With(p, state)
 	}
 	return s
