A grant that the node gave up can't leave any more

Cause: the connection of a grant without an answer was closed after grantTimeout. A close lets the system go on sending what the upstream's host hasn't taken, such as on a new connection in a full queue, for as long as it retries. The hold time allows for an arrival within grantTimeout only.

Change: the pool of the orders resets such a connection, which discards the rest. The pool of callers' requests is as before.

--- a/io/blupstream/connection.go
+++ b/io/blupstream/connection.go
@@ -35,6 +35,15 @@
 	}
 }
 
+// reset closes the connection and discards what was written and has not reached the
+// upstream's host.
+func (c *connection) reset() {
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+	c.close()
+}
+
 // requestWriter writes a request, concurrently with reading the response if the
 // request has a body.
 type requestWriter struct {
--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -50,6 +50,9 @@
 	// idHeader is the header field with the request ID, by which a response is
 	// matched to its request. If it is empty, responses are not checked.
 	idHeader string
+	// resetsUnanswered makes the pool reset the connection of a request that ends without
+	// a response, which discards what has not reached the upstream's host.
+	resetsUnanswered bool
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -70,6 +73,14 @@
 	return &Pool{idHeader: idHeader, idle: map[string][]*connection{}}
 }
 
+// NewResettingPool returns an empty pool that doesn't check responses. Nothing of a request
+// reaches the upstream's host later than the request ends.
+func NewResettingPool() *Pool {
+	p := NewPool("")
+	p.resetsUnanswered = true
+	return p
+}
+
 // RoundTrip implements http.RoundTripper.
 func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
 	ctx := request.Context()
@@ -81,7 +92,11 @@
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Conn: c})
 	}
-	stopCancel := context.AfterFunc(ctx, c.close)
+	end := c.close
+	if p.resetsUnanswered {
+		end = c.reset
+	}
+	stopCancel := context.AfterFunc(ctx, end)
 	writer := &requestWriter{connection: c, request: request, done: make(chan error, 1)}
 	writer.start()
 	response, err := p.readResponse(c, request)
