A read answered before a suspension proves no absence of the lease after it

Cause: who isn't named by the record may take over once the lease has been absent for the hold limit. The absence was counted up to the handling of the latest read. A read that was answered just before the host was suspended, or the process stopped, and handled after it counted as an absence for all that time. Another process may have led meanwhile, have lost its lease and hold the lead by its standby's promise: two leads, each of which grants.

Change: the absence lasts from the first to the latest read, both by the time at which they were sent, and the latest has to be younger than a lease, which can't have been held and have lapsed since. The same after a restore of the store.

--- a/core/bllead/era.go
+++ b/core/bllead/era.go
@@ -115,7 +115,7 @@
 // stopped when the lease has been absent for the hold limit in the new era. A process may
 // know it earlier.
 func (s State) mayLeadAfterRestore(now bltimer.Instant) bool {
-	expired := s.leaseAbsentSince != 0 && now.Sub(s.leaseAbsentSince) > s.timing.Lease+s.timing.ClockMargin
+	expired := s.leaseAbsentFor(s.timing.Lease+s.timing.ClockMargin, now)
 	return s.holdLimitPassed(now) || expired && s.remembersLead()
 }
 
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -138,11 +138,18 @@
 	return s
 }
 
+// leaseAbsentFor reports whether reads have shown no lease for longer than length. The last
+// of them was sent so recently that no lease can have been held and have lapsed since.
+func (s State) leaseAbsentFor(length time.Duration, now bltimer.Instant) bool {
+	absent := s.leaseAbsentSince != 0 && s.leaseAbsentAt.Sub(s.leaseAbsentSince) > length
+	return absent && now.Sub(s.leaseAbsentAt) <= s.timing.Lease
+}
+
 // holdLimitPassed reports whether the lease has been absent for so long that no
 // earlier lead can still act without the store.
 func (s State) holdLimitPassed(now bltimer.Instant) bool {
 	limit := s.timing.HoldLimit
-	return limit > 0 && s.leaseAbsentSince != 0 && now.Sub(s.leaseAbsentSince) > limit+s.timing.Lease+s.timing.ClockMargin
+	return limit > 0 && s.leaseAbsentFor(limit+s.timing.Lease+s.timing.ClockMargin, now)
 }
 
 // maxCapacityDelay is the takeover delay of a process with no capacity when any
