A grant told in an upstream's own time ends as the node's does after a suspension

Cause (native platform): the node converts the end of a grant by the clock that the upstream last announced. Its own clock counts suspensions of the host since, and the upstream's may not: the grant then ended later there by their length, until the next announcement.

Change: suspensions since the announcement are taken off. Where the upstream's clock counts them the grant ends early, until it announces itself again.

--- a/io/blnode/member_effects.go
+++ b/io/blnode/member_effects.go
@@ -10,6 +10,7 @@
 	"bergamotlead/core/blreconciler"
 	"bergamotlead/core/blroute"
 	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blupstream"
 )
 
 func (n *Node) performMember(effect blmember.Effect) {
@@ -46,7 +47,11 @@
 	}
 	blduty.PutBlocking[blgrant.Message](n.duties.grant.Put, blgrant.UpstreamsSeen{Upstreams: upstreams})
 	blduty.PutBlocking[bldeliver.Message](n.duties.deliver.Put, bldeliver.UpstreamsSeen{Announcements: e.Announcements})
-	n.logDropped("upstream", n.workers.upstream.Put(grantJob{announcements: e.Announcements, receivedAt: n.clock.Now()}))
+	received := make([]blupstream.ReceivedAnnouncement, 0, len(e.Announcements))
+	for _, a := range e.Announcements {
+		received = append(received, blupstream.NewReceivedAnnouncement(n.clock, a))
+	}
+	n.logDropped("upstream", n.workers.upstream.Put(grantJob{announcements: received}))
 	for _, a := range e.Announcements {
 		if a.Upstream.KeepsGrants {
 			blduty.PutBlocking[blreconciler.Message](n.duties.reconciler.Put, blreconciler.UpstreamSeen{
--- a/io/blnode/node_work.go
+++ b/io/blnode/node_work.go
@@ -179,8 +179,7 @@
 // grantJob is either a grant to send to its upstream or announcements to record.
 type grantJob struct {
 	grant         *blgrant.Grant
-	announcements []blmember.Announcement
-	receivedAt    bltimer.Instant
+	announcements []blupstream.ReceivedAnnouncement
 }
 
 // grantForwarder sends grants to the upstreams that check fences.
@@ -196,11 +195,12 @@
 }
 
 func (f *grantForwarder) perform(job grantJob) {
-	for _, a := range job.announcements {
+	for _, received := range job.announcements {
+		a := received.Announcement
 		if last, ok := f.announced[a.Upstream.Name]; ok && last.Announcement.ClockMS == a.ClockMS {
 			continue
 		}
-		f.announced[a.Upstream.Name] = blupstream.ReceivedAnnouncement{Announcement: a, ReceivedAt: job.receivedAt}
+		f.announced[a.Upstream.Name] = received
 	}
 	if job.grant == nil {
 		return
--- a/io/blupstream/announce.go
+++ b/io/blupstream/announce.go
@@ -107,14 +107,22 @@
 // ReceivedAnnouncement is an announcement and the time at which it was received.
 type ReceivedAnnouncement struct {
 	Announcement blmember.Announcement
-	ReceivedAt   bltimer.Instant
+	receivedAt   bltimer.Instant
+	// suspended is the time for which the host had been suspended by then.
+	suspended time.Duration
+}
+
+// NewReceivedAnnouncement returns an announcement that has just been received.
+func NewReceivedAnnouncement(clock bltimer.Clock, announcement blmember.Announcement) ReceivedAnnouncement {
+	return ReceivedAnnouncement{Announcement: announcement, receivedAt: clock.Now(), suspended: clock.Suspended()}
 }
 
 // Send sends a grant to its upstream. The expiry is converted to the upstream's
-// own clock. The upstream read that clock before it sent the announcement, so the
-// grant can only expire early there.
+// own clock. The upstream read that clock before it sent the announcement, and it may not
+// count suspensions of the host since, so the grant can only expire early there.
 func (g *GrantSender) Send(grant blgrant.Grant, received ReceivedAnnouncement) error {
-	until := received.Announcement.ClockMS + grant.Until.Sub(received.ReceivedAt).Milliseconds()
+	suspended := g.clock.Suspended() - received.suspended
+	until := received.Announcement.ClockMS + (grant.Until.Sub(received.receivedAt) - suspended).Milliseconds()
 	body, err := json.Marshal(GrantBody{
 		Term: grant.Fence.Term, Sequence: grant.Fence.Sequence, Partitions: grant.Set.Words(), UntilClockMS: until,
 	})
