Orders: bytes without end are no answer to a grant or a release

The answer to a release was read up to 64 KiB, the limit of a head, and its connection was then read on while the body was closed.

What is longer is an unknown outcome, and the connection is closed at once.

--- a/io/blupstream/sequence.go
+++ b/io/blupstream/sequence.go
@@ -70,8 +70,10 @@
 		return SequenceResponse{}, fmt.Errorf("read response: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return SequenceResponse{}, fmt.Errorf("read body: %w", err)
+	if err := DiscardShort(response.Body); err != nil {
+		// Otherwise the body is read to its end when it is closed.
+		s.connection.close()
+		return SequenceResponse{}, err
 	}
 	return SequenceResponse{Status: response.StatusCode, Header: response.Header, Ends: request.Close || response.Close}, nil
 }
