blreconciler: an upstream whose orders fail is tried again after a pause

Cause: orders without a proper answer were due again at once, all of them. An upstream that answers with anything but an answer was called as fast as it failed, for good, at the expense of the node's processor time.

Change: the first attempt at an order and its first repeat go at once. After two Sends in a row without any proper answer, further repeats wait 50 ms, 100, 200, then 400 ms at most, and eight go at a time, those with the fewest attempts first. Other orders wait for nothing. One proper answer ends the pause for all, and so does the next incarnation of the upstream.

Measured: TestFailingUpstreamIsTriedWithoutPause, 64 partitions whose releases or grants get no answer for 1 s. Before: 101 sends (the test's own end) of 6,400 orders after the first repeat, for either kind. After: at most 6 sends and 40 such orders, as the test asks. The other tests of backoff_test.go guard the pause itself.

--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -16,20 +16,20 @@
 	}
 	var orders []Order
 	for p, state := range s.states.All() {
-		order, due := s.due(p, state, now)
-		if !due {
-			continue
-		}
-		state.sending = true
-		s.states = s.states.With(p, state)
-		orders = append(orders, order)
-		if len(orders) == maxOrdersPerSend {
-			break
+		if order, due := s.due(p, state, now); due {
+			orders = append(orders, order)
 		}
 	}
+	orders = s.permitted(orders, now)
 	if len(orders) == 0 {
 		return s, effects
 	}
+	orders = orders[:min(len(orders), maxOrdersPerSend)]
+	for _, order := range orders {
+		state, _ := s.states.Get(order.Partition)
+		state.sending = true
+		s.states = s.states.With(order.Partition, state)
+	}
 	s.sending = true
 	return s, append(effects, s.send(orders...))
 }
@@ -112,6 +112,7 @@
 	if m.Incarnation == s.upstream.Incarnation {
 		s.stopped = stopped
 	}
+	s.backoff = s.backoff.withAnswers(m.Answers, now)
 	s, effects := s.reconcile(now)
 	if m.Incarnation == "" {
 		return s, effects
@@ -142,6 +143,7 @@
 func (s State) withAnswer(state partitionState, answer Answer) partitionState {
 	inFlight := state.suspendedInFlight
 	state.sending, state.suspendedInFlight = false, 0
+	state.attempts = state.attempts.withAnswer(answer)
 	order := answer.Order
 	if order.Kind == KindRelease {
 		if answer.Result == ResultDone && state.releasing {
--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -36,6 +36,7 @@
 	// mayOutlast is set when the upstream may hold the partition for longer than this
 	// node's clock tells, since the last grant was sent before a suspension.
 	mayOutlast bool
+	attempts   attempts
 }
 
 // State is the immutable state of the reconciler duty.
@@ -72,6 +73,7 @@
 	// reclaimedAt is when the upstream last returned all partitions. A grant that was
 	// sent before may have arrived before.
 	reclaimedAt bltimer.Instant
+	backoff     backoff
 }
 
 // New returns the state of a node that has just started and knows of no upstream.
