Orders: the head of a response to an order has at most 8 KiB

Cause: the head of any response may have 64 KiB. Reading one of many small fields takes the node about 4 ms of processor time, and an order that fails is repeated.

Change: the head of a response to a grant has at most 8 KiB, and a whole response to a release 12 KiB. Both carry one field.

Measured: TestLongHeadsAreNoAnswerToOrders, a head of 32 KiB: before "got done, want unknown" for both kinds, now unknown.

--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -53,6 +53,8 @@
 	// resetsUnanswered makes the pool reset the connection of a request that ends without
 	// a response, which discards what has not reached the upstream's host.
 	resetsUnanswered bool
+	// maxHeader limits the head of a response, in bytes.
+	maxHeader int64
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -70,15 +72,14 @@
 // NewPool returns an empty pool that matches responses to requests by the header
 // field idHeader.
 func NewPool(idHeader string) *Pool {
-	return &Pool{idHeader: idHeader, idle: map[string][]*connection{}}
+	return &Pool{idHeader: idHeader, maxHeader: maxHeaderBytes, idle: map[string][]*connection{}}
 }
 
-// NewResettingPool returns an empty pool that doesn't check responses. Nothing of a request
-// reaches the upstream's host later than the request ends.
-func NewResettingPool() *Pool {
-	p := NewPool("")
-	p.resetsUnanswered = true
-	return p
+// NewOrderPool returns an empty pool for orders: their responses carry no ID, have short
+// heads, and bodies to be read by DiscardShort. Nothing of an order reaches the
+// upstream's host later than its request ends.
+func NewOrderPool() *Pool {
+	return &Pool{maxHeader: maxShortHeaderBytes, resetsUnanswered: true, idle: map[string][]*connection{}}
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -121,7 +122,7 @@
 // readResponse reads responses until it finds the one to this request.
 func (p *Pool) readResponse(c *connection, request *http.Request) (*http.Response, error) {
 	for range maxSkippedResponses {
-		c.limit.N = maxHeaderBytes
+		c.limit.N = p.maxHeader
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
--- a/io/blupstream/sequence.go
+++ b/io/blupstream/sequence.go
@@ -64,7 +64,7 @@
 	if err := request.Write(s.connection); err != nil {
 		return SequenceResponse{}, fmt.Errorf("write request: %w", err)
 	}
-	s.connection.limit.N = maxHeaderBytes
+	s.connection.limit.N = maxSequenceBytes
 	response, err := http.ReadResponse(s.connection.reader, request)
 	if err != nil {
 		return SequenceResponse{}, fmt.Errorf("read response: %w", err)
@@ -83,7 +83,7 @@
 func (s *Sequence) Confirm() error {
 	timer := time.AfterFunc(confirmTimeout, s.connection.close)
 	defer timer.Stop()
-	s.connection.limit.N = maxHeaderBytes
+	s.connection.limit.N = maxSequenceBytes
 	if _, err := s.connection.reader.ReadByte(); !errors.Is(err, io.EOF) {
 		return UnconfirmedError{}
 	}
--- a/io/blupstream/short.go
+++ b/io/blupstream/short.go
@@ -5,8 +5,14 @@
 	"io"
 )
 
-// maxShortBodyBytes limits the body of a response that carries nothing in its body.
-const maxShortBodyBytes = 4 << 10
+const (
+	// maxShortBodyBytes limits the body of a response that carries nothing in its body.
+	maxShortBodyBytes = 4 << 10
+	// maxShortHeaderBytes limits the head of such a response.
+	maxShortHeaderBytes = 8 << 10
+	// maxSequenceBytes limits a response of a sequence, head and body.
+	maxSequenceBytes = maxShortHeaderBytes + maxShortBodyBytes
+)
 
 // LongBodyError reports a response whose body goes on beyond the limit. It is no answer.
 type LongBodyError struct {
