blhttp: a caller that doesn't read its response gives up its slot

Cause: the write of a response waits for a caller that doesn't read, without an end. The request then holds its slot at the upstream, its permit and its memory until the caller closes, far beyond its deadline; as many such callers as an upstream has slots stop it for all.

Change: the writes of a response fail half a second after the request's deadline.

--- a/io/blhttp/handler.go
+++ b/io/blhttp/handler.go
@@ -65,6 +65,7 @@
 		h.refuseMalformed(w, call.RequestID, err)
 		return
 	}
+	endLimit := limitWrites(w, call.Request.Timeout+writeGrace)
 	ctx, cancel := context.WithTimeout(r.Context(), call.Request.Timeout)
 	defer cancel()
 	ctx, release := h.ending.Limit(ctx)
@@ -74,6 +75,7 @@
 	delivery, retryAfter := a.run(ctx)
 	span.With("service", string(call.Request.Service)).With("account", string(a.account)).End(delivery.Refusal)
 	h.complete(w, a, delivery, retryAfter)
+	endLimit()
 }
 
 func (h *Handler) refuseMalformed(w http.ResponseWriter, requestID string, err error) {
