A silent connection is reported before it is closed

Cause: run closed a silent connection and then called replaced. The calls that wait on the connection fail as it closes, and the next one may succeed on a new connection before replaced has been called. TestSilentConnectionIsUsedForever counts those calls at that moment, and failed so once on a busy machine: "connections replaced: got 0, want 1".

Change: replaced is called first. The test is unchanged.

--- a/io/blgrpc/client.go
+++ b/io/blgrpc/client.go
@@ -24,7 +24,7 @@
 }
 
 // NewClient returns a client without connections. It calls replaced with the address
-// of a node whose connection went silent and was closed.
+// of a node whose connection went silent, before it closes that.
 func NewClient(decode Decode, headers HeaderTable, replaced func(address string)) *Client {
 	return &Client{decode: decode, headers: headers, replaced: replaced, peers: map[string]*peer{}}
 }
--- a/io/blgrpc/peer.go
+++ b/io/blgrpc/peer.go
@@ -43,7 +43,7 @@
 	// current is the connection opened last, or nil.
 	current atomic.Pointer[monitoredConn]
 	probing atomic.Bool
-	// replaced is called with the address when a silent connection is closed.
+	// replaced is called with the address before a silent connection is closed.
 	replaced func(address string)
 }
 
@@ -124,8 +124,8 @@
 	if err == nil || connection.silentFor() < silenceLimit+probeTimeout {
 		return
 	}
-	_ = connection.Close()
 	p.replaced(p.address)
+	_ = connection.Close()
 }
 
 // monitoredConn records when something last arrived on a connection.
