--- a/io/blgrpc/peer.go
+++ b/io/blgrpc/peer.go
@@ -82,7 +82,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial node: %w", err)
 	}
-	monitored := newMonitoredConn(connection)
+	monitored, err := newMonitoredConn(connection)
+	if err != nil {
+		_ = connection.Close()
+		return nil, err
+	}
 	p.current.Store(monitored)
 	return monitored, nil
 }
@@ -127,29 +131,3 @@
 	p.replaced(p.address)
 	_ = connection.Close()
 }
-
-// monitoredConn records when something last arrived on a connection.
-type monitoredConn struct {
-	net.Conn
-
-	openedAt time.Time
-	// arrivedAt counts from openedAt, in nanoseconds.
-	arrivedAt atomic.Int64
-}
-
-func newMonitoredConn(connection net.Conn) *monitoredConn {
-	return &monitoredConn{Conn: connection, openedAt: time.Now()}
-}
-
-// Read implements net.Conn.
-func (c *monitoredConn) Read(buffer []byte) (int, error) {
-	count, err := c.Conn.Read(buffer)
-	if count > 0 {
-		c.arrivedAt.Store(int64(time.Since(c.openedAt)))
-	}
-	return count, err //nolint:wrapcheck // gRPC tests for io.EOF
-}
-
-func (c *monitoredConn) silentFor() time.Duration {
-	return time.Since(c.openedAt) - time.Duration(c.arrivedAt.Load())
-}
