bllead: split standby.go by what each piece answers

standby.go: the lead's calls to its standby. standby_choice.go: which node is the standby. promise.go: the standby's answers. transfer.go: how the lead passes to another process, with what leading.go had of that.

--- a/core/bllead/leading.go
+++ b/core/bllead/leading.go
@@ -3,7 +3,6 @@
 import (
 	"bergamotlead/core/blplatform"
 	"bergamotlead/core/bltimer"
-	"bergamotlead/core/blvalue"
 )
 
 // expire moves a lead whose lease has expired to holding, and ends the role of a
@@ -182,22 +181,3 @@
 	}
 	return transferToStandby(s, now)
 }
-
-// transferToStandby steps down and asks the standby, if there is one, to take
-// over.
-func transferToStandby(s State, now bltimer.Instant) (State, []Effect) {
-	standby, ok := s.standby()
-	if !ok {
-		return stepDown(s, now)
-	}
-	return transferTo(s, standby, now)
-}
-
-// transferTo steps down and asks another process to take over. Any process is
-// eligible: once this lead has stepped down, no process acts as lead without the
-// store.
-func transferTo(s State, successor blvalue.Host, now bltimer.Instant) (State, []Effect) {
-	call := AskStandby{Term: s.stored.Record.Term, Standby: successor, Resigned: s.claim}
-	s, effects := stepDown(s, now)
-	return s, append(effects, call)
-}
