blnode: split calls.go and node.go by what each piece does

calls.go keeps the calls of other nodes, node.go the node. Handing over, listeners, middleware, log lines about requests and the delivery of orders have files of their own; the constants went with them. Moved, no line changed. go test ./io/blnode passes.

--- /dev/null
+++ b/io/blnode/listeners.go
@@ -0,0 +1,98 @@
+package blnode
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bergamotlead/io/blhttp"
+	"bergamotlead/io/blserver"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+)
+
+func (n *Node) listen(ctx context.Context, address string) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return listener, nil
+}
+
+func (n *Node) serveNodes(listener net.Listener) {
+	if err := n.nodeServer.Serve(listener); err != nil {
+		n.reportFailure(err)
+	}
+}
+
+func (n *Node) reportFailure(err error) {
+	select {
+	case n.failed <- err:
+	default:
+	}
+}
+
+func (n *Node) serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := n.listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	server := blserver.New(listener, &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	})
+	if address == n.settings.CallerListen {
+		n.callerServer = server
+		n.metrics.Gauge("bergamotlead_connections_cut", func() float64 { return float64(server.Counts().Cut) })
+	}
+	n.httpServers = append(n.httpServers, server)
+	go n.serveHTTP(server)
+	return nil
+}
+
+func (n *Node) serveHTTP(server *blserver.Server) {
+	if err := server.Serve(); err != nil {
+		n.reportFailure(err)
+	}
+}
+
+func (n *Node) callerHandler() http.Handler {
+	handler := blhttp.New(n.platform.CallerProtocol, n.duties.admit.Put, n.duties.route.Put, n.deliver, n.callerLimits, n.stages, n.ending, n.tracer, n.metrics, n.logger)
+	return n.chain().Then(handler)
+}
+
+// readyHandler answers the platform's readiness probe. The node is ready once it
+// has a configuration, and as long as it isn't leaving.
+func (n *Node) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if n.leaving.Load() || n.duties.admit.View().Config().Revision == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return n.chain().Then(mux)
+}
+
+// callerLimits returns the limits that apply before a request is admitted.
+func (n *Node) callerLimits() blhttp.Limits {
+	limits := n.duties.admit.View().Config().Plan.Limits
+	if limits.BodyBytes == 0 {
+		return blhttp.Limits{BodyBytes: defaultMaxBodyBytes, Timeout: defaultRequestTimeout}
+	}
+	return blhttp.Limits{BodyBytes: limits.BodyBytes, Timeout: limits.RequestTimeout}
+}
+
+const (
+	defaultMaxBodyBytes   = 1 << 20
+	defaultRequestTimeout = 5 * time.Second
+)
