blnode: split workers.go and node_work.go by worker

node_work.go held six workers' jobs. Each has a file with its timeouts now, the publishing of configurations too, and when one is reread is in config_read.go.

--- a/io/blnode/config_read.go
+++ b/io/blnode/config_read.go
@@ -82,3 +82,37 @@
 		f.onConfig(accepted)
 	}
 }
+
+// reloadDue reports whether this node is to reread the configuration, which it then
+// does: as lead in each period, and without a lead the more rarely the more nodes
+// share the store.
+func (n *Node) reloadDue() bool {
+	if !n.platform.AllNodesReadConfig {
+		return false
+	}
+	if n.isLead() {
+		return true
+	}
+	if !n.leadUnavailable() {
+		return false
+	}
+	now := n.clock.Now()
+	if now.Sub(n.reloadedAt) < reloadInterval(n.duties.member.View().NodeCount()) {
+		return false
+	}
+	n.reloadedAt = now
+	return true
+}
+
+const (
+	// reloadIntervalPerNode is the interval at which a node without a lead rereads the
+	// configuration, for each node of the fleet.
+	reloadIntervalPerNode = 10 * time.Millisecond
+	maxReloadInterval     = 2 * time.Second
+)
+
+// reloadInterval returns the interval at which a node without a lead rereads the
+// configuration in a fleet of the given size.
+func reloadInterval(nodes int) time.Duration {
+	return min(time.Duration(nodes)*reloadIntervalPerNode, maxReloadInterval)
+}
--- a/io/blnode/delegate_workers.go
+++ b/io/blnode/delegate_workers.go
@@ -1,12 +1,16 @@
 package blnode
 
 import (
+	"context"
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/blduty"
+	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blgrpc"
 )
 
 // delegateThreads is the number of threads that ask delegates. A delegate that
@@ -41,3 +45,25 @@
 		worker.Stop()
 	}
 }
+
+// delegateAsker asks delegates for tokens.
+type delegateAsker struct {
+	client *blgrpc.Client
+	domain blvalue.DomainName
+	put    func(bladmit.Message) error
+	outage *outageLog
+}
+
+// askMargin is how much longer a node waits for the answer of a delegate than the
+// delegate may wait for the lead.
+const askMargin = 100 * time.Millisecond
+
+func (d delegateAsker) perform(ask bladmit.AskDelegate) {
+	ctx, cancel := context.WithTimeout(context.Background(), ask.Wait+askMargin)
+	defer cancel()
+	answer, err := d.client.Spend(ctx, ask, d.domain)
+	d.outage.record(err, "delegate", string(ask.Delegate.Name))
+	blduty.PutBlocking[bladmit.Message](d.put, bladmit.DelegateAnswered{
+		Account: ask.Account, Delegate: ask.Delegate, Answer: answer, Failed: err != nil || answer.Unavailable,
+	})
+}
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -6,12 +6,10 @@
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/blassign"
-	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blduty"
 	"bergamotlead/core/blgrant"
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/blmember"
-	"bergamotlead/core/blquota"
 	"bergamotlead/core/blreconciler"
 	"bergamotlead/core/blvalue"
 )
@@ -174,73 +172,12 @@
 	return member.LeadStoreLost() || member.LeadOverdue(n.clock.Now())
 }
 
-// reloadDue reports whether this node is to reread the configuration, which it then
-// does: as lead in each period, and without a lead the more rarely the more nodes
-// share the store.
-func (n *Node) reloadDue() bool {
-	if !n.platform.AllNodesReadConfig {
-		return false
-	}
-	if n.isLead() {
-		return true
-	}
-	if !n.leadUnavailable() {
-		return false
-	}
-	now := n.clock.Now()
-	if now.Sub(n.reloadedAt) < reloadInterval(n.duties.member.View().NodeCount()) {
-		return false
-	}
-	n.reloadedAt = now
-	return true
-}
-
-const (
-	// reloadIntervalPerNode is the interval at which a node without a lead rereads the
-	// configuration, for each node of the fleet.
-	reloadIntervalPerNode = 10 * time.Millisecond
-	maxReloadInterval     = 2 * time.Second
-)
-
-// reloadInterval returns the interval at which a node without a lead rereads the
-// configuration in a fleet of the given size.
-func reloadInterval(nodes int) time.Duration {
-	return min(time.Duration(nodes)*reloadIntervalPerNode, maxReloadInterval)
-}
-
 // watchesConfig reports whether this process watches the configuration. On some
 // platforms every node does, on the others only the lead.
 func (n *Node) watchesConfig() bool {
 	return n.platform.AllNodesReadConfig || n.isLead()
 }
 
-// configSourceChanged informs the member duty whether this node's own reads of
-// the configuration succeed.
-func (n *Node) configSourceChanged(succeeded bool) {
-	if n.platform.AllNodesReadConfig {
-		n.logDropped("member", n.duties.member.Put(blmember.ConfigSourceChanged{ReadsStore: succeeded}))
-	}
-}
-
-// publishLocalConfig passes a configuration that this node has read itself to the
-// member duty, if every node reads configurations, and to the lead's duties.
-func (n *Node) publishLocalConfig(accepted blconfig.Accepted) {
-	n.stateLog.logStore(accepted)
-	if n.platform.AllNodesReadConfig {
-		blduty.PutBlocking[blmember.Message](n.duties.member.Put, blmember.ConfigSeen{
-			Accepted: accepted, Origin: blmember.OriginSource,
-		})
-	}
-	n.publishConfig(accepted)
-}
-
-// publishFetchedConfig passes a configuration of another node to the member duty
-// and to the lead's duties.
-func (n *Node) publishFetchedConfig(accepted blconfig.Accepted) {
-	blduty.PutBlocking[blmember.Message](n.duties.member.Put, blmember.ConfigSeen{Accepted: accepted, Origin: blmember.OriginNode})
-	n.publishConfig(accepted)
-}
-
 // sendOrders sends orders to an upstream that keeps its grants itself.
 func (n *Node) sendOrders(send blreconciler.Send) {
 	startedAt := n.clock.Now()
@@ -253,10 +190,3 @@
 
 // reclaim takes all partitions of an upstream back.
 func (n *Node) reclaim(r blreconciler.Reclaim) { n.sendOrders(r.Send) }
-
-// publishConfig passes a configuration to the duties that act for the lead: assign
-// and quota.
-func (n *Node) publishConfig(accepted blconfig.Accepted) {
-	blduty.PutBlocking[blassign.Message](n.duties.assign.Put, blassign.ConfigSeen{Accepted: accepted})
-	blduty.PutBlocking[blquota.Message](n.duties.quota.Put, blquota.ConfigSeen{Accepted: accepted})
-}
