blfleet: PotHosts stands once

The tests, measure and the soak each listed the same hosts over three failure domains. blfleet.PotHosts does it for all three and for DakarHosts. go test ./tools/soak ./tools/bllink ./tools/configpage and of ./tests TestBadInput, TestClientKeyIsNotForwarded and TestOversizedBodyDoesNotLowerUpstreamLimit pass.

--- a/tests/console_test.go
+++ b/tests/console_test.go
@@ -9,12 +9,14 @@
 	"strings"
 	"testing"
 	"time"
+
+	"bergamotlead/tools/blfleet"
 )
 
 // TestConsole logs in, previews an invalid and a valid change, and applies the
 // valid one.
 func TestConsole(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	f.roles()
 	jar, err := cookiejar.New(nil)
 	if err != nil {
--- a/tests/large_config_test.go
+++ b/tests/large_config_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"bergamotlead/core/blconfig"
+	"bergamotlead/tools/blfleet"
 	"bergamotlead/tools/bllink"
 )
 
@@ -38,7 +39,7 @@
 // the previous one.
 func TestLargeConfigurationReachesHostsOnSlowLinks(t *testing.T) {
 	links := []*bllink.Link{}
-	f := deployLinked(t, potHosts(3, true), nil, func(_, target string) (string, error) {
+	f := deployLinked(t, blfleet.PotHosts(3, true), nil, func(_, target string) (string, error) {
 		link, err := bllink.New(target)
 		if err == nil {
 			links = append(links, link)
--- a/tests/main_test.go
+++ b/tests/main_test.go
@@ -128,20 +128,6 @@
 	return blconfig.Value{Kind: blconfig.KindList, List: values}
 }
 
-// potHosts returns hosts spread over three failure domains, each with one pot
-// server.
-func potHosts(count int, checksFence bool) []blfleet.HostSpec {
-	domains := []string{"sn_west_a", "sn_west_b", "sn_west_c"}
-	hosts := make([]blfleet.HostSpec, 0, count)
-	for i := range count {
-		hosts = append(hosts, blfleet.HostSpec{
-			Name: fmt.Sprintf("host_%d", i+1), Domain: domains[i%len(domains)],
-			Upstreams: []blfleet.Upstream{blfleet.PotServer(i+1, checksFence)},
-		})
-	}
-	return hosts
-}
-
 // roles returns the host of the lead, the host of the standby, and one that is
 // neither.
 func (f *fleet) roles() (lead, standby, other *blfleet.Host) {
--- a/tests/operators_test.go
+++ b/tests/operators_test.go
@@ -41,7 +41,7 @@
 }
 
 func TestCommandLine(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	f.roles()
 	host := f.Hosts[1]
 	cases := []struct {
@@ -76,7 +76,7 @@
 }
 
 func TestKeyIsIssuedAndWithdrawn(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	f.roles()
 	output := f.mustCtl(f.Hosts[0], "key", "issue", "school_groups", "--reason", "The school groups got a second tablet")
 	key := output[strings.LastIndex(output, " ")+1:]
@@ -104,7 +104,7 @@
 }
 
 func TestConcurrentConfigChangesConflict(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	f.roles()
 	path := filepath.Join(t.TempDir(), "mine.toml")
 	if err := os.WriteFile(path, []byte(f.editedDocument(func(d blconfig.Document) blconfig.Document {
@@ -124,7 +124,7 @@
 // TestLostStoreResponseIsResolved drops the store's response to the write of a
 // change, after the write took effect.
 func TestLostStoreResponseIsResolved(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	f.roles()
 	f.setPlatformFaults(map[string]any{"lose_answers": 1})
 	f.mustCtl(f.Hosts[0], "domain", "out", "sn_west_c", "--reason", "The hall in Thies is flooded")
@@ -138,7 +138,7 @@
 // acknowledged change: it kills the lead right after the acknowledgement, and
 // no node's revision may decrease.
 func TestAcceptedConfigurationSurvivesLeadFailure(t *testing.T) {
-	f := deploy(t, potHosts(4, true), nil)
+	f := deploy(t, blfleet.PotHosts(4, true), nil)
 	lead, _, other := f.roles()
 	f.mustCtl(lead, "domain", "out", "sn_west_c", "--reason", "The hall in Thies is flooded")
 	revision := f.revisionAt(other)
@@ -173,7 +173,7 @@
 // again after the domain is back.
 func TestFailureDomainOutAndBack(t *testing.T) {
 	const drainTime = 3 * time.Second
-	hosts := potHosts(6, true)
+	hosts := blfleet.PotHosts(6, true)
 	for i := range hosts {
 		hosts[i].Upstreams = append(hosts[i].Upstreams, blfleet.WishlistServer(i+1))
 	}
@@ -234,7 +234,7 @@
 // TestGracefulShutdownDropsNoRequests terminates a node that is neither lead nor
 // standby and then the lead, under a load of slow requests.
 func TestGracefulShutdownDropsNoRequests(t *testing.T) {
-	f := deploy(t, potHosts(4, true), nil)
+	f := deploy(t, blfleet.PotHosts(4, true), nil)
 	f.roles()
 	for _, host := range f.Hosts {
 		f.setUpstreamFaults(host.Upstreams[0], map[string]any{"slow_factor": 30})
--- a/tests/overload_test.go
+++ b/tests/overload_test.go
@@ -30,7 +30,7 @@
 // and then puts one into a cold start that it does not announce. Load shedding
 // is off at the upstreams, so that they count every request sent to them.
 func TestColdUpstreamIsProtected(t *testing.T) {
-	hosts := potHosts(3, true)
+	hosts := blfleet.PotHosts(3, true)
 	for i := range hosts {
 		hosts[i].Upstreams[0].ColdFor = 4 * time.Second
 		hosts[i].Upstreams[0].ServiceTime = 5 * time.Millisecond
@@ -65,7 +65,7 @@
 // of the upstreams. No outcome may be unknown, and no upstream may get more
 // concurrent requests than it has slots.
 func TestOverloadOutcomesAndConcurrencyLimit(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	f.roles()
 	tally := blfleet.NewTally()
 	end := time.Now().Add(3 * time.Second)
@@ -95,7 +95,7 @@
 // TestRestartedUpstreamRegainsPartitions kills an upstream, restarts it after 3 s
 // and checks that it is granted partitions again.
 func TestRestartedUpstreamRegainsPartitions(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	f.roles()
 	upstream := f.Hosts[2].Upstreams[0]
 	upstream.Process.Kill()
--- a/tests/ownership_test.go
+++ b/tests/ownership_test.go
@@ -69,7 +69,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := deploy(t, potHosts(4, c.checksFence), nil)
+			f := deploy(t, blfleet.PotHosts(4, c.checksFence), nil)
 			lead, standby, other := f.roles()
 			traffic := f.startTraffic(f.Hosts...)
 			time.Sleep(500 * time.Millisecond)
@@ -113,7 +113,7 @@
 // TestStoreOutageServesEveryKey stops the store for 4 s. Every request must be
 // answered during the outage, and a configuration change must be refused.
 func TestStoreOutageServesEveryKey(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	f.roles()
 	time.Sleep(time.Second)
 	traffic := f.startTraffic(f.Hosts...)
--- a/tests/ratelimit_test.go
+++ b/tests/ratelimit_test.go
@@ -33,7 +33,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := deploy(t, potHosts(4, true), func(d blconfig.Document) blconfig.Document {
+			f := deploy(t, blfleet.PotHosts(4, true), func(d blconfig.Document) blconfig.Document {
 				d = withValue(d, "accounts", "bookkeeping", "rate", integer(rate))
 				return withValue(d, "accounts", "bookkeeping", "burst", integer(burst))
 			})
@@ -121,7 +121,7 @@
 		// mostRefused allows for the requests that wait for the stopped node.
 		mostRefused = 12
 	)
-	f := deploy(t, potHosts(hosts, true), func(d blconfig.Document) blconfig.Document {
+	f := deploy(t, blfleet.PotHosts(hosts, true), func(d blconfig.Document) blconfig.Document {
 		d = withValue(d, "accounts", "bookkeeping", "rate", integer(rate))
 		return withValue(d, "accounts", "bookkeeping", "burst", integer(burst))
 	})
--- a/tests/reload_test.go
+++ b/tests/reload_test.go
@@ -6,12 +6,14 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"bergamotlead/tools/blfleet"
 )
 
 // TestSettingsAreReloaded changes a node's settings file, once to invalid
 // content, and sends SIGHUP. The node must keep serving in every case.
 func TestSettingsAreReloaded(t *testing.T) {
-	f := deploy(t, potHosts(2, false), nil)
+	f := deploy(t, blfleet.PotHosts(2, false), nil)
 	host := f.Hosts[0]
 	text, err := os.ReadFile(host.SettingsFile)
 	if err != nil {
--- a/tests/requests_test.go
+++ b/tests/requests_test.go
@@ -21,7 +21,7 @@
 // that stay open.
 func TestWithdrawnKeyIsRejected(t *testing.T) {
 	const observeTime = 4 * time.Second
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	f.roles()
 	withdrawn := f.editedDocument(func(d blconfig.Document) blconfig.Document {
 		return withValue(d, "accounts", "thies_kiosk", "key_digests", list())
@@ -72,7 +72,7 @@
 // its configuration is older than the freshness bound, because it can't learn of
 // client keys withdrawn since.
 func TestIsolatedNodeRejectsRequests(t *testing.T) {
-	hosts := potHosts(3, true)
+	hosts := blfleet.PotHosts(3, true)
 	hosts[2].Upstreams = append(hosts[2].Upstreams, blfleet.WishlistServer(1))
 	f := deploy(t, hosts, nil)
 	isolated := f.Hosts[2]
@@ -94,7 +94,7 @@
 // request, and forged internal headers. No upstream may receive the key, and the
 // account must be that of the key.
 func TestClientKeyIsNotForwarded(t *testing.T) {
-	f := deploy(t, potHosts(3, false), nil)
+	f := deploy(t, blfleet.PotHosts(3, false), nil)
 	key := f.ClientKeys[account]
 	cases := []struct {
 		name   string
@@ -148,7 +148,7 @@
 // TestOutcomeMatchesExecution injects upstream failures and compares the outcome
 // reported to the caller with the number of times the upstream ran the request.
 func TestOutcomeMatchesExecution(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	owner, key := f.ownedBy(f.Hosts[0])
 	other := f.Hosts[1]
 	cases := []struct {
@@ -245,7 +245,7 @@
 
 // TestBadInput sends malformed requests and requests that must be rejected.
 func TestBadInput(t *testing.T) {
-	f := deploy(t, potHosts(3, false), nil)
+	f := deploy(t, blfleet.PotHosts(3, false), nil)
 	raw := func(lines ...string) string { return strings.Join(lines, "\r\n") + "\r\n\r\n" }
 	auth := "Authorization: Bearer " + f.ClientKeys[account]
 	cases := []struct {
@@ -289,7 +289,7 @@
 // exceeds the size limit. The caller is at fault, so the upstream's concurrency
 // limit must not decrease.
 func TestOversizedBodyDoesNotLowerUpstreamLimit(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	owner, key := f.ownedBy(f.Hosts[0])
 	f.flood(12, time.Second)
 	before := f.limitOf(owner)
@@ -329,7 +329,7 @@
 
 // TestLargeBodiesPass sends bodies that are larger than every buffer on the path.
 func TestLargeBodiesPass(t *testing.T) {
-	f := deploy(t, potHosts(3, true), nil)
+	f := deploy(t, blfleet.PotHosts(3, true), nil)
 	body := strings.Repeat("7", 900<<10)
 	for i := range 12 {
 		response, err := f.Call(f.Hosts[i%3], http.MethodPost, fmt.Sprintf("/pot/large_%d/contributions", i), f.ClientKeys[account], body)
--- a/tests/restored_test.go
+++ b/tests/restored_test.go
@@ -143,7 +143,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := deploy(t, potHosts(4, c.checksFence), nil)
+			f := deploy(t, blfleet.PotHosts(4, c.checksFence), nil)
 			lead, _, other := f.roles()
 			time.Sleep(time.Second)
 			traffic := f.startTraffic(f.Hosts...)
@@ -182,7 +182,7 @@
 // join adds a host with another server.
 func (f *fleet) join() {
 	f.t.Helper()
-	hosts := potHosts(len(f.Hosts)+1, f.Hosts[0].Upstreams[0].Spec.ChecksFence)
+	hosts := blfleet.PotHosts(len(f.Hosts)+1, f.Hosts[0].Upstreams[0].Spec.ChecksFence)
 	if _, err := f.AddHost(hosts[len(f.Hosts)]); err != nil {
 		f.t.Fatalf("add host: %v", err)
 	}
@@ -219,7 +219,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := deploy(t, potHosts(4, true), nil)
+			f := deploy(t, blfleet.PotHosts(4, true), nil)
 			f.roles()
 			time.Sleep(time.Second)
 			before := time.Now()
--- a/tests/store_test.go
+++ b/tests/store_test.go
@@ -150,7 +150,7 @@
 // TestPermanentLossOfLeadAndStandby kills the nodes of lead and standby. Another
 // node may become lead only after an operator has marked both hosts as lost.
 func TestPermanentLossOfLeadAndStandby(t *testing.T) {
-	f := deploy(t, potHosts(5, true), nil)
+	f := deploy(t, blfleet.PotHosts(5, true), nil)
 	lead, standby, other := f.roles()
 	lead.Node.Kill()
 	standby.Node.Kill()
--- a/tools/blfleet/build.go
+++ b/tools/blfleet/build.go
@@ -26,15 +26,26 @@
 	return nil
 }
 
+// domains are the failure domains of the Dakar mesh.
+var domains = []string{"sn_west_a", "sn_west_b", "sn_west_c"}
+
 // DakarHosts returns the hosts of the Dakar mesh, one in each failure domain, each
 // with one pot and one wishlist server.
 func DakarHosts(checksFence bool) []HostSpec {
-	domains := []string{"sn_west_a", "sn_west_b", "sn_west_c"}
-	hosts := make([]HostSpec, 0, len(domains))
-	for i, domain := range domains {
+	hosts := PotHosts(len(domains), checksFence)
+	for i := range hosts {
+		hosts[i].Upstreams = append(hosts[i].Upstreams, WishlistServer(i+1))
+	}
+	return hosts
+}
+
+// PotHosts returns hosts spread over the failure domains, each with one pot server.
+func PotHosts(count int, checksFence bool) []HostSpec {
+	hosts := make([]HostSpec, 0, count)
+	for i := range count {
 		hosts = append(hosts, HostSpec{
-			Name: fmt.Sprintf("host_%d", i+1), Domain: domain,
-			Upstreams: []Upstream{PotServer(i+1, checksFence), WishlistServer(i + 1)},
+			Name: fmt.Sprintf("host_%d", i+1), Domain: domains[i%len(domains)],
+			Upstreams: []Upstream{PotServer(i+1, checksFence)},
 		})
 	}
 	return hosts
--- a/tools/measure/idle.go
+++ b/tools/measure/idle.go
@@ -33,21 +33,8 @@
 	return nil
 }
 
-// potHosts returns hosts with one pot server each.
-func potHosts(count int) []blfleet.HostSpec {
-	domains := []string{"sn_west_a", "sn_west_b", "sn_west_c"}
-	hosts := make([]blfleet.HostSpec, 0, count)
-	for i := range count {
-		hosts = append(hosts, blfleet.HostSpec{
-			Name: fmt.Sprintf("host_%d", i+1), Domain: domains[i%len(domains)],
-			Upstreams: []blfleet.Upstream{blfleet.PotServer(i+1, false)},
-		})
-	}
-	return hosts
-}
-
 func (c idleCommand) measure(count int) error {
-	d, err := deploy(potHosts(count), func(document blconfig.Document) blconfig.Document {
+	d, err := deploy(blfleet.PotHosts(count, false), func(document blconfig.Document) blconfig.Document {
 		document = withValue(document, "services", "pot", "upstreams", integer(int64(count)))
 		return withValue(document, "services", "pot", "partitions", integer(int64(max(128, 8*count))))
 	})
--- a/tools/measure/load.go
+++ b/tools/measure/load.go
@@ -77,7 +77,7 @@
 }
 
 func currentDakarHosts() []blfleet.HostSpec {
-	hosts := potHosts(7)
+	hosts := blfleet.PotHosts(7, false)
 	for i := range 5 {
 		hosts[i].Upstreams = append(hosts[i].Upstreams, blfleet.WishlistServer(i+1))
 	}
@@ -156,7 +156,7 @@
 
 // Run offers the pot service 0.8 times and twice its capacity.
 func (c overloadCommand) Run() error {
-	hosts := potHosts(3)
+	hosts := blfleet.PotHosts(3, false)
 	for i := range hosts {
 		hosts[i].Upstreams[0].ServiceTime = overloadServiceTime
 	}
@@ -189,7 +189,7 @@
 // Run measures the latency of other keys, without and with an equal load on one
 // hot key.
 func (c hotKeyCommand) Run() error {
-	d, err := deploy(potHosts(7), withSingleAccountRate(4000))
+	d, err := deploy(blfleet.PotHosts(7, false), withSingleAccountRate(4000))
 	if err != nil {
 		return err
 	}
--- a/tools/measure/recovery.go
+++ b/tools/measure/recovery.go
@@ -87,7 +87,7 @@
 }
 
 func measureLoss(l loss) (time.Duration, int, error) {
-	d, err := deploy(potHosts(recoveryNodes), nil)
+	d, err := deploy(blfleet.PotHosts(recoveryNodes, false), nil)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -120,7 +120,7 @@
 	}
 	var err error
 	s.fleet, err = blfleet.Start(blfleet.Options{
-		Binaries: s.binaries, Folder: s.folder, Region: "sn_west", Hosts: s.hosts(), WorkLogs: true, Link: s.link,
+		Binaries: s.binaries, Folder: s.folder, Region: "sn_west", Hosts: blfleet.PotHosts(s.args.Hosts, true), WorkLogs: true, Link: s.link,
 	})
 	if err != nil {
 		return fmt.Errorf("start fleet: %w", err)
@@ -147,18 +147,6 @@
 	}
 }
 
-func (s *soak) hosts() []blfleet.HostSpec {
-	domains := []string{"sn_west_a", "sn_west_b", "sn_west_c"}
-	hosts := make([]blfleet.HostSpec, 0, s.args.Hosts)
-	for i := range s.args.Hosts {
-		hosts = append(hosts, blfleet.HostSpec{
-			Name: fmt.Sprintf("host_%d", i+1), Domain: domains[i%len(domains)],
-			Upstreams: []blfleet.Upstream{blfleet.PotServer(i+1, true)},
-		})
-	}
-	return hosts
-}
-
 // link starts a proxy to the target and returns its address.
 func (s *soak) link(name, target string) (string, error) {
 	l, err := bllink.New(target)
