blfleet: the digest of a client key is computed in one place

The fleet, the soak and a test each hashed a new key. blfleet.KeyDigest does, still without the code of the nodes, so that it checks theirs. go test ./tests -run TestRestoredStoreKeepsTheConfiguration (but for the known red case) and go test ./tools/soak pass.

--- a/tests/restored_test.go
+++ b/tests/restored_test.go
@@ -1,8 +1,6 @@
 package bltests_test
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net/http"
 	"sort"
@@ -41,9 +39,8 @@
 	f.t.Helper()
 	withdrawn = f.ClientKeys[name]
 	next = withdrawn + "_next"
-	sum := sha256.Sum256([]byte(next))
 	f.apply(f.editedDocument(func(d blconfig.Document) blconfig.Document {
-		return withValue(d, blconfig.SectionAccounts, name, "key_digests", list(hex.EncodeToString(sum[:])))
+		return withValue(d, blconfig.SectionAccounts, name, "key_digests", list(blfleet.KeyDigest(next)))
 	}))
 	return withdrawn, next
 }
--- a/tools/blfleet/operator.go
+++ b/tools/blfleet/operator.go
@@ -125,11 +125,10 @@
 	}
 	for _, account := range document.Entries(blconfig.SectionAccounts) {
 		key := randomHex()
-		sum := sha256.Sum256([]byte(key))
 		f.ClientKeys[account] = key
 		setting := blconfig.Path{Section: blconfig.SectionAccounts, Entry: account, Option: "key_digests"}
 		old, _ := document.Get(setting)
-		old.Value.List = []string{hex.EncodeToString(sum[:])}
+		old.Value.List = []string{KeyDigest(key)}
 		document = document.With(setting, old)
 	}
 	if edit != nil {
@@ -142,6 +141,12 @@
 	return string(formatted), nil
 }
 
+// KeyDigest returns the digest by which a configuration names a client key.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
 // Apply applies a document through a host's node and waits up to 10 s until it is
 // in force.
 func (f *Fleet) Apply(host *Host, base uint64, document string) (bloperator.ChangeResult, error) {
--- a/tools/soak/config.go
+++ b/tools/soak/config.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net/http"
 	"sync"
@@ -51,8 +49,7 @@
 	s.config.changes++
 	previous, next := s.config.clientKey, fmt.Sprintf("%s_%d", s.fleet.ClientKeys[account], s.config.changes)
 	setting, _ := document.Get(s.config.digestsPath)
-	sum := sha256.Sum256([]byte(next))
-	setting.Value.List = []string{hex.EncodeToString(sum[:])}
+	setting.Value.List = []string{blfleet.KeyDigest(next)}
 	text, err := blsettings.FormatDocument(document.With(s.config.digestsPath, setting))
 	if err != nil {
 		return fmt.Errorf("write document: %w", err)
