bergamotctl: the configuration in force is fetched in one place

Three commands made the same call. fetchConfig does it for all. go test ./cmd/bergamotctl and of ./tests TestConsole, TestCommandLine, TestConcurrentConfigChangesConflict and TestKeyIsIssuedAndWithdrawn pass.

--- a/cmd/bergamotctl/apply.go
+++ b/cmd/bergamotctl/apply.go
@@ -28,8 +28,8 @@
 	}
 	base := cmd.Base
 	if base == 0 {
-		var config bloperator.Config
-		if err := c.call(http.MethodGet, "/config", nil, &config); err != nil {
+		config, err := fetchConfig(c)
+		if err != nil {
 			return err
 		}
 		base = config.Revision
@@ -117,10 +117,17 @@
 	return setting.Value.String()
 }
 
+// fetchConfig returns the configuration in force at a node.
+func fetchConfig(c *client) (bloperator.Config, error) {
+	var config bloperator.Config
+	err := c.call(http.MethodGet, "/config", nil, &config)
+	return config, err
+}
+
 // fetchDocument returns the revision and document in force at a node.
 func fetchDocument(c *client) (uint64, blconfig.Document, error) {
-	var config bloperator.Config
-	if err := c.call(http.MethodGet, "/config", nil, &config); err != nil {
+	config, err := fetchConfig(c)
+	if err != nil {
 		return 0, blconfig.Document{}, err
 	}
 	document, err := blsettings.ParseDocument([]byte(config.Document))
--- a/cmd/bergamotctl/config.go
+++ b/cmd/bergamotctl/config.go
@@ -86,8 +86,8 @@
 
 // Run shows the document in force at a node.
 func (showCommand) Run(c *client) error {
-	var config bloperator.Config
-	if err := c.call(http.MethodGet, "/config", nil, &config); err != nil {
+	config, err := fetchConfig(c)
+	if err != nil {
 		return err
 	}
 	if c.json {
