bldeliver: requests leave the queue in one place

withoutTooLate and withoutExpired split the queue by a condition in the same ten lines. withoutQueued does it for both. go test ./core/bldeliver passes.

--- a/core/bldeliver/estimate.go
+++ b/core/bldeliver/estimate.go
@@ -76,16 +76,8 @@
 // withoutTooLate returns the upstream without the queued requests that later
 // arrivals have delayed until they are too late, and those requests.
 func (u UpstreamState) withoutTooLate(now bltimer.Instant) (UpstreamState, []Acquire) {
-	var remaining, tooLate []Acquire
-	for i, a := range u.queue {
-		if others := u.without(i); others.tooLate(a, others.estimatedWait(a, now), now) {
-			tooLate = append(tooLate, a)
-			continue
-		}
-		remaining = append(remaining, a)
-	}
-	if len(tooLate) > 0 {
-		u.queue = remaining
-	}
-	return u, tooLate
+	return u.withoutQueued(func(position int, a Acquire) bool {
+		others := u.without(position)
+		return others.tooLate(a, others.estimatedWait(a, now), now)
+	})
 }
--- a/core/bldeliver/upstream.go
+++ b/core/bldeliver/upstream.go
@@ -176,16 +176,24 @@
 // withoutExpired returns the upstream without the queued requests that can no
 // longer be answered before their deadline, and those requests.
 func (u UpstreamState) withoutExpired(now bltimer.Instant) (UpstreamState, []Acquire) {
-	var expired, remaining []Acquire
-	for _, a := range u.queue {
-		if now.Before(a.Deadline.Add(-u.minLatency(a))) {
-			remaining = append(remaining, a)
+	return u.withoutQueued(func(_ int, a Acquire) bool {
+		return !now.Before(a.Deadline.Add(-u.minLatency(a)))
+	})
+}
+
+// withoutQueued returns the upstream without the queued requests that match, and those
+// requests.
+func (u UpstreamState) withoutQueued(match func(position int, a Acquire) bool) (UpstreamState, []Acquire) {
+	var matched, remaining []Acquire
+	for i, a := range u.queue {
+		if match(i, a) {
+			matched = append(matched, a)
 			continue
 		}
-		expired = append(expired, a)
+		remaining = append(remaining, a)
 	}
-	if len(expired) > 0 {
+	if len(matched) > 0 {
 		u.queue = remaining
 	}
-	return u, expired
+	return u, matched
 }
