--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -3,8 +3,6 @@
 package main
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -119,44 +117,6 @@
 	return false
 }
 
-// checkOwners checks that each pot was served by a single upstream and that no
-// upstream received a client key.
-func (d *demo) checkOwners() error {
-	owners := map[string]string{}
-	for _, host := range d.fleet.Hosts {
-		for _, upstream := range host.Upstreams {
-			if err := d.addOwners(owners, upstream); err != nil {
-				return err
-			}
-		}
-	}
-	for pot, owner := range owners {
-		fmt.Printf("pot %s is owned by %s\n", pot, owner)
-	}
-	return nil
-}
-
-func (d *demo) addOwners(owners map[string]string, upstream *blfleet.RunningUpstream) error {
-	log, err := d.fleet.WorkLog(upstream)
-	if err != nil {
-		return fmt.Errorf("read log: %w", err)
-	}
-	for _, work := range log {
-		if owner, ok := owners[work.Key]; ok && owner != work.Upstream {
-			return mismatch("owners of pot "+work.Key, work.Upstream, owner, "")
-		}
-		owners[work.Key] = work.Upstream
-	}
-	counts, err := d.fleet.Counts(upstream)
-	if err != nil {
-		return fmt.Errorf("read counts: %w", err)
-	}
-	if counts.ClientKeysSeen != 0 {
-		return mismatch("client keys seen by "+upstream.Spec.Name, counts.ClientKeysSeen, 0, "")
-	}
-	return nil
-}
-
 func (d *demo) checkWrongKey() error {
 	response, err := d.fleet.Call(d.fleet.Hosts[0], http.MethodPost, "/pot/awa/contributions", "wrong", "1")
 	if err != nil {
@@ -169,77 +129,6 @@
 	return nil
 }
 
-// span holds the fields that the demonstration reads from a recorded span.
-type span struct {
-	Name        string
-	SpanContext struct{ TraceID, SpanID string }
-	Parent      struct{ SpanID string }
-	StartTime   time.Time
-	EndTime     time.Time
-	Attributes  []struct {
-		Key   string
-		Value struct{ Value any }
-	}
-	host string
-}
-
-// printTrace waits for the spans of the last contribution that a remote upstream
-// answered, and prints them.
-func (d *demo) printTrace() error {
-	deadline := time.Now().Add(spanWait)
-	for {
-		spans, err := d.readSpans()
-		if err != nil {
-			return err
-		}
-		names := map[string]bool{}
-		for _, s := range spans {
-			names[s.Name] = true
-		}
-		if names["entry"] && names["hop"] && names["deliver"] && names["upstream"] {
-			printSpans(d.requestID, spans)
-			return nil
-		}
-		if time.Now().After(deadline) {
-			return mismatch("spans of request "+d.requestID, len(spans), 4, "")
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-}
-
-func printSpans(request string, spans []span) {
-	fmt.Printf("trace of request %s:\n", request)
-	for _, s := range spans {
-		fmt.Printf("  %-8s at %s: %s, span %s, parent %s\n",
-			s.Name, s.host, s.EndTime.Sub(s.StartTime), s.SpanContext.SpanID, s.Parent.SpanID)
-	}
-}
-
-func (d *demo) readSpans() ([]span, error) {
-	var found []span
-	for _, host := range d.fleet.Hosts {
-		file, err := os.Open(host.TraceFile)
-		if err != nil {
-			return nil, fmt.Errorf("open spans: %w", err)
-		}
-		decoder := json.NewDecoder(bufio.NewReader(file))
-		for {
-			var s span
-			if decoder.Decode(&s) != nil {
-				break
-			}
-			for _, attribute := range s.Attributes {
-				if attribute.Key == "request.id" && attribute.Value.Value == d.requestID {
-					s.host = host.Spec.Name
-					found = append(found, s)
-				}
-			}
-		}
-		_ = file.Close()
-	}
-	return found, nil
-}
-
 // stopNodes terminates every node and checks that each exits with code 0.
 func (d *demo) stopNodes() error {
 	for _, host := range d.fleet.Hosts {
