--- a/tools/soak/config.go
+++ b/tools/soak/config.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -85,3 +86,46 @@
 		}
 	}
 }
+
+// applyInitialConfig applies the Dakar document.
+func (s *soak) applyInitialConfig() error {
+	text, err := s.fleet.Document(filepath.Join(s.args.Root, "configs", "dakar.toml"), nil)
+	if err != nil {
+		return fmt.Errorf("make document: %w", err)
+	}
+	result, err := s.fleet.Apply(s.fleet.Hosts[0], 0, text)
+	if err != nil {
+		return fmt.Errorf("apply document: %w", err)
+	}
+	s.config.document, s.config.revision, s.config.clientKey = text, result.Revision, s.fleet.ClientKeys[rotatedAccount]
+	s.config.digestsPath = blconfig.Path{Section: blconfig.SectionAccounts, Entry: rotatedAccount, Option: "key_digests"}
+	return nil
+}
+
+// runRevisionCheck checks that the configuration revision of each node does not
+// decrease while the same process runs.
+func (s *soak) runRevisionCheck(ended <-chan struct{}) {
+	type sample struct {
+		pid      int
+		revision uint64
+	}
+	last := make([]sample, len(s.fleet.Hosts))
+	for {
+		for i, host := range s.fleet.Hosts {
+			status, err := s.fleet.Status(host)
+			if err != nil {
+				continue
+			}
+			now := sample{pid: host.Node.PID(), revision: status.ConfigRevision}
+			if now.pid == last[i].pid && now.revision < last[i].revision {
+				s.addViolation("revision at %s: got %d after %d, want no fall", host.Spec.Name, now.revision, last[i].revision)
+			}
+			last[i] = now
+		}
+		select {
+		case <-ended:
+			return
+		case <-time.After(revisionPoll):
+		}
+	}
+}
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"bergamotlead/core/blconfig"
 	"bergamotlead/tools/blfleet"
 	"bergamotlead/tools/bllink"
 )
@@ -175,61 +174,6 @@
 	return first
 }
 
-// waitRecovery waits until the probe keys are owned and served again.
-func (s *soak) waitRecovery() {
-	startedAt := time.Now()
-	for time.Since(startedAt) < recoveryBound {
-		if s.servesProbeKeys() {
-			s.recovered = time.Since(startedAt)
-			return
-		}
-	}
-	s.recovered = recoveryBound
-	s.addViolation("keys unserved %s after the last fault", recoveryBound)
-}
-
-// servesProbeKeys reports whether all probe keys are answered, each through one of
-// the hosts in rotation. There are as many probe keys as partitions.
-func (s *soak) servesProbeKeys() bool {
-	for i := range partitions {
-		host := s.fleet.Hosts[i%len(s.fleet.Hosts)]
-		response, err := s.fleet.Call(host, "GET", fmt.Sprintf("/pot/probe_%d/total", i), s.fleet.ClientKeys[account], "")
-		if err != nil || response.Status != 200 {
-			time.Sleep(revisionPoll)
-			return false
-		}
-	}
-	return true
-}
-
-// runRevisionCheck checks that the configuration revision of each node does not
-// decrease while the same process runs.
-func (s *soak) runRevisionCheck(ended <-chan struct{}) {
-	type sample struct {
-		pid      int
-		revision uint64
-	}
-	last := make([]sample, len(s.fleet.Hosts))
-	for {
-		for i, host := range s.fleet.Hosts {
-			status, err := s.fleet.Status(host)
-			if err != nil {
-				continue
-			}
-			now := sample{pid: host.Node.PID(), revision: status.ConfigRevision}
-			if now.pid == last[i].pid && now.revision < last[i].revision {
-				s.addViolation("revision at %s: got %d after %d, want no fall", host.Spec.Name, now.revision, last[i].revision)
-			}
-			last[i] = now
-		}
-		select {
-		case <-ended:
-			return
-		case <-time.After(revisionPoll):
-		}
-	}
-}
-
 // summaryLine returns the run's line of the summary.
 func (s *soak) summaryLine() string {
 	outcomes := s.traffic.Outcomes()
@@ -241,18 +185,3 @@
 		outcomes["not_run"], outcomes["unknown"], outcomes[blfleet.OutcomeBroken],
 		s.report.percentileMS(50), s.report.percentileMS(99), s.recovered.Seconds(), s.lost, verdict)
 }
-
-// applyInitialConfig applies the Dakar document.
-func (s *soak) applyInitialConfig() error {
-	text, err := s.fleet.Document(filepath.Join(s.args.Root, "configs", "dakar.toml"), nil)
-	if err != nil {
-		return fmt.Errorf("make document: %w", err)
-	}
-	result, err := s.fleet.Apply(s.fleet.Hosts[0], 0, text)
-	if err != nil {
-		return fmt.Errorf("apply document: %w", err)
-	}
-	s.config.document, s.config.revision, s.config.clientKey = text, result.Revision, s.fleet.ClientKeys[rotatedAccount]
-	s.config.digestsPath = blconfig.Path{Section: blconfig.SectionAccounts, Entry: rotatedAccount, Option: "key_digests"}
-	return nil
-}
