blroute: round robin is in the test that compares it

No node uses RoundRobin; leastReported, the other baseline, was in the test already. go test ./core/blroute passes; TestStragglersDoNotDominateTailLatency logs the same figures before and after.

--- a/core/blroute/choose.go
+++ b/core/blroute/choose.go
@@ -37,14 +37,6 @@
 	Choose(candidates []blassign.Entry, healths Healths, draw uint64, now bltimer.Instant) blassign.Entry
 }
 
-// RoundRobin cycles through the candidates as draw rises.
-type RoundRobin struct{}
-
-// Choose implements Chooser.
-func (RoundRobin) Choose(candidates []blassign.Entry, _ Healths, draw uint64, _ bltimer.Instant) blassign.Entry {
-	return candidates[draw%uint64(len(candidates))]
-}
-
 // TwoChoices implements the power of two choices: it picks two candidates at
 // random and takes the one expected to finish its active requests first. The
 // latency is measured by this node, not reported by the upstream, and a load
--- a/core/blroute/straggler_test.go
+++ b/core/blroute/straggler_test.go
@@ -14,6 +14,13 @@
 	"bergamotlead/core/blvalue"
 )
 
+// roundRobin cycles through the candidates as draw rises.
+type roundRobin struct{}
+
+func (roundRobin) Choose(candidates []blassign.Entry, _ blroute.Healths, draw uint64, _ bltimer.Instant) blassign.Entry {
+	return candidates[draw%uint64(len(candidates))]
+}
+
 // leastReported picks the candidate with the lowest load by its own reports, which
 // lag by up to reportInterval. It is the baseline for comparison.
 type leastReported struct{ reports *map[blvalue.UpstreamName]int }
@@ -155,11 +162,11 @@
 	const target = 9 * time.Millisecond
 	for _, slow := range []int{0, 1, 2} {
 		p := newPool(slow)
-		roundRobin := run(blroute.RoundRobin{}, newPool(slow), 5)
+		inTurn := run(roundRobin{}, newPool(slow), 5)
 		reported := run(leastReported{reports: &p.reports}, p, 5)
 		twoChoices := run(blroute.TwoChoices{}, newPool(slow), 5)
 		t.Logf("%d of 5 slow: 99th percentile plain round robin %v, least reported load %v, round robin without outliers %v, two choices without outliers %v",
-			slow, runPlainRoundRobin(newPool(slow), 5), reported, roundRobin, twoChoices)
+			slow, runPlainRoundRobin(newPool(slow), 5), reported, inTurn, twoChoices)
 		if twoChoices > target {
 			t.Errorf("99th percentile with %d slow: got %v, want at most %v", slow, twoChoices, target)
 		}
