Model: suspended hosts, and upstreams that keep their grants

TestOwnershipWhenHostsAreSuspended adds suspensions to the random schedules: one host, lead or standby, pairs of them, all; some processes start again at the resume. Clocks count them, time-outs don't, so that answers from before are handled after.

TestHoldingsOfUpstreams gives each node the reconciler and an upstream with a clock that is up to 2 % slow, late and unanswered orders, which outlives the node's process. It checks what the upstreams hold and the fences under which they take it. The model detects hold times without allowance and holdings reported as released.

--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -52,8 +52,11 @@
 	var effects []blgrant.Effect
 	n.grant, effects = blgrant.Decide(n.grant, message, n.clock())
 	for _, effect := range effects {
-		if _, ok := effect.(blgrant.Released); ok {
+		switch e := effect.(type) {
+		case blgrant.Released:
 			n.deliverToMember(blmember.HeartbeatRequested{})
+		case blgrant.GrantChanged:
+			n.grantChanged(e.Grant)
 		}
 	}
 	n.sim.checkOwners()
@@ -95,7 +98,7 @@
 			})
 		})
 	})
-	n.scheduleStep(callTimeout, func() {
+	n.scheduleTimeout(callTimeout, func() {
 		if !answered {
 			answered = true
 			onFailure(true)
@@ -240,6 +243,9 @@
 			upstreams = append(upstreams, a.Upstream)
 		}
 		n.deliverToGrant(blgrant.UpstreamsSeen{Upstreams: upstreams})
+		for _, seen := range upstreams {
+			n.upstreamSeen(seen)
+		}
 	case blmember.GrantsOffered:
 		offered := e.Offered
 		if n.sim.mutation.modifyOffer != nil {
@@ -283,7 +289,7 @@
 	})
 	// While a mutation modifies offers, a heartbeat doesn't time out, so that late
 	// replies also reach the node.
-	n.scheduleStep(callTimeout, func() {
+	n.scheduleTimeout(callTimeout, func() {
 		if !answered && n.sim.mutation.modifyOffer == nil {
 			answered = true
 			n.deliverToMember(blmember.HeartbeatAnswered{SentAt: e.SentAt, From: e.To, Failed: true})
--- a/core/blproof/simulation_test.go
+++ b/core/blproof/simulation_test.go
@@ -12,6 +12,7 @@
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/blplatform"
+	"bergamotlead/core/blreconciler"
 	"bergamotlead/core/blring"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
@@ -72,6 +73,13 @@
 	// silenceMeansTerminated treats an address that does not answer as one whose
 	// process has terminated.
 	silenceMeansTerminated bool
+	// ignoresSuspensions makes the clocks of nodes stand still while their hosts are
+	// suspended, and seesSuspensionsLate until seenLateAfter has passed since.
+	ignoresSuspensions  bool
+	seesSuspensionsLate bool
+	// holdsWhatIsLeft makes the hold time of a grant to an upstream what is left of the
+	// node's own, whenever it arrives and however slow the upstream's clock is.
+	holdsWhatIsLeft bool
 	// reportHeldAsReleased makes holders report grants as released that they still
 	// use.
 	reportHeldAsReleased bool
@@ -123,12 +131,19 @@
 	clockRate   float64
 	clockOffset time.Duration
 	pausedUntil time.Duration
+	suspensions []suspension
 	down        bool
+	// server is the upstream beside the node if it keeps its grants itself, and
+	// stoodStillAtStart for how long the host had been suspended when the process started.
+	server            *upstream
+	stoodStillAtStart time.Duration
 
 	lead   bllead.State
 	assign blassign.State[placement]
 	member blmember.State
 	grant  blgrant.State
+
+	reconciler blreconciler.State
 }
 
 func newSimulation(seed uint64, count int, m mutation) *simulation {
@@ -222,12 +237,14 @@
 	n.assign = blassign.New(placement{}).WithSelf(n.host.Incarnation)
 	n.member = blmember.New(n.host)
 	n.grant = blgrant.New()
+	n.reconciler = newReconciler()
+	n.stoodStillAtStart = n.stoodStill()
 }
 
 // clock returns the local time of the node, which has an offset and drifts by up
 // to 1 %.
 func (n *node) clock() bltimer.Instant {
-	return bltimer.Instant(n.clockOffset + time.Duration(float64(n.sim.now)*n.clockRate))
+	return bltimer.Instant(n.clockOffset + time.Duration(float64(n.sim.now-n.uncounted())*n.clockRate))
 }
 
 // scheduleStep runs step on this node after d, or at the end of a pause of the
@@ -258,14 +275,19 @@
 	n.deliverToMember(blmember.Announced{Announcement: blmember.Announcement{Upstream: n.upstream()}})
 	n.deliverToMember(blmember.Tick{})
 	n.deliverToGrant(blgrant.Tick{})
+	n.tickReconciler()
 	n.startRandomRequest()
 }
 
 func (n *node) upstream() blvalue.Upstream {
-	return blvalue.Upstream{
+	listed := blvalue.Upstream{
 		Name: blvalue.UpstreamName(fmt.Sprintf("pot_%d", n.index)), Service: "pot", Slots: 6, ChecksFence: true,
 		Incarnation: blvalue.Incarnation(fmt.Sprintf("upstream_%d", n.index)),
 	}
+	if n.server != nil {
+		listed.KeepsGrants, listed.ID, listed.StartedAt = true, blvalue.UpstreamID(listed.Incarnation), 1
+	}
+	return listed
 }
 
 // startRandomRequest starts a request on a random partition. If the node holds a
@@ -288,9 +310,12 @@
 }
 
 // checkFence verifies that a partition that has moved to another holder is served
-// under a higher fence.
+// under a higher fence. An upstream that keeps its grants checks that itself.
 func (n *node) checkFence(p blvalue.Partition, fence blvalue.Fence) {
 	last := n.sim.fences[p]
+	if n.server != nil {
+		return
+	}
 	if last.holder != n.host.Incarnation && last.holder != "" && !last.fence.Less(fence) {
 		n.sim.recordViolation("partition %d: fence %v at %s after %v at %s", p, fence, n.host.Name, last.fence, last.holder)
 	}
@@ -298,8 +323,11 @@
 }
 
 // checkOwners records a violation if two nodes may use the same partition at the
-// current time.
+// current time. Upstreams that keep their grants are checked instead of their nodes.
 func (sim *simulation) checkOwners() {
+	if sim.keepsGrants() {
+		return
+	}
 	for p := range blvalue.Partition(partitions) {
 		owner := -1
 		for _, n := range sim.nodes {
