--- a/standin/upstream/faults.go
+++ b/standin/upstream/faults.go
@@ -29,6 +29,9 @@
 	Leaving bool `json:"leaving"`
 	// NoShed turns load shedding off.
 	NoShed bool `json:"no_shed"`
+	// Endless answers requests and grants with bytes without end of this kind, unless
+	// it is empty.
+	Endless string `json:"endless"`
 }
 
 // coldDetectionTime is the time in which the nodes should detect an unannounced
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -63,10 +63,10 @@
 
 func (s *server) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /bergamotlead/grant", s.setGrant)
+	mux.Handle("PUT /bergamotlead/grant", endlessHandler{server: s, next: s.setGrant})
 	mux.HandleFunc("GET /standin/counts", s.getCounts)
 	mux.HandleFunc("POST /standin/faults", s.setFaults)
-	mux.HandleFunc("/", s.serve)
+	mux.Handle("/", endlessHandler{server: s, next: s.serve})
 	return mux
 }
 
