blupstream: a long response is forwarded at a limited rate

Cause: an answer to a request that goes on without end is forwarded until the request's deadline as fast as it arrives; the number of its bytes has no bound but the speed of the processor, on which the node owes its other duties too.

Change: 4 MiB of a response are forwarded at once, the rest at 8 MiB a second. As the node then reads slower than it did at first, the system would keep up to tcp_rmem (here 32 MiB) of each connection unread: the receive buffer of connections to upstreams is set to 256 KiB.

--- a/io/blupstream/connection.go
+++ b/io/blupstream/connection.go
@@ -82,10 +82,29 @@
 	}
 }
 
+// receiveBufferBytes bounds what the system holds of a response that isn't read yet. It
+// would hold many megabytes for a connection on which it has seen fast reads.
+const receiveBufferBytes = 256 << 10
+
+// dialBounded returns a function that connects to an upstream, with a bounded receive
+// buffer.
+func dialBounded(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, fmt.Errorf("connect to upstream: %w", err)
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(receiveBufferBytes)
+		}
+		return conn, nil
+	}
+}
+
 func dial(ctx context.Context, address string) (*connection, error) {
-	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", address)
+	conn, err := dialBounded(&net.Dialer{Timeout: connectTimeout})(ctx, "tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("connect to upstream: %w", err)
+		return nil, err
 	}
 	limit := &io.LimitedReader{R: conn, N: maxHeaderBytes}
 	return &connection{Conn: conn, reader: bufio.NewReader(limit), limit: limit}, nil
--- /dev/null
+++ b/io/blupstream/pace_test.go
@@ -0,0 +1,75 @@
+package blupstream
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotlead/core/bldeliver"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+// TestPace checks that long responses are forwarded at the limited rate, and others at once.
+func TestPace(t *testing.T) {
+	now := bltimer.Instant(time.Minute)
+	p, wait := pace{}.withForwarded(freeBytes, now)
+	if wait != 0 {
+		t.Errorf("wait after %d bytes: got %s, want 0", freeBytes, wait)
+	}
+	p, wait = p.withForwarded(pacedBytesPerSecond, now.Add(time.Second))
+	if want := time.Second; wait != want {
+		t.Errorf("wait after the bytes of one second more: got %s, want %s", wait, want)
+	}
+	p, wait = p.withForwarded(pacedBytesPerSecond, now.Add(2*time.Second))
+	if want := time.Second; wait != want {
+		t.Errorf("wait after those of another second: got %s, want %s", wait, want)
+	}
+	if _, wait = p.withForwarded(1, now.Add(3*time.Second)); wait != 0 {
+		t.Errorf("wait once the rate is kept: got %s, want 0", wait)
+	}
+}
+
+// TestEndlessBodyTakesProcessorTime guards against a node that forwards a body without
+// end as fast as it arrives.
+func TestEndlessBodyTakesProcessorTime(t *testing.T) {
+	t.Parallel()
+	const (
+		deadline = time.Second
+		// slack is what may be read while the deadline passes.
+		slack = 4 << 20
+		ok    = "HTTP/1.1 200 OK\r\n" + idField + ": $ID\r\n"
+	)
+	chunk := "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"
+	cases := []struct{ name, start, more string }{
+		{"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat(chunk, 16)},
+		{"no length", ok + "\r\n", strings.Repeat(chunk, 16)},
+		{"length", ok + "Content-Length: 100000000000\r\n\r\n", strings.Repeat(chunk, 16)},
+	}
+	transports := map[string]http.RoundTripper{"pool": NewPool(idField), "transport": NewTransport()}
+	for name, transport := range transports {
+		for _, c := range cases {
+			t.Run(name+"/"+c.name, func(t *testing.T) {
+				t.Parallel()
+				u := newEndlessUpstream(t, c.start, c.more, 0)
+				writer := &countingWriter{}
+				a := &attempt{
+					deliverer: &Deliverer{transport: transport, protocol: NativeProtocol{}, clock: bltimer.NewSystem()},
+					order:     bldeliver.Order{RequestID: "id", URI: "/x", Request: blvalue.Request{Method: http.MethodGet}, Header: map[string][]string{idField: {"id"}}},
+					writer:    writer,
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				delivery, _ := a.exchange(ctx, bldeliver.AcquireAnswer{Address: u.listener.Addr().String()})
+				if delivery.Refusal == nil || delivery.Refusal.Outcome != blvalue.OutcomePartial {
+					t.Errorf("refusal: got %+v, want outcome %s", delivery.Refusal, blvalue.OutcomePartial)
+				}
+				if got, want := writer.bytes, 4<<20+8<<20+slack; got > want {
+					t.Errorf("bytes forwarded in %s: got %d, want at most %d", deadline, got, want)
+				}
+			})
+		}
+	}
+}
--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -65,7 +66,7 @@
 func NewTransport() *http.Transport {
 	return &http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: transportIdleTimeout, DisableCompression: true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: maxHeaderBytes, DialContext: dialBounded(&net.Dialer{}),
 	}
 }
 
--- a/io/blupstream/response.go
+++ b/io/blupstream/response.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blvalue"
@@ -52,6 +53,7 @@
 		return a.truncated(ctx), bldeliver.ResultUnused
 	}
 	buffer := make([]byte, copyBytes)
+	var forwarded pace
 	for {
 		count, err := response.Body.Read(buffer)
 		if count > 0 {
@@ -65,6 +67,9 @@
 		if err != nil {
 			return a.truncated(ctx), bldeliver.ResultFailed
 		}
+		var wait time.Duration
+		forwarded, wait = forwarded.withForwarded(count, a.deliverer.clock.Now())
+		pause(ctx, wait)
 	}
 	if len(response.Trailer) > 0 {
 		if err := a.writer.WriteTrailer(a.deliverer.protocol.FilterResponse(response.Trailer)); err != nil {
