blupstream: a response with a plausible length is forwarded without a limit

The limit on long responses held up those that have an end: 64 MiB would take 16 s at 4 MiB a second (reckoned). A response whose upstream told a length of at most 64 MiB isn't paced; one without a length, or with one beyond that, may go on without end and is.

--- a/io/blupstream/pace.go
+++ b/io/blupstream/pace.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// freeBytes is how much of a response is forwarded as fast as it arrives, and
-	// pacedBytesPerSecond the rate for the rest.
+	// freeBytes is how much of a response without a plausible length is forwarded as fast
+	// as it arrives, and pacedBytesPerSecond the rate for the rest.
 	freeBytes           = 1 << 20
 	pacedBytesPerSecond = 4 << 20
+	// maxPlausibleBytes is the greatest length that an upstream is believed. A response of
+	// such a length has an end, and all of it is forwarded as fast as it arrives.
+	maxPlausibleBytes = 64 << 20
 	// minPaceWait is the shortest wait, below which none is worth its timer.
 	minPaceWait = 5 * time.Millisecond
 )
@@ -19,16 +22,27 @@
 // pace is the immutable limit on how fast a long response is forwarded. A faulty upstream
 // may send one without end, at the expense of all else that the node does.
 type pace struct {
+	// free is how many bytes are forwarded without a limit.
+	free      int64
 	forwarded int64
-	// pacedFrom is when more than freeBytes had been forwarded, or zero.
+	// pacedFrom is when more than that had been forwarded, or zero.
 	pacedFrom bltimer.Instant
 }
 
+// newPace returns the pace of a response of the given length, which is negative if it is
+// unknown.
+func newPace(length int64) pace {
+	if length >= 0 && length <= maxPlausibleBytes {
+		return pace{free: length}
+	}
+	return pace{free: freeBytes}
+}
+
 // withForwarded returns the pace after count more bytes, and how long to wait before the
 // next ones.
 func (p pace) withForwarded(count int, now bltimer.Instant) (pace, time.Duration) {
 	p.forwarded += int64(count)
-	paced := p.forwarded - freeBytes
+	paced := p.forwarded - p.free
 	if paced <= 0 {
 		return p, 0
 	}
--- a/io/blupstream/pace_test.go
+++ b/io/blupstream/pace_test.go
@@ -15,7 +15,7 @@
 // TestPace checks that long responses are forwarded at the limited rate, and others at once.
 func TestPace(t *testing.T) {
 	now := bltimer.Instant(time.Minute)
-	p, wait := pace{}.withForwarded(freeBytes, now)
+	p, wait := newPace(-1).withForwarded(freeBytes, now)
 	if wait != 0 {
 		t.Errorf("wait after %d bytes: got %s, want 0", freeBytes, wait)
 	}
@@ -32,6 +32,28 @@
 	}
 }
 
+// TestLongResponseIsSlow guards against responses that have an end, and are held up by the
+// limit for those that may have none.
+func TestLongResponseIsSlow(t *testing.T) {
+	cases := []struct {
+		name   string
+		length int64
+		paced  bool
+	}{
+		{"length known", maxPlausibleBytes, false},
+		{"length unknown", -1, true},
+		{"length beyond belief", maxPlausibleBytes + 1, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, wait := newPace(c.length).withForwarded(maxPlausibleBytes, bltimer.Instant(time.Minute))
+			if got := wait > 0; got != c.paced {
+				t.Errorf("waits: got %t, want %t", got, c.paced)
+			}
+		})
+	}
+}
+
 // TestEndlessBodyTakesProcessorTime guards against a node that forwards a body without
 // end as fast as it arrives.
 func TestEndlessBodyTakesProcessorTime(t *testing.T) {
--- a/io/blupstream/response.go
+++ b/io/blupstream/response.go
@@ -53,7 +53,7 @@
 		return a.truncated(ctx), bldeliver.ResultUnused
 	}
 	buffer := make([]byte, copyBytes)
-	var forwarded pace
+	forwarded := newPace(response.ContentLength)
 	for {
 		count, err := response.Body.Read(buffer)
 		if count > 0 {
