A grant refused under the latest fence is repeated with pauses

A refusal counts as a failure in the pauses now; the first repeat, under the latest fence, still goes at once. TestFailingUpstreamIsTriedWithoutPause has a case that failed before.

--- a/core/blreconciler/backoff.go
+++ b/core/blreconciler/backoff.go
@@ -26,12 +26,13 @@
 	failed int
 }
 
-// withAnswer returns the attempts after an answer. An order that wasn't sent is none.
+// withAnswer returns the attempts after an answer. An order that wasn't sent is none. One
+// that is refused has failed: its repeat, under the latest fence, goes at once.
 func (a attempts) withAnswer(answer Answer) attempts {
 	switch answer.Result {
-	case ResultUnknown:
+	case ResultUnknown, ResultRefused:
 		return attempts{kind: answer.Order.Kind, failed: a.of(answer.Order.Kind) + 1}
-	case ResultDone, ResultRefused:
+	case ResultDone:
 		return attempts{}
 	case ResultUnsent, ResultStopped:
 	}
@@ -60,9 +61,9 @@
 	failed := false
 	for _, answer := range answers {
 		switch answer.Result {
-		case ResultDone, ResultRefused:
+		case ResultDone:
 			return backoff{}
-		case ResultUnknown:
+		case ResultUnknown, ResultRefused:
 			failed = true
 		case ResultUnsent, ResultStopped:
 		}
--- a/core/blreconciler/backoff_test.go
+++ b/core/blreconciler/backoff_test.go
@@ -27,8 +27,9 @@
 	return n
 }
 
-// failFor answers nothing for a time and returns when orders were sent, from start.
-func (n *node) failFor(length, start time.Duration) (sentAt []time.Duration, orders int) {
+// failFor gives all orders the same result for a time and returns when they were sent, from
+// start.
+func (n *node) failFor(result blreconciler.Result, length, start time.Duration) (sentAt []time.Duration, orders int) {
 	for now := start; now <= start+length; now += step {
 		n.send(blreconciler.Tick{}, now)
 		for len(n.orders) > 0 {
@@ -37,7 +38,7 @@
 			if len(sentAt) > int(length/step) {
 				return sentAt, orders
 			}
-			n.answer(blreconciler.ResultUnknown, now)
+			n.answer(result, now)
 		}
 	}
 	return sentAt, orders
@@ -56,12 +57,14 @@
 // time on an upstream whose answers are no answers.
 func TestFailingUpstreamIsTriedWithoutPause(t *testing.T) {
 	cases := []struct {
-		name  string
-		kind  blreconciler.Kind
-		after []blvalue.Partition
+		name   string
+		kind   blreconciler.Kind
+		result blreconciler.Result
+		after  []blvalue.Partition
 	}{
-		{"releases", blreconciler.KindRelease, nil},
-		{"grants", blreconciler.KindGrant, partitionsUpTo(64)},
+		{"releases", blreconciler.KindRelease, blreconciler.ResultUnknown, nil},
+		{"grants", blreconciler.KindGrant, blreconciler.ResultUnknown, partitionsUpTo(64)},
+		{"grants refused under the latest fence", blreconciler.KindGrant, blreconciler.ResultRefused, partitionsUpTo(64)},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -71,12 +74,12 @@
 			if got, want := n.countOrders(c.kind), 64; got != want {
 				t.Fatalf("%s at first: got %d, want %d", c.kind, got, want)
 			}
-			n.answer(blreconciler.ResultUnknown, start)
+			n.answer(c.result, start)
 			if got, want := n.countOrders(c.kind), 64; got != want {
 				t.Fatalf("%s repeated at once: got %d, want %d", c.kind, got, want)
 			}
 			const length = time.Second
-			sentAt, orders := n.failFor(length, start)
+			sentAt, orders := n.failFor(c.result, length, start)
 			if got, want := len(sentAt), 6; got > want {
 				t.Errorf("sends in %s: got %d, want at most %d", length, got, want)
 			}
@@ -98,7 +101,7 @@
 	n := grantedNode(t, 1, 2, 3)
 	start := ordersExpired + margin
 	n.offer(2, start, 2, 3)
-	n.failFor(ttl/6, start)
+	n.failFor(blreconciler.ResultUnknown, ttl/6, start)
 	later := start + ttl/6
 	n.offer(3, later, 3)
 	for attempt := range 2 {
@@ -118,7 +121,7 @@
 	n := newNode(t)
 	n.offer(1, ordersExpired, 3)
 	n.answer(blreconciler.ResultUnknown, ordersExpired)
-	n.failFor(ttl/3, ordersExpired)
+	n.failFor(blreconciler.ResultUnknown, ttl/3, ordersExpired)
 	lost := ordersExpired + ttl/3 + step
 	n.offer(2, lost)
 	if got, want := n.countOrders(blreconciler.KindRelease), 1; got != want {
@@ -132,7 +135,7 @@
 	n := grantedNode(t, partitionsUpTo(64)...)
 	start := ordersExpired + margin
 	n.offer(2, start)
-	n.failFor(ttl/3, start)
+	n.failFor(blreconciler.ResultUnknown, ttl/3, start)
 	now := start + ttl/3
 	for ; len(n.orders) == 0; now += step {
 		n.send(blreconciler.Tick{}, now)
@@ -153,7 +156,7 @@
 	n := grantedNode(t, 3)
 	start := ordersExpired + margin
 	n.offer(2, start)
-	n.failFor(ttl/3, start)
+	n.failFor(blreconciler.ResultUnknown, ttl/3, start)
 	restarted := start + ttl/3
 	n.sendUpstreamSeen("run_2", restarted)
 	n.grant = blgrant.Grant{Upstream: "pot_1", Incarnation: "run_2", Service: "pot"}
