--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # to one pattern for the option -skip.
 KNOWN_RED := $(shell sed -n 's/^  skip: //p' KNOWN-RED.txt | paste -sd '|' -)
 
-.PHONY: build demo test unit race lint bench measure soak fuzz generate config-page clean
+.PHONY: build demo test unit race lint bench measure soak mesh-soak fuzz generate config-page clean
 
 build: ## Build every program into .build
 	go build -o $(BUILD)/ ./cmd/... 
@@ -39,6 +39,9 @@
 soak: ## Run fleets under random faults: SEED, SEEDS and LENGTH
 	go run ./tools/soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) --length $(or $(LENGTH),20s)
 
+mesh-soak: ## Run fleets on the users' platform under random faults: SEED, SEEDS, LENGTH and WITHOUT
+	go test ./platform/blmesh -run '^TestSoak$$' -count=1 -v -timeout 5h
+
 measure: ## Measure the whole path between separate processes
 	go run ./tools/measure
 
