Grants of a node's earlier run end with the clock margin

The duty took what an earlier run had granted for expired at its time to live after the start; an upstream may hold it for the clock margin more.

--- a/core/blreconciler/granted.go
+++ b/core/blreconciler/granted.go
@@ -38,7 +38,7 @@
 		}
 		state = partitionState{
 			fence: s.grant.Fence, handover: handover,
-			mayHoldUntil: max(state.mayHoldUntil, s.startedAt.Add(s.timing.GrantTTL)), unansweredUntil: state.unansweredUntil,
+			mayHoldUntil: max(state.mayHoldUntil, s.earlierOrdersUntil()), unansweredUntil: state.unansweredUntil,
 			mayOutlast: state.mayOutlast, sending: state.sending, suspendedInFlight: state.suspendedInFlight,
 		}
 		s.states = s.states.With(p, state)
@@ -46,7 +46,7 @@
 	for p, state := range s.states.All() {
 		if !s.grant.Set.Has(p) && !state.releasing {
 			state.releasing = true
-			state.unansweredUntil = max(state.unansweredUntil, s.startedAt.Add(s.timing.GrantTTL))
+			state.unansweredUntil = max(state.unansweredUntil, s.earlierOrdersUntil())
 			s.states = s.states.With(p, state)
 		}
 	}
@@ -62,8 +62,14 @@
 		}
 		s.states = s.states.With(p, partitionState{
 			fence: s.grant.Fence, releasing: true,
-			mayHoldUntil: s.startedAt.Add(s.timing.GrantTTL), unansweredUntil: s.startedAt.Add(s.timing.GrantTTL),
+			mayHoldUntil: s.earlierOrdersUntil(), unansweredUntil: s.earlierOrdersUntil(),
 		})
 	}
 	return s
 }
+
+// earlierOrdersUntil returns the time from which no order that was sent before this duty
+// saw the upstream can be in force.
+func (s State) earlierOrdersUntil() bltimer.Instant {
+	return s.startedAt.Add(s.timing.GrantTTL + s.timing.ClockMargin)
+}
