Orders that gain nothing aren't repeated

Once half of its time to live had passed, a grant that the lead didn't renew was sent again as soon as it was answered, and one with too little time left to be sent was asked for again at once: a node without a lead spun, 300 sends in one time to live and 300 in a second (both the tests' own end).

--- a/core/blreconciler/backoff.go
+++ b/core/blreconciler/backoff.go
@@ -54,6 +54,8 @@
 	failed int
 	// until is when the pause ends before the next repeat.
 	until bltimer.Instant
+	// unsentUntil is when the pause ends after a Send of which nothing was worth sending.
+	unsentUntil bltimer.Instant
 }
 
 // withAnswers returns the plan after the answers to a Send.
@@ -69,6 +71,7 @@
 		}
 	}
 	if !failed {
+		b.unsentUntil = now.Add(firstPause)
 		return b
 	}
 	b.failed++
@@ -92,6 +95,9 @@
 // now. While it fails, a Send repeats few orders, those with the fewest attempts first:
 // one proper answer is enough to send all others.
 func (s State) permitted(due []Order, now bltimer.Instant) []Order {
+	if now.Before(s.backoff.unsentUntil) {
+		return nil
+	}
 	if s.backoff.failed < freeAttempts {
 		return due
 	}
--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -56,6 +56,10 @@
 	if state.heldUntil.Sub(now) > s.timing.GrantTTL/renewDivisor {
 		return Order{}, false
 	}
+	if !state.heldUntil.Before(s.grant.Until.Add(-s.timing.ClockMargin)) {
+		// A renewal would extend nothing: the lead has not renewed the node's grant.
+		return Order{}, false
+	}
 	return Order{
 		Kind: KindGrant, Partition: p, Fence: state.fence, Until: s.grant.Until, Handover: state.handover,
 	}, true
