A renewal doesn't shorten what an upstream held before a suspension

After a suspension a renewal by a heartbeat of before may end earlier than the upstream's hold from before, by its own clock; the node forgot that hold at the renewal's answer and took nothing back when its grant expired. It counts as outlasting until a grant covers its end.

--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -168,7 +168,7 @@
 			return state
 		}
 		state.heldUntil = max(state.heldUntil, order.Until.Add(-s.timing.ClockMargin))
-		state.mayOutlast = state.mayOutlast && answer.SentAt.Before(s.resumedAt)
+		state.mayOutlast = state.mayOutlast && order.Until.Add(s.timing.ClockMargin).Before(state.mayHoldUntil)
 		state.handover = ""
 	case ResultRefused:
 		state.heldUntil = 0
--- a/core/blreconciler/reclaim_test.go
+++ b/core/blreconciler/reclaim_test.go
@@ -121,7 +121,7 @@
 func TestReleaseOfAllWaitsForOtherOrders(t *testing.T) {
 	n := restartNode(t)
 	renewal := ordersExpired + ttl/2 + 3*margin
-	n.send(blreconciler.Tick{}, renewal)
+	n.offer(1, renewal, 3, 4)
 	if got, want := n.countOrders(blreconciler.KindGrant), 2; got != want {
 		t.Fatalf("renewals: got %d, want %d", got, want)
 	}
--- a/core/blreconciler/restart_test.go
+++ b/core/blreconciler/restart_test.go
@@ -30,7 +30,7 @@
 func TestOrdersAfterUpstreamStopped(t *testing.T) {
 	n := restartNode(t)
 	renewal := ordersExpired + ttl/2 + 3*margin
-	n.send(blreconciler.Tick{}, renewal)
+	n.offer(1, renewal, 3, 4)
 	n.answer(blreconciler.ResultStopped, renewal)
 	n.send(blreconciler.Tick{}, renewal+margin)
 	if got := len(n.orders); got != 0 {
--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -33,8 +33,9 @@
 	released bool
 	// returnedHandover is the token that it returned with the partition.
 	returnedHandover string
-	// mayOutlast is set when the upstream may hold the partition for longer than this
-	// node's clock tells, since the last grant was sent before a suspension.
+	// mayOutlast is set when the upstream may hold the partition for longer than the
+	// node's grant lasts, since it got a grant before a suspension. A later grant need
+	// not shorten that.
 	mayOutlast bool
 	attempts   attempts
 }
--- a/core/blreconciler/suspension.go
+++ b/core/blreconciler/suspension.go
@@ -48,7 +48,7 @@
 		return s
 	}
 	for p, state := range s.states.All() {
-		if !state.mayOutlast || state.releasing {
+		if !state.mayOutlast || state.releasing || !now.Before(state.mayHoldUntil) {
 			continue
 		}
 		state.releasing = true
--- a/core/blreconciler/suspension_test.go
+++ b/core/blreconciler/suspension_test.go
@@ -63,6 +63,7 @@
 	if got := n.countOrders(blreconciler.KindRelease) + len(n.reclaims); got != 0 {
 		t.Errorf("releases while the grant lasts: got %d, want 0", got)
 	}
+	n.offer(1, resumed, 3, 4)
 	n.answer(blreconciler.ResultDone, resumed)
 	n.suspended = ttl / 2
 	n.send(blreconciler.Tick{}, ordersExpired+2*ttl)
