--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -77,9 +77,9 @@
 	backoff     backoff
 }
 
-// New returns the state of a node that has just started and knows of no upstream.
-func New(timing Timing) State {
-	return State{timing: timing, earlierRunUntil: bltimer.Instant(0).Add(timing.GrantTTL + timing.ClockMargin)}
+// New returns the state of a node that starts at now and knows of no upstream.
+func New(timing Timing, now bltimer.Instant) State {
+	return State{timing: timing, earlierRunUntil: now.Add(timing.GrantTTL + timing.ClockMargin)}
 }
 
 // WithAddress returns a state that expects the upstream at address before it has
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -72,9 +72,9 @@
 
 // newReconciliation returns the initial state of the reconciler duty.
 func (n *Node) newReconciliation() blreconciler.State {
-	return blreconciler.New(blreconciler.Timing{
-		GrantTTL: n.platform.Timing.GrantTTL, ClockMargin: n.platform.Timing.ClockMargin,
-	}).WithAddress(n.platform.UpstreamAddress).WithSuspendedBefore(n.clock.SuspendedBefore())
+	timing := blreconciler.Timing{GrantTTL: n.platform.Timing.GrantTTL, ClockMargin: n.platform.Timing.ClockMargin}
+	state := blreconciler.New(timing, n.clock.Now())
+	return state.WithAddress(n.platform.UpstreamAddress).WithSuspendedBefore(n.clock.SuspendedBefore())
 }
 
 // newAdmission returns the initial state of the admission duty. Where only the lead
