A grant overtaken by the release of all partitions isn't returned

A grant that was in flight at a suspension may arrive after the release of all partitions and be answered after it: the partition then counted as returned while the upstream held it. Such an answer makes the partition due for a release of its own. TestGrantOvertakenByReleaseOfAll fails without the change.

--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -165,6 +165,8 @@
 	switch answer.Result {
 	case ResultDone:
 		if answer.SentAt.Before(s.reclaimedAt) {
+			// It may have arrived after all partitions were taken back.
+			state.released = false
 			return state
 		}
 		state.heldUntil = max(state.heldUntil, order.Until.Add(-s.timing.ClockMargin))
