--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -74,7 +74,7 @@
 		switch {
 		case !state.releasing && now.Before(state.heldUntil):
 			confirmed = append(confirmed, p)
-		case state.releasing && state.unusable(now):
+		case state.releasing && (state.released || !s.reclaim.due) && state.unusable(now):
 			released = append(released, p)
 			if state.returnedHandover != "" {
 				holdings.Handovers = append(holdings.Handovers, blgrant.Handover{Partition: p, Token: state.returnedHandover})
@@ -104,8 +104,11 @@
 // ordersAnswered records the upstream's answers. One to an order that was sent before the
 // upstream had announced itself names no incarnation.
 func (s State) ordersAnswered(m OrdersAnswered, now bltimer.Instant) (State, []Effect) {
-	if m.Incarnation != s.upstream.Incarnation && m.Incarnation != "" {
-		return s, nil
+	if m.Incarnation != s.upstream.Incarnation {
+		if m.Incarnation != "" {
+			return s, nil
+		}
+		return s.reclaimAnswered(m.Answers[0], now).reconcile(now)
 	}
 	reachable, stopped := false, false
 	for _, answer := range m.Answers {
@@ -113,9 +116,7 @@
 		stopped = stopped || answer.Result == ResultStopped
 		s = s.answered(answer, now)
 	}
-	if m.Incarnation == s.upstream.Incarnation {
-		s.stopped = stopped
-	}
+	s.stopped = stopped || s.stopped && m.isReclaim()
 	s.backoff = s.backoff.withAnswers(m.Answers, now)
 	s, effects := s.reconcile(now)
 	if m.Incarnation == "" {
@@ -130,6 +131,11 @@
 	return s, effects
 }
 
+// isReclaim reports whether the answer is that to a Reclaim.
+func (m OrdersAnswered) isReclaim() bool {
+	return len(m.Answers) == 1 && m.Answers[0].Order.Kind == KindReleaseAll
+}
+
 // answered records the answer to one order.
 func (s State) answered(answer Answer, now bltimer.Instant) State {
 	if answer.Order.Kind == KindReleaseAll {
@@ -162,11 +168,12 @@
 	expires := order.Until.Add(s.timing.ClockMargin + inFlight)
 	state.mayHoldUntil = max(state.mayHoldUntil, expires)
 	state.mayOutlast = state.mayOutlast || inFlight > 0
+	// It may have arrived after all partitions were taken back.
+	overtaken := answer.SentAt.Before(s.reclaimedAt)
+	state.released = state.released && !overtaken
 	switch answer.Result {
 	case ResultDone:
-		if answer.SentAt.Before(s.reclaimedAt) {
-			// It may have arrived after all partitions were taken back.
-			state.released = false
+		if overtaken {
 			return state
 		}
 		state.heldUntil = max(state.heldUntil, order.Until.Add(-s.timing.ClockMargin))
--- a/core/blreconciler/reclaim.go
+++ b/core/blreconciler/reclaim.go
@@ -11,8 +11,9 @@
 // longer than this node and the lead know.
 type reclaim struct {
 	due bool
-	// sending is set while an order is in flight.
-	sending bool
+	// sending is set while an order is in flight, and abandoned if the task has ended since
+	// it was sent: its answer then proves nothing.
+	sending, abandoned bool
 	// until is the time from which the upstream holds none of them any more.
 	until bltimer.Instant
 	// unfenced is set when the upstream has answered an order without a fence. The node
@@ -44,7 +45,7 @@
 // withoutExpiredReclaim ends the task once the upstream holds nothing to be taken back.
 func (s State) withoutExpiredReclaim(now bltimer.Instant) State {
 	if s.reclaim.due && !now.Before(s.reclaim.until) {
-		s.reclaim = reclaim{}
+		s.reclaim = reclaim{sending: s.reclaim.sending, abandoned: s.reclaim.sending}
 	}
 	return s
 }
@@ -67,9 +68,11 @@
 // reclaimAnswered records the answer to the order that takes all partitions back. It is
 // also called for an upstream that hadn't announced itself when the order was sent.
 func (s State) reclaimAnswered(answer Answer, now bltimer.Instant) State {
-	s.reclaim.sending = false
+	abandoned := s.reclaim.abandoned
+	s.reclaim.sending, s.reclaim.abandoned = false, false
 	unfenced := answer.Order.Fence == (blvalue.Fence{})
 	switch {
+	case abandoned:
 	case answer.Result == ResultDone && !unfenced:
 		return s.reclaimed(answer.Order.Fence, now)
 	case unfenced && (answer.Result == ResultDone || answer.Result == ResultRefused):
@@ -84,6 +87,7 @@
 func (s State) reclaimed(fence blvalue.Fence, now bltimer.Instant) State {
 	s.reclaim = reclaim{}
 	s.reclaimedAt = now
+	s.earlierRunUntil = 0
 	for p, state := range s.states.All() {
 		s.states = s.states.With(p, state.afterReclaim(fence))
 	}
--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -67,7 +67,7 @@
 	// expired. They are granted again if it is renewed.
 	withdrawn bool
 	// earlierRunUntil is the time from which the upstream holds nothing any more that an
-	// earlier run of this node granted.
+	// earlier run of this node granted, or zero once all has been taken back.
 	earlierRunUntil bltimer.Instant
 	// reclaim is the task to take all partitions back.
 	reclaim reclaim
@@ -135,7 +135,7 @@
 		suspended: s.suspended, resumedAt: s.resumedAt, earlierRunUntil: s.earlierRunUntil, reclaim: s.reclaim,
 	}
 	if s.upstream.Incarnation != "" {
-		next.reclaim.sending = false
+		next.reclaim.sending, next.reclaim.abandoned = false, false
 	}
 	if m.Upstream.ID != "" && m.Upstream.ID == s.upstream.ID {
 		next.states = s.takenBySuccessor(now)
@@ -156,7 +156,7 @@
 		}
 		if now.Before(max(state.mayHoldUntil, state.unansweredUntil)) {
 			taken = taken.With(p, partitionState{
-				fence: state.fence, mayHoldUntil: state.mayHoldUntil, unansweredUntil: state.unansweredUntil,
+				fence: state.fence, mayHoldUntil: state.mayHoldUntil, unansweredUntil: state.unansweredUntil, mayOutlast: state.mayOutlast,
 			})
 		}
 	}
