A node gets ticks while grants of its earlier run may last

A node had restarted and its host was suspended before its upstream had announced itself. The duty had nothing to do then and got no ticks, so it learned of the suspension by the announcement, 0.7 s after the resume. It gets ticks until all that an earlier run granted has expired or been taken back. TestSuspensionBeforeFirstAnnouncement fails without the change.

--- a/core/blreconciler/reclaim.go
+++ b/core/blreconciler/reclaim.go
@@ -44,6 +44,9 @@
 
 // withoutExpiredReclaim ends the task once the upstream holds nothing to be taken back.
 func (s State) withoutExpiredReclaim(now bltimer.Instant) State {
+	if !now.Before(s.earlierRunUntil) {
+		s.earlierRunUntil = 0
+	}
 	if s.reclaim.due && !now.Before(s.reclaim.until) {
 		s.reclaim = reclaim{sending: s.reclaim.sending, abandoned: s.reclaim.sending}
 	}
--- a/core/blreconciler/reclaim_test.go
+++ b/core/blreconciler/reclaim_test.go
@@ -141,6 +141,26 @@
 	}
 }
 
+// TestSuspensionBeforeFirstAnnouncement guards against a second owner: a node that had just
+// started got no ticks before its upstream announced itself, and learned of a suspension
+// only then.
+func TestSuspensionBeforeFirstAnnouncement(t *testing.T) {
+	n := newRestartedNode(t, 0)
+	n.send(blreconciler.Tick{}, restartedAt)
+	if !n.state.Busy() {
+		t.Fatal("busy while earlier grants last: got false, want true")
+	}
+	resumed := restartedAt + 2*ttl
+	n.suspended = 2 * ttl
+	n.send(blreconciler.Tick{}, resumed)
+	n.wantReleaseOfAll(blvalue.Fence{})
+	n.answerReclaim("", blreconciler.ResultDone, resumed)
+	n.send(blreconciler.Tick{}, resumed+ttl+margin)
+	if n.state.Busy() {
+		t.Error("busy afterwards: got true, want false")
+	}
+}
+
 // TestReleaseOfAllEnds checks that a node stops asking once all earlier grants have expired.
 func TestReleaseOfAllEnds(t *testing.T) {
 	n := newRestartedNode(t, time.Hour)
--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -99,9 +99,10 @@
 	return s
 }
 
-// Busy reports whether the duty has partitions to renew or release.
+// Busy reports whether the duty has partitions to renew or release, or may have some to take
+// back after a suspension of the host.
 func (s State) Busy() bool {
-	return s.states.Len() > 0 || s.reclaim.due
+	return s.states.Len() > 0 || s.reclaim.due || s.earlierRunUntil != 0
 }
 
 // Decide returns the next state and the effects of one message.
