--- a/core/blproof/ownership_test.go
+++ b/core/blproof/ownership_test.go
@@ -237,14 +237,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			for seed := range mutationSeeds {
-				sim := runSeed(uint64(seed), c)
-				if len(sim.violations) > 0 {
-					t.Logf("seed %d: %s", seed, sim.violations[0])
-					return
-				}
-			}
-			t.Errorf("schedules with a violation among %d: got 0, want at least 1", mutationSeeds)
+			wantViolation(t, func(t *rapid.T) *simulation { return runSchedule(t, c) })
 		})
 	}
 }
@@ -252,13 +245,19 @@
 // mutationSeeds is the maximum number of schedules that are tried per mutation.
 const mutationSeeds = 300
 
-// runSeed runs the schedule that rapid draws for seed.
-func runSeed(seed uint64, m mutation) *simulation {
-	var sim *simulation
-	generator := rapid.Custom(func(t *rapid.T) int {
-		sim = runSchedule(t, m)
-		return 0
-	})
-	generator.Example(int(seed))
-	return sim
+// wantViolation checks that one of the schedules that run draws violates an invariant.
+func wantViolation(t *testing.T, run func(t *rapid.T) *simulation) {
+	t.Helper()
+	for seed := range mutationSeeds {
+		var sim *simulation
+		rapid.Custom(func(t *rapid.T) int {
+			sim = run(t)
+			return 0
+		}).Example(seed)
+		if len(sim.violations) > 0 {
+			t.Logf("seed %d: %s", seed, sim.violations[0])
+			return
+		}
+	}
+	t.Errorf("schedules with a violation among %d: got 0, want at least 1", mutationSeeds)
 }
--- a/core/blproof/suspended_test.go
+++ b/core/blproof/suspended_test.go
@@ -157,18 +157,7 @@
 		{name: "suspensions counted late", seesSuspensionsLate: true},
 	} {
 		t.Run(m.name, func(t *testing.T) {
-			for seed := range mutationSeeds {
-				var sim *simulation
-				rapid.Custom(func(t *rapid.T) int {
-					sim = runSuspensions(t, m, 0)
-					return 0
-				}).Example(seed)
-				if len(sim.violations) > 0 {
-					t.Logf("seed %d: %s", seed, sim.violations[0])
-					return
-				}
-			}
-			t.Errorf("schedules with a violation among %d: got 0, want at least 1", mutationSeeds)
+			wantViolation(t, func(t *rapid.T) *simulation { return runSuspensions(t, m, 0) })
 		})
 	}
 }
