The lead withholds the partitions of hosts that are back without their nodes

Two servers held the same keys from the resume of a host whose node was dead until that node ran again: the lead had let the grants there expire and given the partitions away, the upstream's clock had stood still, and only a node beside it can take them back (a server refuses callers of other hosts).

The lead now notes each host whose node stops reporting for half the time to live of a grant, with what its upstreams were granted, and tries to connect to the node every 50 ms, 16 hosts at a time, for a minute at most. A host that was silent and then refuses connections is up without its node, whatever it was that silenced it. Its partitions are withheld from all other upstreams, whose nodes release them, until a node there reports that it has nothing to take back, or until the longest grant has expired. A node that still takes back says so in its heartbeats. A new lead starts from the directory of the earlier one.

--- /dev/null
+++ b/core/blassign/absence.go
@@ -0,0 +1,239 @@
+package blassign
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bergamotlead/core/bltable"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+const (
+	// absentDivisor sets the time without a heartbeat after which a node counts as absent:
+	// half the time to live of a grant. The lead then knows that a host was silent before it
+	// gives its partitions to others.
+	absentDivisor = 2
+	// maxAbsence is how long after its last heartbeat the lead forgets an absent node.
+	maxAbsence = time.Minute
+	// probeInterval is the time between probes of one absent node, and maxProbes the
+	// number of nodes probed at a time.
+	probeInterval = 50 * time.Millisecond
+	maxProbes     = 16
+)
+
+// holding is what an upstream that keeps its grants may hold.
+type holding struct {
+	service blvalue.ServiceName
+	set     blvalue.PartitionSet
+}
+
+// absence is what the lead knows of a host whose node has stopped reporting. The host may
+// be suspended. Its upstreams then hold their partitions for longer than the lead can know,
+// since their clocks stand still, and after the resume only a node on the host can take
+// them back. Until one does, the lead withholds these partitions from other upstreams.
+type absence struct {
+	host  blvalue.Host
+	since bltimer.Instant
+	// holdings are those that the upstreams of the host had, by name.
+	holdings bltable.Table[blvalue.UpstreamName, holding]
+	probedAt bltimer.Instant
+	// silent is set once a probe found that nothing at the host refused connections.
+	silent bool
+	// withheldUntil is the time from which the upstreams hold none of the partitions any
+	// more, or zero while these aren't withheld.
+	withheldUntil bltimer.Instant
+}
+
+// partitions returns the number of partitions that the upstreams of the host may hold.
+func (a absence) partitions() int {
+	count := 0
+	for _, held := range a.holdings.All() {
+		count += held.set.Len()
+	}
+	return count
+}
+
+func (a absence) withHolding(name blvalue.UpstreamName, held holding) absence {
+	if held.set.Len() > 0 {
+		a.holdings = a.holdings.With(name, held)
+	}
+	return a
+}
+
+// trackAbsences records the nodes that have stopped reporting, forgets those that are
+// gone for long, and probes the others.
+func (s State[P]) trackAbsences(now bltimer.Instant) (State[P], []Effect) {
+	s = s.withAbsentMembers(now).withAbsentEntries(now)
+	s, effects := s.withoutPastAbsences(now)
+	s, probes := s.probeAbsent(now)
+	return s, append(effects, probes...)
+}
+
+func (s State[P]) absentAfter() time.Duration {
+	return s.config.Plan.Timing.GrantTTL / absentDivisor
+}
+
+// withAbsentMembers records the members that have stopped reporting, with all that their
+// upstreams were granted and haven't returned.
+func (s State[P]) withAbsentMembers(now bltimer.Instant) State[P] {
+	for name, member := range s.members.All() {
+		silence := now.Sub(member.LastHeartbeatAt)
+		if _, known := s.absences.Get(name); known || silence < s.absentAfter() || silence >= maxAbsence {
+			continue
+		}
+		a := absence{host: member.Host, since: member.LastHeartbeatAt}
+		for _, upstream := range member.Upstreams {
+			outstanding, ok := s.grants.Get(NewHolder(member.Host.Incarnation, upstream))
+			if ok && upstream.KeepsGrants {
+				a = a.withHolding(upstream.Name, holding{service: upstream.Service, set: outstanding.sets()})
+			}
+		}
+		s = s.withAbsence(a)
+	}
+	return s
+}
+
+// withAbsentEntries records the nodes that the directory of the earlier lead named and
+// that haven't reported to this one, with the partitions that the store assigns to their
+// upstreams.
+func (s State[P]) withAbsentEntries(now bltimer.Instant) State[P] {
+	began := s.authority.PriorExpiredAt
+	if len(s.earlierEntries) == 0 || now.Before(began.Add(s.absentAfter())) {
+		return s
+	}
+	for _, entry := range s.earlierEntries {
+		_, reported := s.members.Get(entry.Node.Name)
+		ownership, ok := s.services.Get(entry.Upstream.Service)
+		if reported || !ok || !entry.Upstream.KeepsGrants {
+			continue
+		}
+		a, known := s.absences.Get(entry.Node.Name)
+		if !known {
+			a = absence{host: entry.Node, since: began}
+		}
+		s = s.withAbsence(a.withHolding(entry.Upstream.Name, holding{
+			service: entry.Upstream.Service, set: ownership.assignedTo(entry.Upstream.Name),
+		}))
+	}
+	s.earlierEntries = nil
+	return s
+}
+
+// withAbsence records an absence, unless nothing is held at the host.
+func (s State[P]) withAbsence(a absence) State[P] {
+	if a.holdings.Len() > 0 {
+		s.absences = s.absences.With(a.host.Name, a)
+	}
+	return s
+}
+
+// withoutPastAbsences ends the withholding of partitions that nobody can hold any more,
+// and forgets nodes that have been absent for maxAbsence.
+func (s State[P]) withoutPastAbsences(now bltimer.Instant) (State[P], []Effect) {
+	var effects []Effect
+	for name, a := range s.absences.All() {
+		if a.withheldUntil != 0 && !now.Before(a.withheldUntil) {
+			effects = append(effects, s.freed(a, now)...)
+			a.withheldUntil = 0
+			s.absences = s.absences.With(name, a)
+		}
+		if a.withheldUntil == 0 && now.Sub(a.since) >= maxAbsence {
+			s.absences = s.absences.Without(name)
+		}
+	}
+	return s, effects
+}
+
+// probeAbsent probes the absent nodes, those first that were probed longest ago.
+func (s State[P]) probeAbsent(now bltimer.Instant) (State[P], []Effect) {
+	var due []absence
+	for _, a := range s.absences.All() {
+		if now.Sub(a.probedAt) >= probeInterval {
+			due = append(due, a)
+		}
+	}
+	if len(due) == 0 || now.Sub(s.probedAt) < probeInterval {
+		return s, nil
+	}
+	slices.SortStableFunc(due, func(a, b absence) int { return cmp.Compare(a.probedAt, b.probedAt) })
+	var probe ProbeHosts
+	for _, a := range due[:min(len(due), maxProbes)] {
+		a.probedAt = now
+		s.absences = s.absences.With(a.host.Name, a)
+		probe.Hosts = append(probe.Hosts, a.host)
+	}
+	s.probedAt = now
+	return s, []Effect{probe}
+}
+
+// hostProbed handles the result of a probe. A host that was silent and now refuses
+// connections has resumed, or has power again, and its node doesn't run.
+func (s State[P]) hostProbed(m HostProbed, now bltimer.Instant) (State[P], []Effect) {
+	a, ok := s.absences.Get(m.Host.Name)
+	if !ok || a.host.Incarnation != m.Host.Incarnation {
+		return s, nil
+	}
+	if !m.Refused {
+		a.silent = true
+		s.absences = s.absences.With(a.host.Name, a)
+		return s, nil
+	}
+	return s.withhold(a, now)
+}
+
+// withhold takes the partitions that an upstream of the host may hold from all others, for
+// as long as it may hold them. A host that was never silent wasn't suspended.
+func (s State[P]) withhold(a absence, now bltimer.Instant) (State[P], []Effect) {
+	if !a.silent {
+		return s, nil
+	}
+	a.silent = false
+	a.withheldUntil = now.Add(s.config.MaxGrantLifetime())
+	s.absences = s.absences.With(a.host.Name, a)
+	return s, []Effect{
+		WithholdingChanged{Host: a.host.Name, Partitions: a.partitions(), Withheld: true}, Nudge{Nodes: s.peers(now)},
+	}
+}
+
+// freed returns the effects of the end of a withholding.
+func (s State[P]) freed(a absence, now bltimer.Instant) []Effect {
+	if a.withheldUntil == 0 {
+		return nil
+	}
+	return []Effect{
+		WithholdingChanged{Host: a.host.Name, Partitions: a.partitions()}, Nudge{Nodes: s.peers(now)},
+	}
+}
+
+// hostReported ends the absence of a node that reports again. A node that has started
+// since may still have to take back what its earlier run granted.
+func (s State[P]) hostReported(m Heartbeat, now bltimer.Instant) (State[P], []Effect) {
+	a, ok := s.absences.Get(m.Node.Name)
+	if !ok {
+		return s, nil
+	}
+	if m.Reclaiming && m.Node.Incarnation != a.host.Incarnation {
+		return s.withhold(a, now)
+	}
+	s.absences = s.absences.Without(m.Node.Name)
+	return s, s.freed(a, now)
+}
+
+// withheldFrom returns the partitions of the service that upstreams with other names may
+// hold at hosts that are back without their node.
+func (s State[P]) withheldFrom(upstream blvalue.Upstream, now bltimer.Instant) blvalue.PartitionSet {
+	var withheld blvalue.PartitionSet
+	for _, a := range s.absences.All() {
+		if !now.Before(a.withheldUntil) {
+			continue
+		}
+		for name, held := range a.holdings.All() {
+			if name != upstream.Name && held.service == upstream.Service {
+				withheld = withheld.Union(held.set)
+			}
+		}
+	}
+	return withheld
+}
--- a/core/blassign/bench_test.go
+++ b/core/blassign/bench_test.go
@@ -52,7 +52,7 @@
 			chunk := e.Chunk
 			chunk.Revision = e.Base + 1
 			h.send(blassign.ChunkWritten{
-				Term: 1, ID: e.ID, WriteID: chunk.WriteID, Outcome: blplatform.Written, Current: chunk,
+				Term: chunk.Term, ID: e.ID, WriteID: chunk.WriteID, Outcome: blplatform.Written, Current: chunk,
 			})
 		case blassign.AnswerHeartbeat:
 			e.Reply.Put(e.HeartbeatReply)
--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -24,6 +24,8 @@
 		return s.chunkWritten(m, now)
 	case Heartbeat:
 		return s.heartbeat(m, now)
+	case HostProbed:
+		return s.hostProbed(m, now)
 	}
 	return s, nil
 }
@@ -45,7 +47,9 @@
 	if !began {
 		return s, nil
 	}
-	return s.withoutTermState(), []Effect{LoadConfig{}}
+	s = s.withoutTermState()
+	s.earlierEntries = m.Entries
+	return s, []Effect{LoadConfig{}}
 }
 
 // configSeen adopts a later configuration; an earlier one is a late answer, or that
--- a/core/blassign/heartbeat.go
+++ b/core/blassign/heartbeat.go
@@ -18,11 +18,13 @@
 	if !s.authority.Holds(now) || !s.ready() || s.isStale(m) {
 		return s, []Effect{AnswerHeartbeat{Reply: m.Reply}}
 	}
+	s, effects := s.hostReported(m, now)
 	s = s.withReleases(m, now)
 	s = s.withHandovers(m)
 	s = s.withMember(m, now).withLoads(m)
 	reply := HeartbeatReply{Term: s.authority.Term, Standby: s.authority.Standby, StoreLost: !s.authority.MayChange}
-	s, reply, effects := s.compareConfig(reply, m, now)
+	s, reply, more := s.compareConfig(reply, m, now)
+	effects = append(effects, more...)
 	for _, upstream := range m.Upstreams {
 		if s.needsHeld(m, upstream, now) {
 			reply.NeedHeld = true
--- a/core/blassign/holder.go
+++ b/core/blassign/holder.go
@@ -73,6 +73,15 @@
 	return o
 }
 
+// sets returns the partitions of all grants, expired ones included.
+func (o Outstanding) sets() blvalue.PartitionSet {
+	var all blvalue.PartitionSet
+	for _, s := range o.sent {
+		all = all.Union(s.set)
+	}
+	return all
+}
+
 // mayUse reports whether the holder may still be using p at now.
 func (o Outstanding) mayUse(p blvalue.Partition, now bltimer.Instant) bool {
 	for _, s := range o.sent {
--- a/core/blassign/messages.go
+++ b/core/blassign/messages.go
@@ -18,7 +18,11 @@
 type Tick struct{}
 
 // AuthorityChanged carries what this process may do as lead.
-type AuthorityChanged struct{ Authority bllead.Authority }
+type AuthorityChanged struct {
+	Authority bllead.Authority
+	// Entries is the directory that this process had as a node.
+	Entries []Entry
+}
 
 // ConfigSeen carries an accepted configuration.
 type ConfigSeen struct{ Accepted blconfig.Accepted }
@@ -63,7 +67,10 @@
 	Loads []UpstreamLoad
 	// WantsConfig is set when the node depends on the lead for configurations.
 	WantsConfig bool
-	Reply       blring.Reply[HeartbeatReply]
+	// Reclaiming is set while the node takes back what an upstream may hold for longer
+	// than the lead knows.
+	Reclaiming bool
+	Reply      blring.Reply[HeartbeatReply]
 }
 
 // UpstreamLoad is the load of one incarnation of an upstream.
@@ -116,6 +123,16 @@
 func (ChunkWritten) assignMessage()     {}
 func (Heartbeat) assignMessage()        {}
 
+// HostProbed is the result of the probe of one host.
+type HostProbed struct {
+	Host blvalue.Host
+	// Refused is set when the host refused the connection: it is up, and no node listens
+	// there.
+	Refused bool
+}
+
+func (HostProbed) assignMessage() {}
+
 // Effect is an output of Decide that the ownership duty carries out.
 type Effect interface{ assignEffect() }
 
@@ -166,6 +183,20 @@
 // them or taken from a lost owner.
 type Nudge struct{ Nodes []blvalue.Host }
 
+// ProbeHosts tries to connect to nodes that have stopped reporting.
+type ProbeHosts struct{ Hosts []blvalue.Host }
+
+// WithholdingChanged reports that the lead begins or ends to withhold the partitions that
+// upstreams of a host without a node may hold.
+type WithholdingChanged struct {
+	Host       blvalue.HostName
+	Partitions int
+	Withheld   bool
+}
+
+func (ProbeHosts) assignEffect()         {}
+func (WithholdingChanged) assignEffect() {}
+
 // ReloadConfig reads the configuration from the store again, since a node knows
 // a later one.
 type ReloadConfig struct{}
--- a/core/blassign/offer.go
+++ b/core/blassign/offer.go
@@ -19,7 +19,7 @@
 	}
 	holder := NewHolder(m.Node.Incarnation, upstream)
 	held := heldBy(m, upstream)
-	owned := ownership.OwnedBy(upstream.Name)
+	owned := ownership.OwnedBy(upstream.Name).Without(s.withheldFrom(upstream, now))
 	outstanding, _ := s.grants.Get(holder)
 	current := outstanding.current()
 	allowed := owned
--- a/core/blassign/ownership.go
+++ b/core/blassign/ownership.go
@@ -145,6 +145,20 @@
 	return o
 }
 
+// assignedTo returns the partitions of which the upstream is the owner, or an earlier one
+// that may still be using them.
+func (o Ownership) assignedTo(name blvalue.UpstreamName) blvalue.PartitionSet {
+	set := o.OwnedBy(name)
+	for index, chunk := range o.chunks.All() {
+		for i, previous := range chunk.Previous {
+			if previous == name {
+				set = set.With(blvalue.Partition(index*ChunkSize + i))
+			}
+		}
+	}
+	return set
+}
+
 func (o Ownership) hasPending() bool {
 	for _, chunk := range o.chunks.All() {
 		if chunk.pending != nil {
--- a/core/blassign/place.go
+++ b/core/blassign/place.go
@@ -26,6 +26,8 @@
 	}
 	s = s.withoutExpiredMembers(now).withoutUnlistedUpstreams(now)
 	s, effects := s.reportPeers(now)
+	s, absent := s.trackAbsences(now)
+	effects = append(effects, absent...)
 	if !s.authority.MayChange || !s.priorGrantsExpired(now) || now.Sub(s.lastAttemptAt) < placementInterval {
 		return s, effects
 	}
--- a/core/blassign/state.go
+++ b/core/blassign/state.go
@@ -79,6 +79,13 @@
 	// reportedPeers is the summary of the other nodes that was last sent to the
 	// lead duty.
 	reportedPeers peerSummary
+	// absences holds the nodes that have stopped reporting, and probedAt when some were
+	// last probed.
+	absences bltable.Table[blvalue.HostName, absence]
+	probedAt bltimer.Instant
+	// earlierEntries is the directory that this process had as a node when its term
+	// began, until its nodes have had time to report.
+	earlierEntries []Entry
 	// self is the incarnation of this process, or empty where it doesn't
 	// matter.
 	self blvalue.Incarnation
--- a/core/blreconciler/reclaim.go
+++ b/core/blreconciler/reclaim.go
@@ -19,6 +19,8 @@
 	// unfenced is set when the upstream has answered an order without a fence. The node
 	// repeats the order once it knows its fence, before its first grant.
 	unfenced bool
+	// taken is set when the upstream has carried that order out.
+	taken bool
 	// retryAt is the time of the next attempt after one that failed.
 	retryAt bltimer.Instant
 }
@@ -80,6 +82,7 @@
 		return s.reclaimed(answer.Order.Fence, now)
 	case unfenced && (answer.Result == ResultDone || answer.Result == ResultRefused):
 		s.reclaim.unfenced = true
+		s.reclaim.taken = answer.Result == ResultDone
 	default:
 		s.reclaim.retryAt = now.Add(reclaimPause)
 	}
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -53,7 +53,7 @@
 	request := &blproto.HeartbeatRequest{
 		Node: hostToProto(h.Node), Sequence: h.Sequence, ConfigRevision: h.ConfigRevision, Leaving: h.Leaving,
 		Directory: &blproto.DirectoryVersion{Term: h.Directory.Term, Version: h.Directory.Version}, WantsConfig: h.WantsConfig,
-		ConfigDigest: h.ConfigDigest, ConfigVersion: h.ConfigVersion,
+		ConfigDigest: h.ConfigDigest, ConfigVersion: h.ConfigVersion, Reclaiming: h.Reclaiming,
 	}
 	for _, reported := range h.Loads {
 		request.Loads = append(request.Loads, &blproto.UpstreamLoad{
@@ -78,6 +78,7 @@
 		Node: hostFromProto(r.GetNode()), Sequence: r.GetSequence(), ConfigRevision: r.GetConfigRevision(), Leaving: r.GetLeaving(),
 		Directory:   blassign.DirectoryVersion{Term: r.GetDirectory().GetTerm(), Version: r.GetDirectory().GetVersion()},
 		WantsConfig: r.GetWantsConfig(), ConfigDigest: r.GetConfigDigest(), ConfigVersion: r.GetConfigVersion(),
+		Reclaiming: r.GetReclaiming(),
 	}
 	for _, reported := range r.GetLoads() {
 		heartbeat.Loads = append(heartbeat.Loads, blassign.UpstreamLoad{
--- a/io/blnode/duty_effects.go
+++ b/io/blnode/duty_effects.go
@@ -45,7 +45,7 @@
 
 func (n *Node) authorityChanged(authority bllead.Authority) {
 	last := n.duties.assign.View().Authority()
-	blduty.PutBlocking[blassign.Message](n.duties.assign.Put, blassign.AuthorityChanged{Authority: authority})
+	blduty.PutBlocking[blassign.Message](n.duties.assign.Put, n.ownershipAuthority(last, authority))
 	blduty.PutBlocking[blquota.Message](n.duties.quota.Put, blquota.AuthorityChanged{Authority: authority})
 	if n.platform.AllNodesReadConfig && authority.Term != 0 && last.Term != authority.Term {
 		// The configuration in force lets the new lead start before it has read the
@@ -58,6 +58,16 @@
 	}
 }
 
+// ownershipAuthority returns the message that tells the ownership duty of an authority, at
+// the start of a term with the directory of the earlier lead.
+func (n *Node) ownershipAuthority(last, authority bllead.Authority) blassign.AuthorityChanged {
+	changed := blassign.AuthorityChanged{Authority: authority}
+	if last.Term != authority.Term {
+		changed.Entries = n.duties.route.View().Directory().Entries()
+	}
+	return changed
+}
+
 func (n *Node) performAssign(effect blassign.Effect) {
 	switch e := effect.(type) {
 	case blassign.AnswerHeartbeat:
@@ -72,6 +82,10 @@
 		n.logDropped("fetch", n.workers.fetch.Put(fetchJob{from: e.From, known: n.distributedConfig}))
 	case blassign.Nudge:
 		n.logDropped("nudge", n.workers.nudge.Put(e))
+	case blassign.ProbeHosts:
+		n.logDropped("probe", n.workers.probe.Put(e))
+	case blassign.WithholdingChanged:
+		n.stateLog.logWithholding(e)
 	case blassign.LoadChunk, blassign.WriteChunk:
 		n.logDropped("assign", n.workers.assign.Put(e))
 	}
--- a/io/blnode/heartbeat_work.go
+++ b/io/blnode/heartbeat_work.go
@@ -22,6 +22,8 @@
 	outage *outageLog
 	// loads returns the loads of the local upstreams.
 	loads func() []blassign.UpstreamLoad
+	// reclaiming reports whether the node takes back what an upstream may hold.
+	reclaiming func() bool
 }
 
 // NotLeadError reports a heartbeat that was answered by a node that isn't lead.
@@ -42,6 +44,7 @@
 			heartbeat := effect.Heartbeat
 			heartbeat.Held = trimHeld(held, effect.ListHeld)
 			heartbeat.Loads = s.loads()
+			heartbeat.Reclaiming = s.reclaiming()
 			answer.Reply, err = s.client.Heartbeat(ctx, effect.To.Address, heartbeat)
 			answer.Failed = err != nil
 			if err == nil && answer.Reply.Term == 0 {
--- a/io/blnode/order_log.go
+++ b/io/blnode/order_log.go
@@ -11,6 +11,8 @@
 	releases, grants int
 	// unknown is the number of orders that may take effect later, or already have.
 	unknown int
+	// refused is the number of orders that the upstream rejected for a higher fence.
+	refused int
 }
 
 func countOrders(answers []blreconciler.Answer) orderCounts {
@@ -21,8 +23,12 @@
 		} else {
 			counts.releases++
 		}
-		if answer.Result == blreconciler.ResultUnknown {
+		switch answer.Result {
+		case blreconciler.ResultUnknown:
 			counts.unknown++
+		case blreconciler.ResultRefused:
+			counts.refused++
+		case blreconciler.ResultDone, blreconciler.ResultUnsent, blreconciler.ResultStopped:
 		}
 	}
 	return counts
@@ -33,9 +39,9 @@
 // node and the lead know.
 func (n *Node) logOrders(send blreconciler.Send, answers []blreconciler.Answer, took time.Duration) {
 	counts := countOrders(answers)
-	if counts.releases == 0 && counts.unknown == 0 && took <= n.platform.Timing.ClockMargin {
+	if counts.releases+counts.unknown+counts.refused == 0 && took <= n.platform.Timing.ClockMargin {
 		return
 	}
 	n.logger.Info("orders answered", "upstream", string(send.Upstream.Name), "run", string(send.Upstream.Incarnation),
-		"releases", counts.releases, "grants", counts.grants, "unknown", counts.unknown, "took_ms", took.Milliseconds())
+		"releases", counts.releases, "grants", counts.grants, "unknown", counts.unknown, "refused", counts.refused, "took_ms", took.Milliseconds())
 }
--- a/io/blnode/state_log.go
+++ b/io/blnode/state_log.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blgrant"
 	"bergamotlead/core/blmember"
@@ -101,6 +102,17 @@
 	}
 }
 
+// logWithholding logs that the lead begins or ends to withhold the partitions that upstreams
+// may hold at a host that is back without its node.
+func (l *stateLog) logWithholding(change blassign.WithholdingChanged) {
+	if !change.Withheld {
+		l.logger.Info("partitions no longer withheld", "of", string(change.Host), "partitions", change.Partitions)
+		return
+	}
+	l.logger.Warn("host is back without its node, its partitions are withheld", "of", string(change.Host),
+		"partitions", change.Partitions)
+}
+
 // logLead logs a change of the lead that answers this node.
 func (l *stateLog) logLead(lead blvalue.Host, term uint64) {
 	if l.changed("lead", fmt.Sprint(lead.Incarnation, term)) {
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -32,6 +32,7 @@
 	borrow     *blduty.Worker[bladmit.Borrow]
 	delegates  delegateWorkers
 	nudge      *blduty.Worker[blassign.Nudge]
+	probe      *blduty.Worker[blassign.ProbeHosts]
 	upstream   *blduty.Worker[grantJob]
 	reconciler *blduty.Worker[blreconciler.Send]
 	reclaim    *blduty.Worker[blreconciler.Reclaim]
@@ -68,7 +69,8 @@
 	heartbeat := heartbeatSender{
 		client: n.client, grant: func(m blgrant.Message) error { return n.duties.grant.Put(m) },
 		put: func(m blmember.Message) error { return n.duties.member.Put(m) }, loads: n.upstreamLoads,
-		outage: n.newOutageLog("heartbeat not answered", "heartbeat answered again"),
+		reclaiming: func() bool { return n.duties.reconciler.View().Reclaiming() },
+		outage:     n.newOutageLog("heartbeat not answered", "heartbeat answered again"),
 	}
 	borrow := tokenBorrower{
 		client: n.client, clock: n.clock, self: n.self,
@@ -89,6 +91,7 @@
 		borrow:     blduty.NewWorker("borrow", 1, borrow.perform),
 		delegates:  newDelegateWorkers(delegate.perform),
 		nudge:      blduty.NewWorker("nudge", shortQueueCapacity, nudgeSender{client: n.client}.perform),
+		probe:      blduty.NewWorker("probe", 1, hostProber{put: func(m blassign.Message) error { return n.duties.assign.Put(m) }}.perform),
 		upstream:   blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock).perform),
 		reconciler: blduty.NewWorker("reconciler", 1, n.sendOrders),
 		reclaim:    blduty.NewWorker("reclaim", 1, n.reclaim),
@@ -119,6 +122,7 @@
 	w.borrow.Start()
 	w.delegates.start()
 	w.nudge.Start()
+	w.probe.Start()
 	w.upstream.Start()
 	w.reconciler.Start()
 	w.reclaim.Start()
@@ -137,6 +141,7 @@
 	w.borrow.Stop()
 	w.delegates.stop()
 	w.nudge.Stop()
+	w.probe.Stop()
 	w.upstream.Stop()
 	w.reconciler.Stop()
 	w.reclaim.Stop()
