Releases don't wait for grants, nor renewals for releases

A node sent its upstream one batch of orders at a time, grants and releases together. Releases now go on a thread of their own. No range has two orders in flight, and an upstream that has stopped stays stopped whatever the other thread's orders answer.

The harness of the tests, and that of the model, gives answers for each kind apart.

--- a/core/blproof/upstream_test.go
+++ b/core/blproof/upstream_test.go
@@ -139,6 +139,8 @@
 		switch e := effect.(type) {
 		case blreconciler.Send:
 			n.sendOrders(e)
+		case blreconciler.Release:
+			n.sendOrders(e.Send)
 		case blreconciler.Reclaim:
 			n.sendOrders(e.Send)
 		case blreconciler.HoldingsChanged:
--- a/core/blreconciler/messages.go
+++ b/core/blreconciler/messages.go
@@ -101,8 +101,8 @@
 // Effect is an action requested by the reconciler duty.
 type Effect interface{ reconcilerEffect() }
 
-// Send calls the upstream, once for each order. The upstream is unknown if it hasn't
-// announced itself yet.
+// Send calls the upstream, once for each order. All are grants. The upstream is unknown
+// if it hasn't announced itself yet.
 type Send struct {
 	Upstream   blvalue.Upstream
 	Address    string
@@ -110,7 +110,10 @@
 	Orders     []Order
 }
 
-// Reclaim takes all partitions back with one order, beside a Send that is unanswered.
+// Release takes partitions back, beside a Send that is unanswered.
+type Release struct{ Send }
+
+// Reclaim takes all partitions back with one order, beside others that are unanswered.
 type Reclaim struct{ Send }
 
 // HoldingsChanged reports to the grant duty which partitions the upstream holds
--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -11,27 +11,69 @@
 	s, effects := s.withoutExpiredReclaim(now).withoutOutlasting(now).reportChanges(now)
 	s, reclaims := s.reclaimEffects(now)
 	effects = append(effects, reclaims...)
-	if s.sending || s.stopped || s.reclaim.due || s.upstream.Incarnation == "" || s.partitions == 0 {
+	if s.stopped || s.reclaim.due || s.upstream.Incarnation == "" || s.partitions == 0 {
 		return s, effects
 	}
+	s, sends := s.sendDue(now)
+	return s, append(effects, sends...)
+}
+
+// sendDue sends the orders that are due, releases beside grants: neither waits for the
+// answers to the other.
+func (s State) sendDue(now bltimer.Instant) (State, []Effect) {
+	if s.sendingGrants && s.sendingReleases {
+		return s, nil
+	}
+	grants, releases := byKind(s.permitted(s.dueOrders(now), now))
+	var effects []Effect
+	if !s.sendingReleases && len(releases) > 0 {
+		s.sendingReleases = true
+		releases = releases[:min(len(releases), maxOrdersPerSend)]
+		s = s.withSending(releases)
+		effects = append(effects, Release{Send: s.send(releases...)})
+	}
+	if !s.sendingGrants && len(grants) > 0 {
+		s.sendingGrants = true
+		grants = grants[:min(len(grants), maxOrdersPerSend)]
+		s = s.withSending(grants)
+		effects = append(effects, s.send(grants...))
+	}
+	return s, effects
+}
+
+// dueOrders returns the orders that are due for partitions without an order in flight.
+func (s State) dueOrders(now bltimer.Instant) []Order {
 	var orders []Order
 	for p, state := range s.states.All() {
+		if state.sending {
+			continue
+		}
 		if order, due := s.due(p, state, now); due {
 			orders = append(orders, order)
 		}
 	}
-	orders = s.permitted(orders, now)
-	if len(orders) == 0 {
-		return s, effects
+	return orders
+}
+
+func byKind(orders []Order) (grants, releases []Order) {
+	for _, order := range orders {
+		if order.Kind == KindRelease {
+			releases = append(releases, order)
+			continue
+		}
+		grants = append(grants, order)
 	}
-	orders = orders[:min(len(orders), maxOrdersPerSend)]
+	return grants, releases
+}
+
+// withSending returns the state with the orders in flight.
+func (s State) withSending(orders []Order) State {
 	for _, order := range orders {
 		state, _ := s.states.Get(order.Partition)
 		state.sending = true
 		s.states = s.states.With(order.Partition, state)
 	}
-	s.sending = true
-	return s, append(effects, s.send(orders...))
+	return s
 }
 
 func (s State) send(orders ...Order) Send {
@@ -116,7 +158,7 @@
 		stopped = stopped || answer.Result == ResultStopped
 		s = s.answered(answer, now)
 	}
-	s.stopped = stopped || s.stopped && m.isReclaim()
+	s.stopped = s.stopped || stopped
 	s.backoff = s.backoff.withAnswers(m.Answers, now)
 	s, effects := s.reconcile(now)
 	if m.Incarnation == "" {
@@ -131,17 +173,16 @@
 	return s, effects
 }
 
-// isReclaim reports whether the answer is that to a Reclaim.
-func (m OrdersAnswered) isReclaim() bool {
-	return len(m.Answers) == 1 && m.Answers[0].Order.Kind == KindReleaseAll
-}
-
 // answered records the answer to one order.
 func (s State) answered(answer Answer, now bltimer.Instant) State {
 	if answer.Order.Kind == KindReleaseAll {
 		return s.reclaimAnswered(answer, now)
 	}
-	s.sending = false
+	if answer.Order.Kind == KindRelease {
+		s.sendingReleases = false
+	} else {
+		s.sendingGrants = false
+	}
 	if state, ok := s.states.Get(answer.Order.Partition); ok {
 		s.states = s.states.With(answer.Order.Partition, s.withAnswer(state, answer))
 	}
--- a/core/blreconciler/state.go
+++ b/core/blreconciler/state.go
@@ -53,8 +53,9 @@
 	startedAt bltimer.Instant
 	// confirmed is the set that was last reported to the grant duty.
 	confirmed blvalue.PartitionSet
-	// sending is set while a Send is unanswered. The next one waits for it.
-	sending bool
+	// sendingGrants is set while a Send is unanswered, and sendingReleases while a Release
+	// is. The next one waits for it.
+	sendingGrants, sendingReleases bool
 	// stopped is set when nothing listens at the upstream's address. No orders are
 	// sent until the upstream announces itself again: a later incarnation with the
 	// same ID would take them.
--- a/core/blreconciler/state_test.go
+++ b/core/blreconciler/state_test.go
@@ -54,7 +54,9 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case blreconciler.Send:
-			n.orders = e.Orders
+			n.orders = append(n.orders, e.Orders...)
+		case blreconciler.Release:
+			n.orders = append(n.orders, e.Orders...)
 		case blreconciler.Reclaim:
 			n.reclaims = e.Orders
 		case blreconciler.HoldingsChanged:
@@ -79,13 +81,17 @@
 	if len(n.orders) == 0 {
 		n.t.Fatal("orders: got none, want some")
 	}
-	orders := n.orders
+	answers := map[blreconciler.Kind][]blreconciler.Answer{}
+	for _, order := range n.orders {
+		answers[order.Kind] = append(answers[order.Kind],
+			blreconciler.Answer{Order: order, Result: result, SentAt: bltimer.Instant(now), Handover: "token"})
+	}
 	n.orders = nil
-	answers := make([]blreconciler.Answer, 0, len(orders))
-	for _, order := range orders {
-		answers = append(answers, blreconciler.Answer{Order: order, Result: result, SentAt: bltimer.Instant(now), Handover: "token"})
+	for _, kind := range []blreconciler.Kind{blreconciler.KindRelease, blreconciler.KindGrant} {
+		if len(answers[kind]) > 0 {
+			n.send(blreconciler.OrdersAnswered{Incarnation: "run_1", Answers: answers[kind]}, now)
+		}
 	}
-	n.send(blreconciler.OrdersAnswered{Incarnation: "run_1", Answers: answers}, now)
 }
 
 func TestOrderOutcomes(t *testing.T) {
--- a/io/blnode/duty_effects.go
+++ b/io/blnode/duty_effects.go
@@ -129,6 +129,8 @@
 	switch e := effect.(type) {
 	case blreconciler.Send:
 		n.logDropped("reconciler", n.workers.reconciler.Put(e))
+	case blreconciler.Release:
+		n.logDropped("release", n.workers.release.Put(e))
 	case blreconciler.Reclaim:
 		n.logDropped("reclaim", n.workers.reclaim.Put(e))
 	case blreconciler.HoldingsChanged:
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -35,6 +35,7 @@
 	probe      *blduty.Worker[blassign.ProbeHosts]
 	upstream   *blduty.Worker[grantJob]
 	reconciler *blduty.Worker[blreconciler.Send]
+	release    *blduty.Worker[blreconciler.Release]
 	reclaim    *blduty.Worker[blreconciler.Reclaim]
 	reload     *blduty.Worker[reloadJob]
 	fetch      *blduty.Worker[fetchJob]
@@ -94,6 +95,7 @@
 		probe:      blduty.NewWorker("probe", 1, hostProber{put: func(m blassign.Message) error { return n.duties.assign.Put(m) }}.perform),
 		upstream:   blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock).perform),
 		reconciler: blduty.NewWorker("reconciler", 1, n.sendOrders),
+		release:    blduty.NewWorker("release", 1, n.release),
 		reclaim:    blduty.NewWorker("reclaim", 1, n.reclaim),
 		reload: blduty.NewWorker("reload", 1, configReloader{
 			source: n.platform.Config, onConfig: n.publishLocalConfig, onRead: n.configSourceChanged,
@@ -125,6 +127,7 @@
 	w.probe.Start()
 	w.upstream.Start()
 	w.reconciler.Start()
+	w.release.Start()
 	w.reclaim.Start()
 	w.reload.Start()
 	w.fetch.Start()
@@ -144,6 +147,7 @@
 	w.probe.Stop()
 	w.upstream.Stop()
 	w.reconciler.Stop()
+	w.release.Stop()
 	w.reclaim.Stop()
 	w.reload.Stop()
 	w.fetch.Stop()
@@ -193,5 +197,8 @@
 	})
 }
 
+// release takes partitions of an upstream back.
+func (n *Node) release(r blreconciler.Release) { n.sendOrders(r.Send) }
+
 // reclaim takes all partitions of an upstream back.
 func (n *Node) reclaim(r blreconciler.Reclaim) { n.sendOrders(r.Send) }
