--- a/io/blnode/peer_work.go
+++ b/io/blnode/peer_work.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"bergamotlead/core/blassign"
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
@@ -52,20 +51,3 @@
 	}
 	_ = c.put(bllead.Identified{Asked: e.Host.Incarnation, Incarnation: host.Incarnation})
 }
-
-// nudgeSender asks nodes to send a heartbeat immediately.
-type nudgeSender struct {
-	client *blgrpc.Client
-}
-
-// nudgeTimeout is short because a node that misses a nudge sends its next
-// heartbeat soon anyway.
-const nudgeTimeout = 50 * time.Millisecond
-
-func (s nudgeSender) perform(effect blassign.Nudge) {
-	for _, node := range effect.Nodes {
-		ctx, cancel := context.WithTimeout(context.Background(), nudgeTimeout)
-		_ = s.client.Nudge(ctx, node.Address)
-		cancel()
-	}
-}
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -91,7 +91,7 @@
 		heartbeat:  blduty.NewWorker("heartbeat", 1, heartbeat.perform),
 		borrow:     blduty.NewWorker("borrow", 1, borrow.perform),
 		delegates:  newDelegateWorkers(delegate.perform),
-		nudge:      blduty.NewWorker("nudge", shortQueueCapacity, nudgeSender{client: n.client}.perform),
+		nudge:      blduty.NewWorker("nudge", shortQueueCapacity, nudgeSender{nudge: n.client.Nudge}.perform),
 		probe:      blduty.NewWorker("probe", 1, hostProber{put: func(m blassign.Message) error { return n.duties.assign.Put(m) }}.perform),
 		upstream:   blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock).perform),
 		reconciler: blduty.NewWorker("reconciler", 1, n.sendOrders),
