A host that boots isn't taken for one that is back without its node

Its partitions, which others have by then, would be withheld until the node reports. Two refusals in a row, 50 ms or more apart, are asked for now.

--- a/core/blassign/absence.go
+++ b/core/blassign/absence.go
@@ -21,6 +21,9 @@
 	// number of nodes probed at a time.
 	probeInterval = 50 * time.Millisecond
 	maxProbes     = 16
+	// minRefusals is the number of refusals in a row after which a host counts as up
+	// without its node. One that has just booted refuses connections for a moment.
+	minRefusals = 2
 )
 
 // holding is what an upstream that keeps its grants may hold.
@@ -41,6 +44,8 @@
 	probedAt bltimer.Instant
 	// silent is set once a probe found that nothing at the host refused connections.
 	silent bool
+	// refusals counts the probes in a row that were refused since.
+	refusals int
 	// withheldUntil is the time from which the upstreams hold none of the partitions any
 	// more, or zero while these aren't withheld.
 	withheldUntil bltimer.Instant
@@ -175,21 +180,31 @@
 	if !ok || a.host.Incarnation != m.Host.Incarnation {
 		return s, nil
 	}
-	if !m.Refused {
-		a.silent = true
-		s.absences = s.absences.With(a.host.Name, a)
+	a = a.withProbe(m.Refused)
+	s.absences = s.absences.With(a.host.Name, a)
+	if a.refusals < minRefusals {
 		return s, nil
 	}
 	return s.withhold(a, now)
 }
 
+// withProbe returns the absence after a probe.
+func (a absence) withProbe(refused bool) absence {
+	if !refused {
+		a.silent, a.refusals = true, 0
+		return a
+	}
+	a.refusals++
+	return a
+}
+
 // withhold takes the partitions that an upstream of the host may hold from all others, for
 // as long as it may hold them. A host that was never silent wasn't suspended.
 func (s State[P]) withhold(a absence, now bltimer.Instant) (State[P], []Effect) {
 	if !a.silent {
 		return s, nil
 	}
-	a.silent = false
+	a.silent, a.refusals = false, 0
 	a.withheldUntil = now.Add(s.config.MaxGrantLifetime())
 	s.absences = s.absences.With(a.host.Name, a)
 	return s, []Effect{
