Many withheld partitions are taken back with one order

The lead's offer tells that it withholds partitions. If more of them are to be taken back than fit in one batch, the node takes all back with one order, as after a suspension, and grants again what it keeps. What moves for other reasons is still released one by one, with its handover tokens. A host whose node reports that it takes back isn't withheld again and again, and probes come with each tick.

--- a/core/blassign/absence.go
+++ b/core/blassign/absence.go
@@ -19,7 +19,7 @@
 	maxAbsence = time.Minute
 	// probeInterval is the time between probes of one absent node, and maxProbes the
 	// number of nodes probed at a time.
-	probeInterval = 50 * time.Millisecond
+	probeInterval = 40 * time.Millisecond
 	maxProbes     = 16
 	// minRefusals is the number of refusals in a row after which a host counts as up
 	// without its node. One that has just booted refuses connections for a moment.
@@ -212,6 +212,14 @@
 	}
 }
 
+// withholdOnce does the same unless the partitions are withheld already.
+func (s State[P]) withholdOnce(a absence, now bltimer.Instant) (State[P], []Effect) {
+	if now.Before(a.withheldUntil) {
+		return s, nil
+	}
+	return s.withhold(a, now)
+}
+
 // freed returns the effects of the end of a withholding.
 func (s State[P]) freed(a absence, now bltimer.Instant) []Effect {
 	if a.withheldUntil == 0 {
@@ -230,7 +238,7 @@
 		return s, nil
 	}
 	if m.Reclaiming && m.Node.Incarnation != a.host.Incarnation {
-		return s.withhold(a, now)
+		return s.withholdOnce(a, now)
 	}
 	s.absences = s.absences.Without(m.Node.Name)
 	return s, s.freed(a, now)
--- a/core/blassign/offer.go
+++ b/core/blassign/offer.go
@@ -19,7 +19,8 @@
 	}
 	holder := NewHolder(m.Node.Incarnation, upstream)
 	held := heldBy(m, upstream)
-	owned := ownership.OwnedBy(upstream.Name).Without(s.withheldFrom(upstream, now))
+	assigned := ownership.OwnedBy(upstream.Name)
+	owned := assigned.Without(s.withheldFrom(upstream, now))
 	outstanding, _ := s.grants.Get(holder)
 	current := outstanding.current()
 	allowed := owned
@@ -41,7 +42,7 @@
 	s.grants = s.grants.With(holder, outstanding)
 	offer := blgrant.Offer{
 		Upstream: upstream.Name, Incarnation: upstream.Incarnation, Service: upstream.Service,
-		Fence: fence, TTL: timing.GrantTTL,
+		Fence: fence, TTL: timing.GrantTTL, Withheld: owned.Len() < assigned.Len(),
 	}
 	if held.Fence != fence {
 		offer.HasSet = true
--- a/core/blgrant/grant.go
+++ b/core/blgrant/grant.go
@@ -22,6 +22,9 @@
 	// that it holds under the same fence.
 	HasSet bool
 	Set    blvalue.PartitionSet
+	// Withheld is set while the lead withholds partitions that another upstream may hold.
+	// Those that have left the set are to be taken back as soon as possible.
+	Withheld bool
 	// Handovers holds the tokens that earlier owners returned with partitions.
 	Handovers []Handover
 }
@@ -76,6 +79,8 @@
 	maxTTL      time.Duration
 	// confirmed is the part of Set that the upstream has confirmed.
 	confirmed blvalue.PartitionSet
+	// withheld is set while the lead withholds partitions that another upstream may hold.
+	withheld bool
 	// receivedHandovers holds the tokens that earlier owners returned, to be
 	// passed to the upstream.
 	receivedHandovers []Handover
@@ -93,6 +98,9 @@
 // the set.
 func (g Grant) Handovers() []Handover { return g.receivedHandovers }
 
+// Withheld reports whether revoked partitions may be held by another upstream as well.
+func (g Grant) Withheld() bool { return g.withheld }
+
 // Revoked returns the revoked partitions that may still be in use.
 func (g Grant) Revoked() blvalue.PartitionSet { return g.revoked }
 
@@ -120,6 +128,7 @@
 		g.Fence = offer.Fence
 		g.confirmed = g.confirmed.Intersect(offer.Set)
 		g.receivedHandovers = offer.Handovers
+		g.withheld = offer.Withheld
 	}
 	g.Until = max(g.Until, sentAt.Add(offer.TTL))
 	g.maxTTL = max(g.maxTTL, offer.TTL)
--- a/core/blreconciler/granted.go
+++ b/core/blreconciler/granted.go
@@ -13,7 +13,7 @@
 	s.grant = m.Grant
 	renewed := s.withdrawn && now.Before(m.Grant.Until)
 	if before.Fence != m.Grant.Fence || renewed {
-		s = s.withGrantedSet(now)
+		s = s.withGrantedSet(now).withWithheld()
 		s.withdrawn = false
 	}
 	return s.reconcile(now)
@@ -53,6 +53,25 @@
 	return s.withRevoked()
 }
 
+// withWithheld takes all partitions back with one order, if more are to be taken back than
+// one Release has room for and another upstream may hold them.
+func (s State) withWithheld() State {
+	if !s.grant.Withheld() {
+		return s
+	}
+	count, until := 0, bltimer.Instant(0)
+	for _, state := range s.states.All() {
+		if state.releasing && !state.released {
+			count++
+			until = max(until, state.mayHoldUntil, state.unansweredUntil)
+		}
+	}
+	if count > maxOrdersPerSend {
+		s.reclaim = s.reclaim.withDue(until)
+	}
+	return s
+}
+
 // withRevoked adds partitions that the grant duty wants released and that this
 // incarnation of the node never granted itself.
 func (s State) withRevoked() State {
--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -109,7 +109,7 @@
 		reply.Offers = append(reply.Offers, &blproto.Offer{
 			Upstream: string(offer.Upstream), Incarnation: string(offer.Incarnation), Service: string(offer.Service),
 			Fence: fenceToProto(offer.Fence), TtlMs: milliseconds(offer.TTL),
-			HasSet: offer.HasSet, Partitions: offer.Set.Words(), Handovers: handoversToProto(offer.Handovers),
+			HasSet: offer.HasSet, Partitions: offer.Set.Words(), Handovers: handoversToProto(offer.Handovers), Withheld: offer.Withheld,
 		})
 	}
 	if r.Directory != nil {
@@ -130,6 +130,7 @@
 			Service: blvalue.ServiceName(offer.GetService()), Fence: fenceFromProto(offer.GetFence()),
 			TTL: duration(offer.GetTtlMs()), HasSet: offer.GetHasSet(),
 			Set: blvalue.PartitionSetOfWords(offer.GetPartitions()), Handovers: handoversFromProto(offer.GetHandovers()),
+			Withheld: offer.GetWithheld(),
 		})
 	}
 	if r.GetDirectory() != nil {
--- a/io/blnode/probe_work.go
+++ b/io/blnode/probe_work.go
@@ -12,9 +12,9 @@
 	"bergamotlead/core/blvalue"
 )
 
-// probeTimeout is far below the time after which TCP repeats an attempt to connect: a host
-// that is back is found by the next probe.
-const probeTimeout = 50 * time.Millisecond
+// probeTimeout ends a probe before the next one is due. TCP repeats an attempt to connect
+// only after a second, and a host that is back is to be found sooner.
+const probeTimeout = 40 * time.Millisecond
 
 // hostProber performs the ownership duty's probes of absent nodes.
 type hostProber struct {
