Release of all: one refused connection no longer ends the attempts

A node that has just started sends the release of all partitions before its upstream has announced itself. If that connection was refused, the reconciler took the upstream for stopped and sent nothing more until its announcement, up to a heartbeat later. Now such an answer only pauses the attempts; it says nothing of the run that announces itself next, either. An upstream that has announced itself and then refuses is still left alone (TestReleaseOfAllClearsStopped).

TestRefusedConnectionEndsReleaseOfAll failed before.

--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -104,12 +104,13 @@
 // ordersAnswered records the upstream's answers. One to an order that was sent before the
 // upstream had announced itself names no incarnation.
 func (s State) ordersAnswered(m OrdersAnswered, now bltimer.Instant) (State, []Effect) {
-	if m.Incarnation != s.upstream.Incarnation {
-		if m.Incarnation != "" {
-			return s, nil
-		}
+	if m.Incarnation == "" {
+		// A refused connection says nothing of the run that announces itself next.
 		return s.reclaimAnswered(m.Answers[0], now).reconcile(now)
 	}
+	if m.Incarnation != s.upstream.Incarnation {
+		return s, nil
+	}
 	reachable, stopped := false, false
 	for _, answer := range m.Answers {
 		reachable = reachable || answer.Result == ResultDone || answer.Result == ResultRefused
@@ -119,9 +120,6 @@
 	s.stopped = stopped || s.stopped && m.isReclaim()
 	s.backoff = s.backoff.withAnswers(m.Answers, now)
 	s, effects := s.reconcile(now)
-	if m.Incarnation == "" {
-		return s, effects
-	}
 	if reachable {
 		effects = append(effects, UpstreamResponded{Incarnation: m.Incarnation})
 	}
--- a/core/blreconciler/reclaim_test.go
+++ b/core/blreconciler/reclaim_test.go
@@ -172,3 +172,34 @@
 		t.Error("busy: got true, want false")
 	}
 }
+
+// TestRefusedConnectionEndsReleaseOfAll guards against a second owner: one refused connection
+// ended the attempts to take all partitions back until the upstream announced itself.
+func TestRefusedConnectionEndsReleaseOfAll(t *testing.T) {
+	n := newRestartedNode(t, time.Hour)
+	n.send(blreconciler.Tick{}, restartedAt)
+	n.answerReclaim("", blreconciler.ResultStopped, restartedAt)
+	n.wantNoOrders("without a pause")
+	n.send(blreconciler.Tick{}, restartedAt+margin)
+	n.wantReleaseOfAll(blvalue.Fence{})
+	n.answerReclaim("", blreconciler.ResultDone, restartedAt+margin)
+	n.send(blreconciler.Tick{}, restartedAt+2*margin)
+	n.wantNoOrders("once it is answered")
+}
+
+// TestRefusedConnectionBesideAnnouncement checks that a connection that was refused before the
+// upstream announced itself doesn't count as the end of that run.
+func TestRefusedConnectionBesideAnnouncement(t *testing.T) {
+	n := newRestartedNode(t, time.Hour)
+	n.send(blreconciler.Tick{}, restartedAt)
+	inFlight := n.reclaims
+	n.sendUpstreamSeen("run_1", restartedAt)
+	n.offer(7, restartedAt, 3)
+	n.reclaims = inFlight
+	n.answerReclaim("", blreconciler.ResultStopped, restartedAt)
+	if n.stopped {
+		t.Error("reports the end of the upstream: got true, want false")
+	}
+	n.send(blreconciler.Tick{}, restartedAt+margin)
+	n.wantReleaseOfAll(n.grant.Fence)
+}
