bergamotctl: one lookup of settings that have to exist

Three commands looked a setting up and built the error for a missing one by themselves. settingOf does both; it takes the name in the error from the path. TestUnknownNames checks the texts of five commands and that nothing is stored.

--- a/cmd/bergamotctl/edit.go
+++ b/cmd/bergamotctl/edit.go
@@ -19,6 +19,16 @@
 	return fmt.Sprintf("there is no %s %s in the configuration", e.kind, e.name)
 }
 
+// settingOf returns the setting at path, or a notFoundError that names the path's entry
+// as one of a kind.
+func settingOf(d blconfig.Document, path blconfig.Path, kind string) (blconfig.Setting, error) {
+	setting, ok := d.Get(path)
+	if !ok {
+		return setting, notFoundError{kind: kind, name: path.Entry}
+	}
+	return setting, nil
+}
+
 type domainCommands struct {
 	Out  domainOutCommand  `cmd:"" help:"Take a failure domain out of service."`
 	Back domainBackCommand `cmd:"" help:"Put a failure domain back into service."`
@@ -47,8 +57,8 @@
 func setDomainState(c *client, domain string, state blconfig.DomainState, reason string) error {
 	return editDocument(c, func(d blconfig.Document) (blconfig.Document, error) {
 		path := blconfig.Path{Section: blconfig.SectionDomains, Entry: domain, Option: "state"}
-		if _, ok := d.Get(path); !ok {
-			return d, notFoundError{kind: "failure domain", name: domain}
+		if _, err := settingOf(d, path, "failure domain"); err != nil {
+			return d, err
 		}
 		return d.With(path, textSetting(string(state), reason)), nil
 	})
@@ -84,8 +94,8 @@
 func (cmd undrainCommand) Run(c *client) error {
 	return editDocument(c, func(d blconfig.Document) (blconfig.Document, error) {
 		path := blconfig.Path{Section: blconfig.SectionUpstreams, Entry: cmd.Upstream, Option: "state"}
-		if _, ok := d.Get(path); !ok {
-			return d, notFoundError{kind: "drained upstream", name: cmd.Upstream}
+		if _, err := settingOf(d, path, "drained upstream"); err != nil {
+			return d, err
 		}
 		return d.Without(path), nil
 	})
--- a/cmd/bergamotctl/keys.go
+++ b/cmd/bergamotctl/keys.go
@@ -50,9 +50,9 @@
 	d blconfig.Document, account, reason string, change func([]string) []string,
 ) (blconfig.Document, error) {
 	path := blconfig.Path{Section: blconfig.SectionAccounts, Entry: account, Option: "key_digests"}
-	setting, ok := d.Get(path)
-	if !ok {
-		return d, notFoundError{kind: "client account", name: account}
+	setting, err := settingOf(d, path, "client account")
+	if err != nil {
+		return d, err
 	}
 	setting.Value.List = change(slices.Clone(setting.Value.List))
 	setting.Reason = reason
