standin: serving and answers in JSON stand once

The mains of both stand-ins repeated how to serve until a signal, and their handlers how to write a body in JSON. The process takes notice of signals just before it listens, no longer in a goroutine of its own.

--- a/standin/platform/handlers.go
+++ b/standin/platform/handlers.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"bergamotlead/standin/blstandin"
 )
 
 // eraHeader is the header of every answer with the number of restores of the store.
@@ -67,13 +69,7 @@
 	if w.Header().Get(eraHeader) != strconv.FormatUint(s.state.currentEra(), 10) {
 		panic(http.ErrAbortHandler)
 	}
-	respond(w, status, body)
-}
-
-func respond(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	blstandin.Respond(w, status, body)
 }
 
 func (s server) get(w http.ResponseWriter, r *http.Request) {
@@ -165,7 +161,7 @@
 }
 
 func (s server) calls(w http.ResponseWriter, _ *http.Request) {
-	respond(w, http.StatusOK, s.state.callCounts())
+	blstandin.Respond(w, http.StatusOK, s.state.callCounts())
 }
 
 func (s server) setFaults(w http.ResponseWriter, r *http.Request) {
@@ -175,5 +171,5 @@
 		return
 	}
 	s.state.setFaults(f)
-	respond(w, http.StatusOK, f)
+	blstandin.Respond(w, http.StatusOK, f)
 }
--- a/standin/platform/main.go
+++ b/standin/platform/main.go
@@ -1,16 +1,14 @@
 package main
 
 import (
-	"context"
-	"errors"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/hashicorp/go-hclog"
+
+	"bergamotlead/standin/blstandin"
 )
 
 const headerTimeout = 5 * time.Second
@@ -24,17 +22,9 @@
 	kong.Parse(&args, kong.Description("A stand-in for the platform's key-value store."))
 	logger := hclog.New(&hclog.LoggerOptions{Name: "standin-platform", JSONFormat: true})
 	srv := &http.Server{Addr: args.Listen, Handler: newHandler(newState()), ReadHeaderTimeout: headerTimeout}
-	go stopOnSignal(srv)
 	logger.Info("serving", "address", args.Listen)
-	if err := srv.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := blstandin.Serve(srv); err != nil {
 		logger.Error("serve", "error", err)
 		os.Exit(1)
 	}
 }
-
-func stopOnSignal(srv *http.Server) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	<-signals
-	_ = srv.Shutdown(context.Background())
-}
--- a/standin/upstream/faults.go
+++ b/standin/upstream/faults.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"time"
+
+	"bergamotlead/standin/blstandin"
 )
 
 // faults are the injected faults, set through POST /standin/faults.
@@ -58,7 +60,7 @@
 	s.mu.Lock()
 	c := s.counts
 	s.mu.Unlock()
-	respond(w, http.StatusOK, c)
+	blstandin.Respond(w, http.StatusOK, c)
 }
 
 func (s *server) setFaults(w http.ResponseWriter, r *http.Request) {
@@ -75,5 +77,5 @@
 		f.ColdMS = 0
 	}
 	s.faults = f
-	respond(w, http.StatusOK, f)
+	blstandin.Respond(w, http.StatusOK, f)
 }
--- a/standin/upstream/main.go
+++ b/standin/upstream/main.go
@@ -4,16 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
+
+	"bergamotlead/standin/blstandin"
 )
 
 const (
@@ -49,21 +48,13 @@
 		announcer := &announcer{server: s, incarnation: uuid.NewString(), client: &http.Client{Timeout: time.Second}}
 		go announcer.run()
 	}
-	go stopOnSignal(srv)
 	logger.Info("serving", "address", args.Listen, "name", args.Name)
-	if err := srv.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := blstandin.Serve(srv); err != nil {
 		logger.Error("serve", "error", err)
 		os.Exit(1)
 	}
 }
 
-func stopOnSignal(srv *http.Server) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	<-signals
-	_ = srv.Shutdown(context.Background())
-}
-
 // announcer announces the upstream to the local node periodically.
 type announcer struct {
 	server      *server
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -74,12 +74,6 @@
 	return time.Since(s.start).Milliseconds()
 }
 
-func respond(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
-}
-
 func respondNotRun(w http.ResponseWriter, reason string) {
 	w.Header().Set("Bergamotlead-Not-Run", reason)
 	w.WriteHeader(http.StatusServiceUnavailable)
