blserver: tests start their servers in one place

Three tests listened, built a server and ran Serve, each by itself. site.serve does so with the handler of the test.

go test ./io/blserver: passed, also with -race.

--- a/io/blserver/bodies_test.go
+++ b/io/blserver/bodies_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -27,20 +26,11 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatalf("listen: %v", err)
-			}
 			s := &site{t: t}
-			s.Server = New(listener, &http.Server{
-				ReadHeaderTimeout: testTimeout,
-				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					body, _ := io.ReadAll(r.Body)
-					_, _ = w.Write(body)
-				}),
-			})
-			served := make(chan error, 1)
-			go func() { served <- s.Serve() }()
+			served := s.serve(unwrapped, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				_, _ = w.Write(body)
+			}))
 			c := s.dial()
 			c.send(tc.head)
 			for s.Counts().Running == 0 {
--- a/io/blserver/linger_test.go
+++ b/io/blserver/linger_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -16,19 +15,10 @@
 // connection with unread bytes of a later request on it: the system answers these with
 // a reset, which discards the part of the response that the caller hasn't received.
 func TestAnswerIsResetBehindPipelinedRequest(t *testing.T) {
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
 	s := &site{t: t}
-	s.Server = New(listener, &http.Server{
-		ReadHeaderTimeout: testTimeout,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			_, _ = w.Write(bytes.Repeat([]byte("a"), answerBytes))
-		}),
-	})
-	served := make(chan error, 1)
-	go func() { served <- s.Serve() }()
+	served := s.serve(unwrapped, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(bytes.Repeat([]byte("a"), answerBytes))
+	}))
 	c := s.dial()
 	s.Leave()
 	c.send(get("/first"))
--- a/io/blserver/server_test.go
+++ b/io/blserver/server_test.go
@@ -34,14 +34,8 @@
 
 func startSite(t *testing.T, wrap func(net.Listener) net.Listener) *site {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
 	s := &site{t: t, began: make(chan struct{}, 1), release: make(chan struct{})}
-	s.Server = New(wrap(listener), &http.Server{Handler: s, ReadHeaderTimeout: testTimeout})
-	served := make(chan error, 1)
-	go func() { served <- s.Serve() }()
+	served := s.serve(wrap, s)
 	t.Cleanup(func() {
 		s.stop()
 		if err := <-served; err != nil {
@@ -51,6 +45,19 @@
 	return s
 }
 
+// serve serves a handler on loopback. The result of Serve arrives on the channel.
+func (s *site) serve(wrap func(net.Listener) net.Listener, handler http.Handler) <-chan error {
+	s.t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(s.t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatalf("listen: %v", err)
+	}
+	s.Server = New(wrap(listener), &http.Server{Handler: handler, ReadHeaderTimeout: testTimeout})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	return served
+}
+
 func unwrapped(l net.Listener) net.Listener { return l }
 
 // stop stops the server and reports how long that took.
