blupstream: tests deliver an order in one place

The tests of faulty, endless and paced answers each built the same attempt and exchanged it. deliverWithin does so with the timeout of the test; the context still lives until the test ends, as two of the three need for their checks of closed connections.

go test ./io/blupstream: passed.

--- a/io/blupstream/endless_test.go
+++ b/io/blupstream/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -10,8 +9,6 @@
 	"testing"
 	"time"
 
-	"bergamotlead/core/bldeliver"
-	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 )
 
@@ -134,16 +131,8 @@
 			t.Run(name+"/"+c.name, func(t *testing.T) {
 				t.Parallel()
 				u := newEndlessUpstream(t, c.start, c.more, c.pause)
-				writer := &countingWriter{}
-				a := &attempt{
-					deliverer: &Deliverer{transport: transport, protocol: NativeProtocol{}, clock: bltimer.NewSystem()},
-					order:     bldeliver.Order{RequestID: "id", URI: "/x", Request: blvalue.Request{Method: http.MethodGet}, Header: map[string][]string{idField: {"id"}}},
-					writer:    writer,
-				}
-				ctx, cancel := context.WithTimeout(t.Context(), deadline)
-				defer cancel()
 				startedAt := time.Now()
-				delivery, _ := a.exchange(ctx, bldeliver.AcquireAnswer{Address: u.listener.Addr().String()})
+				delivery, writer := deliverWithin(t, deadline, transport, u.listener.Addr().String())
 				if elapsed := time.Since(startedAt); elapsed > c.within {
 					t.Errorf("time: got %s, want at most %s", elapsed, c.within)
 				}
--- a/io/blupstream/faulty_test.go
+++ b/io/blupstream/faulty_test.go
@@ -93,20 +93,26 @@
 	}
 }
 
-// deliveredText delivers one order to the upstream at address and returns the
-// delivery and what was written to the caller.
-func deliveredText(t *testing.T, transport http.RoundTripper, address string) (bldeliver.Delivery, *countingWriter) {
+// faultTimeout is longer than any of the faulty answers takes.
+const faultTimeout = 2 * time.Second
+
+// deliverWithin delivers one order to the upstream at address, within timeout, and returns the
+// delivery and what was written to the caller. The context is cancelled at the end of the test,
+// not of the delivery: that would close a connection that the upstream has to lose without.
+func deliverWithin(
+	t *testing.T, timeout time.Duration, transport http.RoundTripper, address string,
+) (bldeliver.Delivery, *countingWriter) {
 	t.Helper()
+	writer := &countingWriter{}
 	a := &attempt{
 		deliverer: &Deliverer{clock: bltimer.NewSystem(), protocol: NativeProtocol{}, transport: transport},
 		order: bldeliver.Order{
 			RequestID: "id", Request: blvalue.Request{Method: http.MethodGet}, URI: "/x", Header: map[string][]string{idField: {"id"}},
 		},
+		writer: writer,
 	}
-	writer := &countingWriter{}
-	a.writer = writer
-	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-	defer cancel()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	t.Cleanup(cancel)
 	delivery, _ := a.exchange(ctx, bldeliver.AcquireAnswer{Address: address})
 	return delivery, writer
 }
@@ -128,7 +134,7 @@
 		for _, transport := range transports {
 			t.Run(head.name+", "+transport.name, func(t *testing.T) {
 				for length := range len(head.text) {
-					delivery, writer := deliveredText(t, transport.transport, newBrokenUpstream(t, head.text[:length]))
+					delivery, writer := deliverWithin(t, faultTimeout, transport.transport, newBrokenUpstream(t, head.text[:length]))
 					if delivery.Refusal == nil || delivery.Refusal.Outcome == blvalue.OutcomeNotRun || writer.status != 0 {
 						t.Errorf("head of %d bytes %q: got refusal %+v, status %d, want an unknown outcome and no status",
 							length, head.text[:length], delivery.Refusal, writer.status)
@@ -149,7 +155,7 @@
 	for _, body := range bodies {
 		t.Run(body.name, func(t *testing.T) {
 			for length := range len(body.body) {
-				delivery, writer := deliveredText(t, NewPool(idField), newBrokenUpstream(t, body.head+body.body[:length]))
+				delivery, writer := deliverWithin(t, faultTimeout, NewPool(idField), newBrokenUpstream(t, body.head+body.body[:length]))
 				if delivery.Refusal == nil || writer.status != 0 {
 					t.Errorf("body of %d bytes %q: got refusal %+v, status %d, want a refusal and no status",
 						length, body.body[:length], delivery.Refusal, writer.status)
--- a/io/blupstream/pace_test.go
+++ b/io/blupstream/pace_test.go
@@ -1,13 +1,11 @@
 package blupstream
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
-	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 )
@@ -76,15 +74,7 @@
 			t.Run(name+"/"+c.name, func(t *testing.T) {
 				t.Parallel()
 				u := newEndlessUpstream(t, c.start, c.more, 0)
-				writer := &countingWriter{}
-				a := &attempt{
-					deliverer: &Deliverer{transport: transport, protocol: NativeProtocol{}, clock: bltimer.NewSystem()},
-					order:     bldeliver.Order{RequestID: "id", URI: "/x", Request: blvalue.Request{Method: http.MethodGet}, Header: map[string][]string{idField: {"id"}}},
-					writer:    writer,
-				}
-				ctx, cancel := context.WithTimeout(t.Context(), deadline)
-				defer cancel()
-				delivery, _ := a.exchange(ctx, bldeliver.AcquireAnswer{Address: u.listener.Addr().String()})
+				delivery, writer := deliverWithin(t, deadline, transport, u.listener.Addr().String())
 				if delivery.Refusal == nil || delivery.Refusal.Outcome != blvalue.OutcomePartial {
 					t.Errorf("refusal: got %+v, want outcome %s", delivery.Refusal, blvalue.OutcomePartial)
 				}
