bllead: the term after an unreadable record stays within what can be stored

Cause: an unreadable lead record counts as one of the term of its revision number. From number 2^29 on, the next lead's record has a term beyond the highest one, so it is unreadable itself, the lead finds that it was replaced, and the next one meets the same.

Change: bllead.TermBound caps that term 2^13 below the highest one, which moves to bllead.MaxTerm. Beyond that the store's numbers don't tell how many terms have begun: a second unreadable record gives the same bound, and only the terms that live processes know keep fences rising.

--- a/core/bllead/era.go
+++ b/core/bllead/era.go
@@ -12,6 +12,11 @@
 	// store. The era is above them, so that a term exceeds those of earlier eras even
 	// where the records that held them are lost.
 	termsPerEraBits = 13
+	// MaxTerm is the highest term. Upstreams compare fences as numbers in JSON, in which
+	// higher ones are not exact.
+	MaxTerm = 1<<29 - 1
+	// maxTermBound leaves terms for the takeovers that follow.
+	maxTermBound = MaxTerm - 1<<termsPerEraBits
 	// standbyMemory is how long before a new era of the store was seen a process must have
 	// been called as standby, or have been lead, to rely on that.
 	standbyMemory = 4 * time.Second
@@ -22,6 +27,13 @@
 	return uint64(era) << termsPerEraBits
 }
 
+// TermBound returns a term that none of those that began by the revision exceeds, since
+// each took at least one write. It leaves terms for later takeovers: a store whose numbers
+// are beyond all terms doesn't tell how many have begun.
+func TermBound(revision uint64) uint64 {
+	return min(TermFloor(blplatform.RevisionEra(revision))+blplatform.RevisionNumber(revision), maxTermBound)
+}
+
 // nextTerm returns the term of a takeover in the present era of the store.
 func (s State) nextTerm() uint64 {
 	return max(s.knownTerm(), s.found.Record.Term, TermFloor(s.era)) + 1
--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -72,10 +72,6 @@
 	return body, nil
 }
 
-// maxTerm is the highest term. Upstreams compare fences as numbers in JSON, in which
-// higher ones are not exact.
-const maxTerm = 1<<29 - 1
-
 // TermError reports a term that no lead can have written.
 type TermError struct {
 	Term uint64
@@ -83,22 +79,20 @@
 
 // Error implements error.
 func (e TermError) Error() string {
-	return fmt.Sprintf("term %d isn't from 0 to %d", e.Term, maxTerm)
+	return fmt.Sprintf("term %d isn't from 0 to %d", e.Term, bllead.MaxTerm)
 }
 
 func checkTerm(term uint64) error {
-	if term > maxTerm {
+	if term > bllead.MaxTerm {
 		return TermError{Term: term}
 	}
 	return nil
 }
 
 // UnreadableRecord returns what an entry that is no lead record says: neither who is
-// lead nor who is standby. Each term took at least one write, so the number of the
-// entry's revision is not below the number of terms of any era.
+// lead nor who is standby. Its term is a bound of those that began before.
 func UnreadableRecord(entry blplatform.Entry) bllead.Stored {
-	term := bllead.TermFloor(blplatform.RevisionEra(entry.Revision)) + blplatform.RevisionNumber(entry.Revision)
-	return bllead.Stored{Record: bllead.Record{Term: term}, Revision: entry.Revision}
+	return bllead.Stored{Record: bllead.Record{Term: bllead.TermBound(entry.Revision)}, Revision: entry.Revision}
 }
 
 // unreadableOwner stands for the unknown earlier owners of an unreadable chunk.
