bllead: terms rise when the term of an unreadable record is lost

Cause: the first term after an unreadable lead record is its revision number above the floor of the era, so it exceeds the floors of later eras once the number is above 8191. If a restore then loses the records of such terms, or somebody removes the record, a process that has heard of none of them takes the floor and one: fences fall, and servers take keys under lower fences than others had.

Change: where the store holds no record of the present era, the next term also exceeds the bound of the lease's key, which has just been written, and that of the record found. It relies on each term taking a write, and on a restore that loses fewer than 2^13 writes. Where the record of the era is there, nothing changes.

--- a/core/bllead/era.go
+++ b/core/bllead/era.go
@@ -34,9 +34,16 @@
 	return min(TermFloor(blplatform.RevisionEra(revision))+blplatform.RevisionNumber(revision), maxTermBound)
 }
 
-// nextTerm returns the term of a takeover in the present era of the store.
-func (s State) nextTerm() uint64 {
-	return max(s.knownTerm(), s.found.Record.Term, TermFloor(s.era)) + 1
+// nextTerm returns the term of a takeover in the present era of the store, given the
+// revision of the lease's key. Where the store holds no record of that era, a later one may
+// have been lost. Its term is not above that of its revision, and the restore that lost it
+// is taken to have lost fewer writes than an era has terms.
+func (s State) nextTerm(leaseRevision uint64) uint64 {
+	known := max(s.knownTerm(), s.found.Record.Term, TermFloor(s.era))
+	if s.found.Revision == 0 || s.restored() {
+		known = max(known, TermBound(s.found.Revision), TermBound(leaseRevision))
+	}
+	return known + 1
 }
 
 // knownTerm returns the latest term that this process knows of, from the store or from
--- a/core/bllead/restored_test.go
+++ b/core/bllead/restored_test.go
@@ -100,6 +100,76 @@
 	}
 }
 
+// claimAt returns the record that the process writes once it has the lease's key at the
+// given revision and has then read the record.
+func (p *process) claimAt(lease uint64, stored bllead.Stored) bllead.Record {
+	p.t.Helper()
+	if !p.read(stored, 10*time.Second) {
+		p.t.Fatalf("acquires the lease: got never, want within 10 s")
+	}
+	p.send(bllead.LeaseAcquired{SentAt: p.instant(), Claim: p.claim, Lease: "lease_1", LeaseRevision: lease, Stored: stored})
+	write, ok := effect[bllead.WriteRecord](p)
+	if !ok {
+		p.t.Fatalf("effects: got %v, want WriteRecord", p.effects)
+	}
+	return write.Record
+}
+
+// TestTermsRiseAfterAnUnreadableRecordIsLost guards against a term that falls where the
+// term of an unreadable record, or of those after it, was lost in a restore.
+func TestTermsRiseAfterAnUnreadableRecordIsLost(t *testing.T) {
+	const (
+		// number is the store's number of the unreadable record, beyond the terms of an era.
+		number = 500_000
+		// lost is the number of writes that the restore loses.
+		lost = 300
+	)
+	revision := blplatform.NewRevision
+	unreadable := bllead.Stored{Record: bllead.Record{Term: bllead.TermBound(revision(1, number))}, Revision: revision(1, number)}
+	before := newFreshProcess(t).claimAt(revision(1, number+1), unreadable)
+	readable := func(era blplatform.Era) bllead.Stored {
+		return bllead.Stored{
+			Record:   bllead.Record{Term: bllead.TermFloor(1) + 1, Era: 1, Lead: host("x")},
+			Revision: revision(era, number-lost-1),
+		}
+	}
+	cases := []struct {
+		name  string
+		era   blplatform.Era
+		found bllead.Stored
+	}{
+		{"restored to a readable record", 2, readable(2)},
+		{"restored twice", 3, readable(3)},
+		{"restored to no record", 2, bllead.Stored{}},
+		{"restored to an unreadable record", 2, bllead.Stored{
+			Record: bllead.Record{Term: bllead.TermBound(revision(2, number-lost))}, Revision: revision(2, number-lost),
+		}},
+		{"unreadable again in the same era", 1, bllead.Stored{
+			Record: bllead.Record{Term: bllead.TermBound(revision(1, number+3))}, Revision: revision(1, number+3),
+		}},
+		{"removed in the same era", 1, bllead.Stored{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			lease := revision(c.era, number+4)
+			if c.era > 1 {
+				lease = revision(c.era, number-lost+1)
+			}
+			if got := newFreshProcess(t).claimAt(lease, c.found).Term; got <= before.Term {
+				t.Errorf("term of a process without memory: got %d, want more than %d", got, before.Term)
+			}
+		})
+	}
+}
+
+// newFreshProcess returns a process that has just started, with a hold limit.
+func newFreshProcess(t *testing.T) *process {
+	t.Helper()
+	p := newProcess(t)
+	p.state = p.state.WithTiming(bllead.Timing{Lease: lease, GrantTTL: ttl, ClockMargin: margin, HoldLimit: holdLimit})
+	return p
+}
+
 // TestLeaseOfEarlierEraGivesNoTerm guards against a lease that is acquired just before
 // the store is restored, and a record that is read after. The lease doesn't exist any
 // more, so that another process may acquire it.
--- a/core/bllead/takeover.go
+++ b/core/bllead/takeover.go
@@ -133,7 +133,7 @@
 	s.lease, s.leaseEra = m.Lease, s.era
 	s.leaseUntil = leaseUntil
 	s.priorExpiredAt = now
-	record := Record{Term: s.nextTerm(), Lead: s.self, Standby: s.chooseStandby("")}
+	record := Record{Term: s.nextTerm(m.LeaseRevision), Lead: s.self, Standby: s.chooseStandby("")}
 	var write WriteRecord
 	s, write = s.withWrite(record)
 	return s, []Effect{write}
