--- a/core/blproof/store_test.go
+++ b/core/blproof/store_test.go
@@ -16,8 +16,10 @@
 type storedData struct {
 	takenAt time.Duration
 	record  bllead.Stored
-	chunks  map[int]blassign.Chunk
-	number  uint64
+	// unreadable is set where another writer wrote the record.
+	unreadable bool
+	chunks     map[int]blassign.Chunk
+	number     uint64
 	// The lease, whose time begins anew when it is restored.
 	leaseClaim     bllead.Claim
 	leaseID        blplatform.LeaseID
@@ -73,6 +75,9 @@
 func (s *memoryStore) record() bllead.Stored {
 	stored := s.data.record
 	stored.Revision = blplatform.NewRevision(s.era, stored.Revision)
+	if s.data.unreadable {
+		stored.Record = bllead.Record{Term: bllead.TermBound(stored.Revision)}
+	}
 	return stored
 }
 
@@ -138,9 +143,24 @@
 	}
 	s.data.number++
 	s.data.record = bllead.Stored{Record: record, Revision: s.data.number}
+	s.data.unreadable = false
 	return true
 }
 
+// spoilRecord makes the record one that can't be decoded, as another writer might.
+func (s *memoryStore) spoilRecord() {
+	s.data.number++
+	s.data.record = bllead.Stored{Revision: s.data.number}
+	s.data.unreadable = true
+}
+
+// removeRecord removes the record, as another writer might.
+func (s *memoryStore) removeRecord() {
+	s.data.number++
+	s.data.record = bllead.Stored{}
+	s.data.unreadable = false
+}
+
 // writeChunk stores a chunk under the same conditions as writeRecord.
 func (s *memoryStore) writeChunk(index int, base uint64, chunk blassign.Chunk) bool {
 	if s.data.chunks[index].Revision != blplatform.RevisionNumber(base) {
