blproof: no term begins twice

The sequence of fences starts at one with each term, so a term that begins again, at another process or at the same one after a pause, gives out fences that were used. The model checks it wherever authority is reported to the ownership duty.

--- a/core/blproof/effects_test.go
+++ b/core/blproof/effects_test.go
@@ -146,6 +146,7 @@
 		if sim.mutation.modifyAuthority != nil {
 			authority = sim.mutation.modifyAuthority(authority)
 		}
+		n.checkTerm(authority.Term)
 		n.deliverToAssign(blassign.AuthorityChanged{Authority: authority})
 	case bllead.RecordSeen:
 		n.deliverToMember(blmember.RecordSeen{Record: e.Record})
--- a/core/blproof/simulation_test.go
+++ b/core/blproof/simulation_test.go
@@ -111,8 +111,10 @@
 	mutation            mutation
 	violations          []string
 	fences              map[blvalue.Partition]servedFence
-	served              int
-	refused             int
+	// begun holds the terms that have begun.
+	begun   map[uint64]bool
+	served  int
+	refused int
 }
 
 // servedFence is the fence under which a partition was last served, and the
@@ -137,6 +139,8 @@
 	// stoodStillAtStart for how long the host had been suspended when the process started.
 	server            *upstream
 	stoodStillAtStart time.Duration
+	// term is the term in which the node is lead, or zero.
+	term uint64
 
 	lead   bllead.State
 	assign blassign.State[placement]
@@ -155,7 +159,7 @@
 		holdLimit: limit,
 		random:    rand.New(rand.NewPCG(seed, 1)), store: newMemoryStore(),
 		cutLinks: map[[2]int]bool{}, cutStoreLinks: map[int]bool{}, mutation: m,
-		fences: map[blvalue.Partition]servedFence{},
+		fences: map[blvalue.Partition]servedFence{}, begun: map[uint64]bool{},
 	}
 	for i := range count {
 		n := &node{sim: sim, index: i, clockRate: 0.99 + 0.02*sim.random.Float64(), clockOffset: time.Duration(sim.random.IntN(1e9))}
@@ -223,6 +227,7 @@
 func (n *node) start() {
 	n.generation++
 	n.down = false
+	n.term = 0
 	n.host = blvalue.Host{
 		Name: blvalue.HostName(fmt.Sprintf("host_%d", n.index)), Address: fmt.Sprintf("address_%d", n.index),
 		Incarnation: blvalue.Incarnation(fmt.Sprintf("%d.%d", n.index, n.generation)),
@@ -322,6 +327,18 @@
 	n.sim.fences[p] = servedFence{fence: fence, holder: n.host.Incarnation}
 }
 
+// checkTerm records a violation if a term begins that has begun before, since the sequence
+// of its fences would start anew.
+func (n *node) checkTerm(term uint64) {
+	if term != 0 && term != n.term {
+		if n.sim.begun[term] {
+			n.sim.recordViolation("term %d begins again at %s", term, n.host.Name)
+		}
+		n.sim.begun[term] = true
+	}
+	n.term = term
+}
+
 // checkOwners records a violation if two nodes may use the same partition at the
 // current time. Upstreams that keep their grants are checked instead of their nodes.
 func (sim *simulation) checkOwners() {
