bllead: no quick takeover by an unreadable record in era zero

Cause: a record that can't be read names no lead, which counts as a released one: any process takes over once the lease is absent, while the lead may go on without the store by its standby's promise. From era one on the record's own era, zero, made it count as one of an earlier era already.

Change: where the hold is bounded, an unreadable record in any era counts as one that says nothing about who may be lead, as after a restore. Without a bound no wait would tell, and nothing changes.

Measured: TestUnreadableRecordGivesNoQuickTakeover acquired the lease at once in era 0 and waits for lease, margin and hold limit now.

--- a/core/bllead/era.go
+++ b/core/bllead/era.go
@@ -109,12 +109,13 @@
 
 // restored reports whether the record in the store was written before the store was
 // restored, or was lost then. A later one may have been lost, so that it says nothing
-// about who may be lead.
+// about who may be lead. Nor does one that can't be read; where the hold isn't bounded, no
+// wait would tell, and it counts as one that names nobody.
 func (s State) restored() bool {
 	if s.found.Revision == 0 {
 		return s.eraChanged
 	}
-	return s.found.Record.Era < s.era
+	return s.found.Record.Era < s.era || s.found.isUnreadable() && s.timing.HoldLimit > 0
 }
 
 // replaced reports whether the latest known record names another lead.
--- a/core/bllead/record.go
+++ b/core/bllead/record.go
@@ -43,6 +43,12 @@
 	Revision uint64
 }
 
+// isUnreadable reports whether another writer made the record unreadable. Each that a
+// process has written has a write ID.
+func (s Stored) isUnreadable() bool {
+	return s.Revision != 0 && s.Record.WriteID == "" && s.Record.Lead.IsZero()
+}
+
 // before reports whether the record is an earlier one than other: by term, then by the
 // era and the number of its write. Revisions alone don't tell, since a restored store
 // reports an earlier record under a later revision.
--- a/core/bllead/restored_test.go
+++ b/core/bllead/restored_test.go
@@ -83,6 +83,23 @@
 	}
 }
 
+// TestUnreadableRecordGivesNoQuickTakeover guards against a takeover by a record that
+// another writer made unreadable, while the lead that it named goes on without the store.
+func TestUnreadableRecordGivesNoQuickTakeover(t *testing.T) {
+	for _, era := range []blplatform.Era{0, 1} {
+		p := newFreshProcess(t)
+		revision := blplatform.NewRevision(era, 40)
+		found := bllead.Stored{Record: bllead.Record{Term: bllead.TermBound(revision)}, Revision: revision}
+		if p.read(found, lease+margin+holdLimit) {
+			t.Errorf("era %d: acquires the lease: got at %v, want no sooner than after %v", era, p.now, lease+margin+holdLimit)
+			continue
+		}
+		if !p.read(found, 2*time.Second) {
+			t.Errorf("era %d: acquires the lease: got never, want after %v", era, lease+margin+holdLimit)
+		}
+	}
+}
+
 // TestTermAfterRestoreExceedsLostOnes guards against a term that an earlier era has used
 // already, since the record that held it is lost.
 func TestTermAfterRestoreExceedsLostOnes(t *testing.T) {
