blstore: a record that no process of the system wrote counts as unreadable

Cause: null, {} or a record with some other term decodes without an error, and its term, often zero, replaces all that began before: a process without memory takes the next one.

Change: a record without a write ID, which every process writes, is an error like one that can't be decoded, so that the bound of its revision counts.

Measured: TestRecordOfAnotherWriterGivesNoLowTerm failed in 8 of 8 cases (term 0 or 3 without an error) and passes.

--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -82,6 +82,14 @@
 	return fmt.Sprintf("term %d isn't from 0 to %d", e.Term, bllead.MaxTerm)
 }
 
+// WriterError reports a record that no process of the system wrote: it has no write ID.
+type WriterError struct{}
+
+// Error implements error.
+func (WriterError) Error() string {
+	return "no write ID"
+}
+
 func checkTerm(term uint64) error {
 	if term > bllead.MaxTerm {
 		return TermError{Term: term}
@@ -107,7 +115,7 @@
 }
 
 // DecodeRecord decodes a lead record. For a missing entry it returns the zero
-// value.
+// value. One without a write ID is another writer's, whose term says nothing.
 func DecodeRecord(entry blplatform.Entry) (bllead.Stored, error) {
 	if !entry.Exists() {
 		return bllead.Stored{}, nil
@@ -119,6 +127,9 @@
 	if err := checkTerm(body.Term); err != nil {
 		return bllead.Stored{}, fmt.Errorf("decode lead record: %w", err)
 	}
+	if body.WriteID == "" {
+		return bllead.Stored{}, fmt.Errorf("decode lead record: %w", WriterError{})
+	}
 	return bllead.Stored{
 		Record: bllead.Record{
 			Term: body.Term, Era: body.Era, Lead: blvalue.Host(body.Lead), Standby: blvalue.Host(body.Standby), WriteID: body.WriteID,
--- a/io/blstore/codec_test.go
+++ b/io/blstore/codec_test.go
@@ -22,7 +22,9 @@
 		for _, number := range []uint64{1, 8191, 1 << 29, lastNumber} {
 			t.Run(strconv.FormatUint(uint64(era), 10)+"."+strconv.FormatUint(number, 10), func(t *testing.T) {
 				found := blstore.UnreadableRecord(blplatform.Entry{Value: []byte("x"), Revision: blplatform.NewRevision(era, number)})
-				value, err := blstore.EncodeRecord(bllead.Record{Term: max(found.Record.Term, bllead.TermFloor(era)) + takeovers, Era: era})
+				value, err := blstore.EncodeRecord(bllead.Record{
+					Term: max(found.Record.Term, bllead.TermFloor(era)) + takeovers, Era: era, WriteID: "a.1",
+				})
 				if err != nil {
 					t.Fatalf("encode: got %v, want no error", err)
 				}
@@ -33,3 +35,18 @@
 		}
 	}
 }
+
+// TestRecordOfAnotherWriterGivesNoLowTerm guards against a record that can be read but that
+// no process of the system wrote, so that the terms before it are forgotten.
+func TestRecordOfAnotherWriterGivesNoLowTerm(t *testing.T) {
+	const number = 40
+	for _, value := range []string{"null", "{}", `{"term":3}`, `{"term":3,"lead":{"name":"host_1","incarnation":"x"}}`} {
+		for _, era := range []blplatform.Era{0, 1} {
+			revision := blplatform.NewRevision(era, number)
+			found, err := blstore.DecodeRecord(blplatform.Entry{Value: []byte(value), Revision: revision})
+			if err == nil {
+				t.Errorf("%s: got term %d without an error, want an error", value, found.Record.Term)
+			}
+		}
+	}
+}
