--- a/core/bllead/era.go
+++ b/core/bllead/era.go
@@ -12,6 +12,11 @@
 	// store. The era is above them, so that a term exceeds those of earlier eras even
 	// where the records that held them are lost.
 	termsPerEraBits = 13
+	// MaxTerm is the highest term. Upstreams compare fences as numbers in JSON, in which
+	// higher ones are not exact.
+	MaxTerm = 1<<29 - 1
+	// maxTermBound leaves terms for the takeovers that follow.
+	maxTermBound = MaxTerm - 1<<termsPerEraBits
 	// standbyMemory is how long before a new era of the store was seen a process must have
 	// been called as standby, or have been lead, to rely on that.
 	standbyMemory = 4 * time.Second
@@ -22,9 +27,23 @@
 	return uint64(era) << termsPerEraBits
 }
 
-// nextTerm returns the term of a takeover in the present era of the store.
-func (s State) nextTerm() uint64 {
-	return max(s.knownTerm(), s.found.Record.Term, TermFloor(s.era)) + 1
+// TermBound returns a term that none of those that began by the revision exceeds, since
+// each took at least one write. It leaves terms for later takeovers: a store whose numbers
+// are beyond all terms doesn't tell how many have begun.
+func TermBound(revision uint64) uint64 {
+	return min(TermFloor(blplatform.RevisionEra(revision))+blplatform.RevisionNumber(revision), maxTermBound)
+}
+
+// nextTerm returns the term of a takeover in the present era of the store, given the
+// revision of the lease's key. Where the store holds no record of that era, a later one may
+// have been lost. Its term is not above that of its revision, and the restore that lost it
+// is taken to have lost fewer writes than an era has terms.
+func (s State) nextTerm(leaseRevision uint64) uint64 {
+	known := max(s.knownTerm(), s.found.Record.Term, TermFloor(s.era))
+	if s.found.Revision == 0 || s.restored() {
+		known = max(known, TermBound(s.found.Revision), TermBound(leaseRevision))
+	}
+	return known + 1
 }
 
 // knownTerm returns the latest term that this process knows of, from the store or from
@@ -90,12 +109,13 @@
 
 // restored reports whether the record in the store was written before the store was
 // restored, or was lost then. A later one may have been lost, so that it says nothing
-// about who may be lead.
+// about who may be lead. Nor does one that can't be read; where the hold isn't bounded, no
+// wait would tell, and it counts as one that names nobody.
 func (s State) restored() bool {
 	if s.found.Revision == 0 {
 		return s.eraChanged
 	}
-	return s.found.Record.Era < s.era
+	return s.found.Record.Era < s.era || s.found.isUnreadable() && s.timing.HoldLimit > 0
 }
 
 // replaced reports whether the latest known record names another lead.
--- a/core/blproof/invariants_test.go
+++ b/core/blproof/invariants_test.go
@@ -30,6 +30,18 @@
 	n.sim.fences[p] = servedFence{fence: fence, holder: n.host.Incarnation}
 }
 
+// checkTerm records a violation if a term begins that has begun before, since the sequence
+// of its fences would start anew.
+func (n *node) checkTerm(term uint64) {
+	if term != 0 && term != n.term {
+		if n.sim.begun[term] {
+			n.sim.recordViolation("term %d begins again at %s", term, n.host.Name)
+		}
+		n.sim.begun[term] = true
+	}
+	n.term = term
+}
+
 // checkOwners records a violation if two nodes may use the same partition at the
 // current time. Upstreams that keep their grants are checked instead of their nodes.
 func (sim *simulation) checkOwners() {
--- a/core/blproof/node_test.go
+++ b/core/blproof/node_test.go
@@ -29,6 +29,8 @@
 	// stoodStillAtStart for how long the host had been suspended when the process started.
 	server            *upstream
 	stoodStillAtStart time.Duration
+	// term is the term in which the node is lead, or zero.
+	term uint64
 
 	lead   bllead.State
 	assign blassign.State[placement]
@@ -43,6 +45,7 @@
 func (n *node) start() {
 	n.generation++
 	n.down = false
+	n.term = 0
 	n.host = blvalue.Host{
 		Name: blvalue.HostName(fmt.Sprintf("host_%d", n.index)), Address: fmt.Sprintf("address_%d", n.index),
 		Incarnation: blvalue.Incarnation(fmt.Sprintf("%d.%d", n.index, n.generation)),
--- a/core/blproof/simulation_test.go
+++ b/core/blproof/simulation_test.go
@@ -46,8 +46,10 @@
 	mutation            mutation
 	violations          []string
 	fences              map[blvalue.Partition]servedFence
-	served              int
-	refused             int
+	// begun holds the terms that have begun.
+	begun   map[uint64]bool
+	served  int
+	refused int
 }
 
 func newSimulation(seed uint64, count int, m mutation) *simulation {
@@ -59,7 +61,7 @@
 		holdLimit: limit,
 		random:    rand.New(rand.NewPCG(seed, 1)), store: newMemoryStore(),
 		cutLinks: map[[2]int]bool{}, cutStoreLinks: map[int]bool{}, mutation: m,
-		fences: map[blvalue.Partition]servedFence{},
+		fences: map[blvalue.Partition]servedFence{}, begun: map[uint64]bool{},
 	}
 	for i := range count {
 		n := &node{sim: sim, index: i, clockRate: 0.99 + 0.02*sim.random.Float64(), clockOffset: time.Duration(sim.random.IntN(1e9))}
--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -72,10 +72,6 @@
 	return body, nil
 }
 
-// maxTerm is the highest term. Upstreams compare fences as numbers in JSON, in which
-// higher ones are not exact.
-const maxTerm = 1<<29 - 1
-
 // TermError reports a term that no lead can have written.
 type TermError struct {
 	Term uint64
@@ -83,22 +79,28 @@
 
 // Error implements error.
 func (e TermError) Error() string {
-	return fmt.Sprintf("term %d isn't from 0 to %d", e.Term, maxTerm)
+	return fmt.Sprintf("term %d isn't from 0 to %d", e.Term, bllead.MaxTerm)
+}
+
+// WriterError reports a record that no process of the system wrote: it has no write ID.
+type WriterError struct{}
+
+// Error implements error.
+func (WriterError) Error() string {
+	return "no write ID"
 }
 
 func checkTerm(term uint64) error {
-	if term > maxTerm {
+	if term > bllead.MaxTerm {
 		return TermError{Term: term}
 	}
 	return nil
 }
 
 // UnreadableRecord returns what an entry that is no lead record says: neither who is
-// lead nor who is standby. Each term took at least one write, so the number of the
-// entry's revision is not below the number of terms of any era.
+// lead nor who is standby. Its term is a bound of those that began before.
 func UnreadableRecord(entry blplatform.Entry) bllead.Stored {
-	term := bllead.TermFloor(blplatform.RevisionEra(entry.Revision)) + blplatform.RevisionNumber(entry.Revision)
-	return bllead.Stored{Record: bllead.Record{Term: term}, Revision: entry.Revision}
+	return bllead.Stored{Record: bllead.Record{Term: bllead.TermBound(entry.Revision)}, Revision: entry.Revision}
 }
 
 // unreadableOwner stands for the unknown earlier owners of an unreadable chunk.
@@ -113,7 +115,7 @@
 }
 
 // DecodeRecord decodes a lead record. For a missing entry it returns the zero
-// value.
+// value. One without a write ID is another writer's, whose term says nothing.
 func DecodeRecord(entry blplatform.Entry) (bllead.Stored, error) {
 	if !entry.Exists() {
 		return bllead.Stored{}, nil
@@ -125,6 +127,9 @@
 	if err := checkTerm(body.Term); err != nil {
 		return bllead.Stored{}, fmt.Errorf("decode lead record: %w", err)
 	}
+	if body.WriteID == "" {
+		return bllead.Stored{}, fmt.Errorf("decode lead record: %w", WriterError{})
+	}
 	return bllead.Stored{
 		Record: bllead.Record{
 			Term: body.Term, Era: body.Era, Lead: blvalue.Host(body.Lead), Standby: blvalue.Host(body.Standby), WriteID: body.WriteID,
