Orders that were dropped before they were sent no longer end all others

The reconciler waits for the answer to its orders before it sends more. If the queue of their worker was full (an upstream that restarts twice while orders are unanswered), the drop was only logged, and that upstream got no orders until it restarted. Found by reading; the dropped orders are answered as unsent now.

--- a/core/blreconciler/lanes_test.go
+++ b/core/blreconciler/lanes_test.go
@@ -6,6 +6,7 @@
 
 	"bergamotlead/core/blreconciler"
 	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
 )
 
 // answerKind gives the orders in flight of one kind the same result and leaves the others
@@ -92,3 +93,17 @@
 		t.Errorf("orders to a stopped upstream: got %d, want 0", got)
 	}
 }
+
+// TestDroppedOrdersEndAllOthers guards against an upstream that gets no orders any more,
+// since some were dropped before they were sent.
+func TestDroppedOrdersEndAllOthers(t *testing.T) {
+	n := newNode(t)
+	n.offer(1, ordersExpired, 3)
+	dropped := blreconciler.Send{Upstream: blvalue.Upstream{Incarnation: "run_1"}, Orders: n.orders}
+	n.orders = nil
+	n.send(dropped.Unsent(), ordersExpired)
+	n.send(blreconciler.Tick{}, ordersExpired+time.Second)
+	if got := n.countOrders(blreconciler.KindGrant); got != 1 {
+		t.Errorf("grants after some were dropped: got %d, want 1", got)
+	}
+}
--- a/core/blreconciler/messages.go
+++ b/core/blreconciler/messages.go
@@ -110,6 +110,15 @@
 	Orders     []Order
 }
 
+// Unsent returns the answers of orders that were never sent.
+func (s Send) Unsent() OrdersAnswered {
+	answers := make([]Answer, 0, len(s.Orders))
+	for _, order := range s.Orders {
+		answers = append(answers, Answer{Order: order, Result: ResultUnsent})
+	}
+	return OrdersAnswered{Incarnation: s.Upstream.Incarnation, Answers: answers}
+}
+
 // Release takes partitions back, beside a Send that is unanswered.
 type Release struct{ Send }
 
--- a/io/blnode/duty_effects.go
+++ b/io/blnode/duty_effects.go
@@ -128,11 +128,11 @@
 func (n *Node) performReconciler(effect blreconciler.Effect) {
 	switch e := effect.(type) {
 	case blreconciler.Send:
-		n.logDropped("reconciler", n.workers.reconciler.Put(e))
+		n.ordersQueued("reconciler", e, n.workers.reconciler.Put(e))
 	case blreconciler.Release:
-		n.logDropped("release", n.workers.release.Put(e))
+		n.ordersQueued("release", e.Send, n.workers.release.Put(e))
 	case blreconciler.Reclaim:
-		n.logDropped("reclaim", n.workers.reclaim.Put(e))
+		n.ordersQueued("reclaim", e.Send, n.workers.reclaim.Put(e))
 	case blreconciler.HoldingsChanged:
 		n.logDropped("grant", n.duties.grant.Put(e.Holdings))
 	case blreconciler.UpstreamResponded:
@@ -142,6 +142,16 @@
 	}
 }
 
+// ordersQueued answers orders that were dropped because the queue of their worker was
+// full: the reconciler waits for an answer before it sends more.
+func (n *Node) ordersQueued(worker string, send blreconciler.Send, err error) {
+	if err == nil {
+		return
+	}
+	n.logDropped(worker, err)
+	n.logDropped("reconciler", n.duties.reconciler.Put(send.Unsent()))
+}
+
 func (n *Node) performAdmit(effect bladmit.Effect) {
 	switch e := effect.(type) {
 	case bladmit.FindTarget:
