A lead whose tick is late still watches hosts that have become silent

A tick that came after the grants of a silent node had expired dropped these grants before it recorded what the host's upstreams may hold, so that nothing was probed or withheld. The record is made first now.

--- a/core/blassign/absence.go
+++ b/core/blassign/absence.go
@@ -67,10 +67,10 @@
 	return a
 }
 
-// trackAbsences records the nodes that have stopped reporting, forgets those that are
-// gone for long, and probes the others.
+// trackAbsences records the nodes that haven't reported to this lead, forgets those that
+// are gone for long, and probes the others.
 func (s State[P]) trackAbsences(now bltimer.Instant) (State[P], []Effect) {
-	s = s.withAbsentMembers(now).withAbsentEntries(now)
+	s = s.withAbsentEntries(now)
 	s, effects := s.withoutPastAbsences(now)
 	s, probes := s.probeAbsent(now)
 	return s, append(effects, probes...)
--- a/core/blassign/place.go
+++ b/core/blassign/place.go
@@ -24,7 +24,8 @@
 	if !s.ready() {
 		return s.loadMissing(now)
 	}
-	s = s.withoutExpiredMembers(now).withoutUnlistedUpstreams(now)
+	// An absence records grants that the next step forgets.
+	s = s.withAbsentMembers(now).withoutExpiredMembers(now).withoutUnlistedUpstreams(now)
 	s, effects := s.reportPeers(now)
 	s, absent := s.trackAbsences(now)
 	effects = append(effects, absent...)
