A late heartbeat no longer ends the absence of a host

A heartbeat that a node had sent before its host was suspended, and that arrived at the resume, ended the absence: the host had been silent, but after that it only refused probes, and nothing was withheld. One of the earlier run also freed what the next run was still taking back (the same upstream, so not stale). A heartbeat of the same run ends the absence only as the second one; a node that goes silent in between is recorded anew.

--- a/core/blassign/absence.go
+++ b/core/blassign/absence.go
@@ -46,6 +46,9 @@
 	silent bool
 	// refusals counts the probes in a row that were refused since.
 	refusals int
+	// reported is set once a heartbeat of the same run has arrived since. It may have been
+	// sent before the host was suspended; the next one was not.
+	reported bool
 	// withheldUntil is the time from which the upstreams hold none of the partitions any
 	// more, or zero while these aren't withheld.
 	withheldUntil bltimer.Instant
@@ -61,6 +64,8 @@
 }
 
 func (a absence) withHolding(name blvalue.UpstreamName, held holding) absence {
+	earlier, _ := a.holdings.Get(name)
+	held.set = held.set.Union(earlier.set)
 	if held.set.Len() > 0 {
 		a.holdings = a.holdings.With(name, held)
 	}
@@ -85,10 +90,14 @@
 func (s State[P]) withAbsentMembers(now bltimer.Instant) State[P] {
 	for name, member := range s.members.All() {
 		silence := now.Sub(member.LastHeartbeatAt)
-		if _, known := s.absences.Get(name); known || silence < s.absentAfter() || silence >= maxAbsence {
+		a, known := s.absences.Get(name)
+		if known && !a.reported || silence < s.absentAfter() || silence >= maxAbsence {
 			continue
 		}
-		a := absence{host: member.Host, since: member.LastHeartbeatAt}
+		if !known {
+			a.host = member.Host
+		}
+		a.since, a.reported = member.LastHeartbeatAt, false
 		for _, upstream := range member.Upstreams {
 			outstanding, ok := s.grants.Get(NewHolder(member.Host.Incarnation, upstream))
 			if ok && upstream.KeepsGrants {
@@ -230,16 +239,22 @@
 	}
 }
 
-// hostReported ends the absence of a node that reports again. A node that has started
-// since may still have to take back what its earlier run granted.
+// hostReported ends the absence of a node that reports again: one that has started since
+// once it has taken back what its earlier run granted, another with its second heartbeat.
 func (s State[P]) hostReported(m Heartbeat, now bltimer.Instant) (State[P], []Effect) {
 	a, ok := s.absences.Get(m.Node.Name)
 	if !ok {
 		return s, nil
 	}
-	if m.Reclaiming && m.Node.Incarnation != a.host.Incarnation {
+	sameRun := m.Node.Incarnation == a.host.Incarnation
+	if m.Reclaiming && !sameRun {
 		return s.withholdOnce(a, now)
 	}
+	if sameRun && !a.reported {
+		a.reported = true
+		s.absences = s.absences.With(m.Node.Name, a)
+		return s, nil
+	}
 	s.absences = s.absences.Without(m.Node.Name)
 	return s, s.freed(a, now)
 }
--- a/core/blassign/absence_reports_test.go
+++ b/core/blassign/absence_reports_test.go
@@ -22,3 +22,43 @@
 		t.Errorf("partitions that others hold: got %d, want 0", got)
 	}
 }
+
+// TestLateHeartbeatEndsAbsence guards against a second owner: a heartbeat from before a
+// suspension, delivered at the resume, ended the absence of a host whose node was gone.
+func TestLateHeartbeatEndsAbsence(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(h *harness)
+	}{
+		{"before the node starts again", func(h *harness) {
+			h.sendHeartbeat(0)
+			h.probed(true, true)
+		}},
+		{"while the next run takes back", func(h *harness) {
+			late := h.heartbeats[0]
+			h.restartNode(true)
+			late.Sequence++
+			h.send(late)
+		}},
+		{"after one that a second suspension followed", func(h *harness) {
+			h.sendHeartbeat(0)
+			for range silentRounds {
+				h.roundWithoutFirst()
+			}
+			h.probed(false)
+			h.sendHeartbeat(0)
+			h.probed(true, true)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h, before := newHarnessWithAbsentNode(t)
+			h.probed(false)
+			c.run(h)
+			h.roundWithoutFirst()
+			if got := h.heldByOthers(before); got != 0 {
+				t.Errorf("partitions that others hold: got %d, want 0", got)
+			}
+		})
+	}
+}
