Missed probes no longer prolong the withholding without end

Each probe that got no answer within 40 ms, between others that were refused, set the withholding to the longest grant again, so that the partitions of a host that is up, whose node is gone and whose link is slow belonged to nobody for as long as that lasted. The time for which the host was up between refusals now counts off what is left of its grants, and a heartbeat, which may bring new ones, starts that anew.

--- a/core/blassign/absence.go
+++ b/core/blassign/absence.go
@@ -44,11 +44,15 @@
 	probedAt bltimer.Instant
 	// silent is set once a probe found that nothing at the host refused connections.
 	silent bool
-	// refusals counts the probes in a row that were refused since.
-	refusals int
-	// reported is set once a heartbeat of the same run has arrived since. It may have been
-	// sent before the host was suspended; the next one was not.
-	reported bool
+	// refusals counts the probes in a row that were refused since, and refusedAt is when
+	// the last one was, or zero if the last probe wasn't refused.
+	refusals  int
+	refusedAt bltimer.Instant
+	// up is the time for which the host is known to have been up without its node.
+	up time.Duration
+	// reportedBy is the run of the node of which a heartbeat has arrived since. One of the
+	// run that was lost may have been sent before the host was suspended; the next was not.
+	reportedBy blvalue.Incarnation
 	// withheldUntil is the time from which the upstreams hold none of the partitions any
 	// more, or zero while these aren't withheld.
 	withheldUntil bltimer.Instant
@@ -91,13 +95,13 @@
 	for name, member := range s.members.All() {
 		silence := now.Sub(member.LastHeartbeatAt)
 		a, known := s.absences.Get(name)
-		if known && !a.reported || silence < s.absentAfter() || silence >= maxAbsence {
+		if known && a.reportedBy == "" || silence < s.absentAfter() || silence >= maxAbsence {
 			continue
 		}
 		if !known {
 			a.host = member.Host
 		}
-		a.since, a.reported = member.LastHeartbeatAt, false
+		a.since, a.reportedBy = member.LastHeartbeatAt, ""
 		for _, upstream := range member.Upstreams {
 			outstanding, ok := s.grants.Get(NewHolder(member.Host.Incarnation, upstream))
 			if ok && upstream.KeepsGrants {
@@ -189,7 +193,7 @@
 	if !ok || a.host.Incarnation != m.Host.Incarnation {
 		return s, nil
 	}
-	a = a.withProbe(m.Refused)
+	a = a.withProbe(m.Refused, now)
 	s.absences = s.absences.With(a.host.Name, a)
 	if a.refusals < minRefusals {
 		return s, nil
@@ -197,24 +201,31 @@
 	return s.withhold(a, now)
 }
 
-// withProbe returns the absence after a probe.
-func (a absence) withProbe(refused bool) absence {
+// withProbe returns the absence after a probe. A host that was up at two probes in a row
+// was up in between, for a probe's interval at least.
+func (a absence) withProbe(refused bool, now bltimer.Instant) absence {
 	if !refused {
-		a.silent, a.refusals = true, 0
+		a.silent, a.refusals, a.refusedAt = true, 0, 0
 		return a
 	}
+	if a.refusedAt != 0 {
+		a.up += min(now.Sub(a.refusedAt), probeInterval)
+	}
 	a.refusals++
+	a.refusedAt = now
 	return a
 }
 
 // withhold takes the partitions that an upstream of the host may hold from all others, for
-// as long as it may hold them. A host that was never silent wasn't suspended.
+// as long as it may hold them: less the time for which its clock has run since its node was
+// lost. A host that was never silent wasn't suspended.
 func (s State[P]) withhold(a absence, now bltimer.Instant) (State[P], []Effect) {
-	if !a.silent {
+	left := s.config.MaxGrantLifetime() - a.up
+	if !a.silent || left <= 0 {
 		return s, nil
 	}
 	a.silent, a.refusals = false, 0
-	a.withheldUntil = now.Add(s.config.MaxGrantLifetime())
+	a.withheldUntil = now.Add(left)
 	s.absences = s.absences.With(a.host.Name, a)
 	return s, []Effect{
 		WithholdingChanged{Host: a.host.Name, Partitions: a.partitions(), Withheld: true}, Nudge{Nodes: s.peers(now)},
@@ -246,12 +257,14 @@
 	if !ok {
 		return s, nil
 	}
-	sameRun := m.Node.Incarnation == a.host.Incarnation
+	sameRun, again := m.Node.Incarnation == a.host.Incarnation, m.Node.Incarnation == a.reportedBy
+	// The run may be given grants in the reply.
+	a.reportedBy, a.up = m.Node.Incarnation, 0
 	if m.Reclaiming && !sameRun {
+		s.absences = s.absences.With(m.Node.Name, a)
 		return s.withholdOnce(a, now)
 	}
-	if sameRun && !a.reported {
-		a.reported = true
+	if sameRun && !again {
 		s.absences = s.absences.With(m.Node.Name, a)
 		return s, nil
 	}
