Test that fails: a new lead doesn't watch a host whose partitions had moved

Once the partitions of a suspended host have others as owners, the store names it no more (clearPrevious) and the directory that a new lead starts from has no entry of it. So a host that resumes without its node after a change of the lead has nothing withheld, and its upstream and the new owners hold the same partitions until its node is back. The same holds for what the earlier lead withheld at the change. Not fixed: it takes a form in which absences outlive a lead.

--- a/core/blassign/absence_reports_test.go
+++ b/core/blassign/absence_reports_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"bergamotlead/core/blassign"
+	"bergamotlead/core/bllead"
 )
 
 // TestLateTickForgetsAbsentHost guards against a second owner: a lead whose tick came after
@@ -62,3 +64,25 @@
 		})
 	}
 }
+
+// TestLeadChangesAfterPartitionsOfAbsentHostMoved guards against a second owner: a new lead
+// knew nothing of what a suspended host held, since the store names only its successors.
+func TestLeadChangesAfterPartitionsOfAbsentHostMoved(t *testing.T) {
+	h, before := newHarnessWithAbsentNode(t)
+	entries := make([]blassign.Entry, 0, len(h.heartbeats))
+	for _, hb := range h.heartbeats {
+		entries = append(entries, blassign.Entry{Upstream: hb.Upstreams[0], Node: hb.Node})
+	}
+	next := &harness{state: blassign.New(blassign.LeastMoves{}), now: h.now, heartbeats: h.heartbeats}
+	next.sendWithChunks(blassign.AuthorityChanged{
+		Authority: bllead.Authority{Term: 2, Until: h.now.Add(time.Hour), MayChange: true, PriorExpiredAt: h.now}, Entries: entries,
+	}, storedChunks(h))
+	for range silentRounds {
+		next.roundWithoutFirst()
+	}
+	next.probed(false, true, true)
+	next.roundWithoutFirst()
+	if got := next.heldByOthers(before); got != 0 {
+		t.Errorf("partitions that others hold: got %d, want 0", got)
+	}
+}
