A grant that follows the release of all in its batch counts as held

A Send holds up to 128 grants, six at a time. If all partitions were taken back on the other thread meanwhile, the rest left after that. Such a grant that was answered left its partition counted as returned, and the lead gave it to others while the upstream held it, unless the upstream compared its fence with that of the release. Any grant that may have been carried out now needs a release of its own.

--- a/core/blreconciler/orders.go
+++ b/core/blreconciler/orders.go
@@ -207,9 +207,9 @@
 	expires := order.Until.Add(s.timing.ClockMargin + inFlight)
 	state.mayHoldUntil = max(state.mayHoldUntil, expires)
 	state.mayOutlast = state.mayOutlast || inFlight > 0
-	// It may have arrived after all partitions were taken back.
+	// It may have arrived after all partitions were taken back, or have left after that.
 	overtaken := answer.SentAt.Before(s.reclaimedAt)
-	state.released = state.released && !overtaken
+	state.released = state.released && !overtaken && answer.Result == ResultRefused
 	switch answer.Result {
 	case ResultDone:
 		if overtaken {
