Test that fails: a suspension shorter than the time to absence goes unseen

A host counts as absent half a grant after its last heartbeat, and only then is it probed. If it was suspended for less than that and resumed without its node, it refuses all probes, was never silent, and nothing is withheld when its grants expire at the lead, although its upstream holds them for as much longer as its clock stood still. With the 3.5 s of the users' platform that is up to 1.75 s less the clock margin, if the node stays down for longer than the rest of the grant. Not fixed: a first probe within the margin and 500 ms of the last heartbeat would keep it below the rule.

--- a/core/blassign/absence_reports_test.go
+++ b/core/blassign/absence_reports_test.go
@@ -86,3 +86,25 @@
 		t.Errorf("partitions that others hold: got %d, want 0", got)
 	}
 }
+
+// TestHostIsSuspendedForLessThanAbsence guards against a second owner: a host that had
+// resumed without its node before the lead first probed it refused all probes, and what its
+// upstream held for as much longer was given to others.
+func TestHostIsSuspendedForLessThanAbsence(t *testing.T) {
+	const suspended, round = 400 * time.Millisecond, 50 * time.Millisecond
+	h := newHarnessWithKeptGrants(3)
+	before := h.held(0)
+	lastRound := h.now.Add(-100 * time.Millisecond)
+	heldUntil := lastRound.Add(benchPlan().Timing.GrantTTL + suspended)
+	for h.now.Before(heldUntil) {
+		h.now = h.now.Add(round)
+		h.send(blassign.Tick{})
+		h.probed(true)
+		for i := range h.heartbeats[1:] {
+			h.sendHeartbeat(i + 1)
+		}
+		if got := h.heldByOthers(before); got != 0 {
+			t.Fatalf("partitions that others hold %v before the upstream lets go: got %d, want 0", heldUntil.Sub(h.now), got)
+		}
+	}
+}
