--- a/core/blassign/absence.go
+++ b/core/blassign/absence.go
@@ -44,8 +44,15 @@
 	probedAt bltimer.Instant
 	// silent is set once a probe found that nothing at the host refused connections.
 	silent bool
-	// refusals counts the probes in a row that were refused since.
-	refusals int
+	// refusals counts the probes in a row that were refused since, and refusedAt is when
+	// the last one was, or zero if the last probe wasn't refused.
+	refusals  int
+	refusedAt bltimer.Instant
+	// up is the time for which the host is known to have been up without its node.
+	up time.Duration
+	// reportedBy is the run of the node of which a heartbeat has arrived since. One of the
+	// run that was lost may have been sent before the host was suspended; the next was not.
+	reportedBy blvalue.Incarnation
 	// withheldUntil is the time from which the upstreams hold none of the partitions any
 	// more, or zero while these aren't withheld.
 	withheldUntil bltimer.Instant
@@ -61,16 +68,18 @@
 }
 
 func (a absence) withHolding(name blvalue.UpstreamName, held holding) absence {
+	earlier, _ := a.holdings.Get(name)
+	held.set = held.set.Union(earlier.set)
 	if held.set.Len() > 0 {
 		a.holdings = a.holdings.With(name, held)
 	}
 	return a
 }
 
-// trackAbsences records the nodes that have stopped reporting, forgets those that are
-// gone for long, and probes the others.
+// trackAbsences records the nodes that haven't reported to this lead, forgets those that
+// are gone for long, and probes the others.
 func (s State[P]) trackAbsences(now bltimer.Instant) (State[P], []Effect) {
-	s = s.withAbsentMembers(now).withAbsentEntries(now)
+	s = s.withAbsentEntries(now)
 	s, effects := s.withoutPastAbsences(now)
 	s, probes := s.probeAbsent(now)
 	return s, append(effects, probes...)
@@ -85,10 +94,14 @@
 func (s State[P]) withAbsentMembers(now bltimer.Instant) State[P] {
 	for name, member := range s.members.All() {
 		silence := now.Sub(member.LastHeartbeatAt)
-		if _, known := s.absences.Get(name); known || silence < s.absentAfter() || silence >= maxAbsence {
+		a, known := s.absences.Get(name)
+		if known && a.reportedBy == "" || silence < s.absentAfter() || silence >= maxAbsence {
 			continue
 		}
-		a := absence{host: member.Host, since: member.LastHeartbeatAt}
+		if !known {
+			a.host = member.Host
+		}
+		a.since, a.reportedBy = member.LastHeartbeatAt, ""
 		for _, upstream := range member.Upstreams {
 			outstanding, ok := s.grants.Get(NewHolder(member.Host.Incarnation, upstream))
 			if ok && upstream.KeepsGrants {
@@ -151,7 +164,8 @@
 	return s, effects
 }
 
-// probeAbsent probes the absent nodes, those first that were probed longest ago.
+// probeAbsent probes the absent nodes: those first that may be back, then those that were
+// probed longest ago.
 func (s State[P]) probeAbsent(now bltimer.Instant) (State[P], []Effect) {
 	var due []absence
 	for _, a := range s.absences.All() {
@@ -162,7 +176,7 @@
 	if len(due) == 0 || now.Sub(s.probedAt) < probeInterval {
 		return s, nil
 	}
-	slices.SortStableFunc(due, func(a, b absence) int { return cmp.Compare(a.probedAt, b.probedAt) })
+	slices.SortStableFunc(due, absence.compareDue)
 	var probe ProbeHosts
 	for _, a := range due[:min(len(due), maxProbes)] {
 		a.probedAt = now
@@ -173,6 +187,20 @@
 	return s, []Effect{probe}
 }
 
+// compareDue orders absences by the urgency of their next probe.
+func (a absence) compareDue(b absence) int {
+	if a.mayBeBack() != b.mayBeBack() {
+		if a.mayBeBack() {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.probedAt, b.probedAt)
+}
+
+// mayBeBack reports whether the host was silent, and the next probe may show that it is back.
+func (a absence) mayBeBack() bool { return a.silent && a.refusals == minRefusals-1 }
+
 // hostProbed handles the result of a probe. A host that was silent and now refuses
 // connections has resumed, or has power again, and its node doesn't run.
 func (s State[P]) hostProbed(m HostProbed, now bltimer.Instant) (State[P], []Effect) {
@@ -180,7 +208,7 @@
 	if !ok || a.host.Incarnation != m.Host.Incarnation {
 		return s, nil
 	}
-	a = a.withProbe(m.Refused)
+	a = a.withProbe(m.Refused, now)
 	s.absences = s.absences.With(a.host.Name, a)
 	if a.refusals < minRefusals {
 		return s, nil
@@ -188,24 +216,31 @@
 	return s.withhold(a, now)
 }
 
-// withProbe returns the absence after a probe.
-func (a absence) withProbe(refused bool) absence {
+// withProbe returns the absence after a probe. A host that was up at two probes in a row
+// was up in between, for a probe's interval at least.
+func (a absence) withProbe(refused bool, now bltimer.Instant) absence {
 	if !refused {
-		a.silent, a.refusals = true, 0
+		a.silent, a.refusals, a.refusedAt = true, 0, 0
 		return a
 	}
+	if a.refusedAt != 0 {
+		a.up += min(now.Sub(a.refusedAt), probeInterval)
+	}
 	a.refusals++
+	a.refusedAt = now
 	return a
 }
 
 // withhold takes the partitions that an upstream of the host may hold from all others, for
-// as long as it may hold them. A host that was never silent wasn't suspended.
+// as long as it may hold them: less the time for which its clock has run since its node was
+// lost. A host that was never silent wasn't suspended.
 func (s State[P]) withhold(a absence, now bltimer.Instant) (State[P], []Effect) {
-	if !a.silent {
+	left := s.config.MaxGrantLifetime() - a.up
+	if !a.silent || left <= 0 {
 		return s, nil
 	}
 	a.silent, a.refusals = false, 0
-	a.withheldUntil = now.Add(s.config.MaxGrantLifetime())
+	a.withheldUntil = now.Add(left)
 	s.absences = s.absences.With(a.host.Name, a)
 	return s, []Effect{
 		WithholdingChanged{Host: a.host.Name, Partitions: a.partitions(), Withheld: true}, Nudge{Nodes: s.peers(now)},
@@ -230,16 +265,24 @@
 	}
 }
 
-// hostReported ends the absence of a node that reports again. A node that has started
-// since may still have to take back what its earlier run granted.
+// hostReported ends the absence of a node that reports again: one that has started since
+// once it has taken back what its earlier run granted, another with its second heartbeat.
 func (s State[P]) hostReported(m Heartbeat, now bltimer.Instant) (State[P], []Effect) {
 	a, ok := s.absences.Get(m.Node.Name)
 	if !ok {
 		return s, nil
 	}
-	if m.Reclaiming && m.Node.Incarnation != a.host.Incarnation {
+	sameRun, again := m.Node.Incarnation == a.host.Incarnation, m.Node.Incarnation == a.reportedBy
+	// The run may be given grants in the reply.
+	a.reportedBy, a.up = m.Node.Incarnation, 0
+	if m.Reclaiming && !sameRun {
+		s.absences = s.absences.With(m.Node.Name, a)
 		return s.withholdOnce(a, now)
 	}
+	if sameRun && !again {
+		s.absences = s.absences.With(m.Node.Name, a)
+		return s, nil
+	}
 	s.absences = s.absences.Without(m.Node.Name)
 	return s, s.freed(a, now)
 }
