A host that nobody has watched may have been suspended

A host that was suspended for less than half the time to live of a grant was up again before the first probe, and never seen silent: others got its partitions up to that much too early. A host now counts as one that may have been suspended from the last heartbeat to the first probe. The case "refused all along" of TestHostIsBackWithoutItsNode asserted the gap, since those probes came after a time in which nobody had watched; it now wants the partitions withheld, which is stricter.

Partitions of a host whose node stays dead go to others up to half a time to live later than before.

--- a/core/blassign/absence.go
+++ b/core/blassign/absence.go
@@ -42,7 +42,8 @@
 	// holdings are those that the upstreams of the host had, by name.
 	holdings bltable.Table[blvalue.UpstreamName, holding]
 	probedAt bltimer.Instant
-	// silent is set once a probe found that nothing at the host refused connections.
+	// silent is set while the host may have been suspended since it was last known to be up:
+	// at first, and after a probe that wasn't refused.
 	silent bool
 	// refusals counts the probes in a row that were refused since, and refusedAt is when
 	// the last one was, or zero if the last probe wasn't refused.
@@ -99,7 +100,7 @@
 			continue
 		}
 		if !known {
-			a.host = member.Host
+			a.host, a.silent = member.Host, true
 		}
 		a.since, a.reportedBy = member.LastHeartbeatAt, ""
 		for _, upstream := range member.Upstreams {
@@ -129,7 +130,7 @@
 		}
 		a, known := s.absences.Get(entry.Node.Name)
 		if !known {
-			a = absence{host: entry.Node, since: began}
+			a = absence{host: entry.Node, since: began, silent: true}
 		}
 		s = s.withAbsence(a.withHolding(entry.Upstream.Name, holding{
 			service: entry.Upstream.Service, set: ownership.assignedTo(entry.Upstream.Name),
@@ -201,8 +202,8 @@
 // mayBeBack reports whether the host was silent, and the next probe may show that it is back.
 func (a absence) mayBeBack() bool { return a.silent && a.refusals == minRefusals-1 }
 
-// hostProbed handles the result of a probe. A host that was silent and now refuses
-// connections has resumed, or has power again, and its node doesn't run.
+// hostProbed handles the result of a probe. A host that refuses connections is up, or has
+// power again, and its node doesn't run.
 func (s State[P]) hostProbed(m HostProbed, now bltimer.Instant) (State[P], []Effect) {
 	a, ok := s.absences.Get(m.Host.Name)
 	if !ok || a.host.Incarnation != m.Host.Incarnation {
@@ -232,8 +233,8 @@
 }
 
 // withhold takes the partitions that an upstream of the host may hold from all others, for
-// as long as it may hold them: less the time for which its clock has run since its node was
-// lost. A host that was never silent wasn't suspended.
+// as long as it may hold them: less the time for which its clock is known to have run since
+// its node was lost.
 func (s State[P]) withhold(a absence, now bltimer.Instant) (State[P], []Effect) {
 	left := s.config.MaxGrantLifetime() - a.up
 	if !a.silent || left <= 0 {
