--- a/core/blassign/absence.go
+++ b/core/blassign/absence.go
@@ -1,8 +1,6 @@
 package blassign
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"bergamotlead/core/bltable"
@@ -17,13 +15,6 @@
 	absentDivisor = 2
 	// maxAbsence is how long after its last heartbeat the lead forgets an absent node.
 	maxAbsence = time.Minute
-	// probeInterval is the time between probes of one absent node, and maxProbes the
-	// number of nodes probed at a time.
-	probeInterval = 40 * time.Millisecond
-	maxProbes     = 16
-	// minRefusals is the number of refusals in a row after which a host counts as up
-	// without its node. One that has just booted refuses connections for a moment.
-	minRefusals = 2
 )
 
 // holding is what an upstream that keeps its grants may hold.
@@ -165,107 +156,6 @@
 	return s, effects
 }
 
-// probeAbsent probes the absent nodes: those first that may be back, then those that were
-// probed longest ago.
-func (s State[P]) probeAbsent(now bltimer.Instant) (State[P], []Effect) {
-	var due []absence
-	for _, a := range s.absences.All() {
-		if now.Sub(a.probedAt) >= probeInterval {
-			due = append(due, a)
-		}
-	}
-	if len(due) == 0 || now.Sub(s.probedAt) < probeInterval {
-		return s, nil
-	}
-	slices.SortStableFunc(due, absence.compareDue)
-	var probe ProbeHosts
-	for _, a := range due[:min(len(due), maxProbes)] {
-		a.probedAt = now
-		s.absences = s.absences.With(a.host.Name, a)
-		probe.Hosts = append(probe.Hosts, a.host)
-	}
-	s.probedAt = now
-	return s, []Effect{probe}
-}
-
-// compareDue orders absences by the urgency of their next probe.
-func (a absence) compareDue(b absence) int {
-	if a.mayBeBack() != b.mayBeBack() {
-		if a.mayBeBack() {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Compare(a.probedAt, b.probedAt)
-}
-
-// mayBeBack reports whether the host was silent, and the next probe may show that it is back.
-func (a absence) mayBeBack() bool { return a.silent && a.refusals == minRefusals-1 }
-
-// hostProbed handles the result of a probe. A host that refuses connections is up, or has
-// power again, and its node doesn't run.
-func (s State[P]) hostProbed(m HostProbed, now bltimer.Instant) (State[P], []Effect) {
-	a, ok := s.absences.Get(m.Host.Name)
-	if !ok || a.host.Incarnation != m.Host.Incarnation {
-		return s, nil
-	}
-	a = a.withProbe(m.Refused, now)
-	s.absences = s.absences.With(a.host.Name, a)
-	if a.refusals < minRefusals {
-		return s, nil
-	}
-	return s.withhold(a, now)
-}
-
-// withProbe returns the absence after a probe. A host that was up at two probes in a row
-// was up in between, for a probe's interval at least.
-func (a absence) withProbe(refused bool, now bltimer.Instant) absence {
-	if !refused {
-		a.silent, a.refusals, a.refusedAt = true, 0, 0
-		return a
-	}
-	if a.refusedAt != 0 {
-		a.up += min(now.Sub(a.refusedAt), probeInterval)
-	}
-	a.refusals++
-	a.refusedAt = now
-	return a
-}
-
-// withhold takes the partitions that an upstream of the host may hold from all others, for
-// as long as it may hold them: less the time for which its clock is known to have run since
-// its node was lost.
-func (s State[P]) withhold(a absence, now bltimer.Instant) (State[P], []Effect) {
-	left := s.config.MaxGrantLifetime() - a.up
-	if !a.silent || left <= 0 {
-		return s, nil
-	}
-	a.silent, a.refusals = false, 0
-	a.withheldUntil = now.Add(left)
-	s.absences = s.absences.With(a.host.Name, a)
-	return s, []Effect{
-		WithholdingChanged{Host: a.host.Name, Partitions: a.partitions(), Withheld: true}, Nudge{Nodes: s.peers(now)},
-	}
-}
-
-// withholdOnce does the same unless the partitions are withheld already.
-func (s State[P]) withholdOnce(a absence, now bltimer.Instant) (State[P], []Effect) {
-	if now.Before(a.withheldUntil) {
-		return s, nil
-	}
-	return s.withhold(a, now)
-}
-
-// freed returns the effects of the end of a withholding.
-func (s State[P]) freed(a absence, now bltimer.Instant) []Effect {
-	if a.withheldUntil == 0 {
-		return nil
-	}
-	return []Effect{
-		WithholdingChanged{Host: a.host.Name, Partitions: a.partitions()}, Nudge{Nodes: s.peers(now)},
-	}
-}
-
 // hostReported ends the absence of a node that reports again: one that has started since
 // once it has taken back what its earlier run granted, another with its second heartbeat.
 func (s State[P]) hostReported(m Heartbeat, now bltimer.Instant) (State[P], []Effect) {
@@ -287,20 +177,3 @@
 	s.absences = s.absences.Without(m.Node.Name)
 	return s, s.freed(a, now)
 }
-
-// withheldFrom returns the partitions of the service that upstreams with other names may
-// hold at hosts that are back without their node.
-func (s State[P]) withheldFrom(upstream blvalue.Upstream, now bltimer.Instant) blvalue.PartitionSet {
-	var withheld blvalue.PartitionSet
-	for _, a := range s.absences.All() {
-		if !now.Before(a.withheldUntil) {
-			continue
-		}
-		for name, held := range a.holdings.All() {
-			if name != upstream.Name && held.service == upstream.Service {
-				withheld = withheld.Union(held.set)
-			}
-		}
-	}
-	return withheld
-}
