--- a/io/blsettings/process.go
+++ b/io/blsettings/process.go
@@ -69,16 +69,18 @@
 	FailureDomains []blvalue.DomainName `toml:"failure_domains"`
 	// UpstreamHeartbeat is the interval between announcements of an upstream.
 	UpstreamHeartbeat Duration `toml:"upstream_heartbeat"`
-	// ShortestLease is the minimum time to live of a lease.
+	// ShortestLease is the minimum time to live of a lease, or zero for none.
 	ShortestLease Duration `toml:"shortest_lease"`
-	// LongestGrant is the maximum time to live of a grant that an upstream accepts.
+	// LongestGrant is the maximum time to live of a grant that an upstream accepts, or
+	// zero if it accepts any.
 	LongestGrant Duration `toml:"longest_grant"`
-	// Drain is how long a leaving upstream may still get work.
+	// Drain is how long a leaving upstream may still get work, or zero for no limit.
 	Drain Duration `toml:"drain"`
-	// Grace is how long a process may take to shut down.
+	// Grace is how long a process may take to shut down, or zero for no limit.
 	Grace Duration `toml:"grace"`
 	// RetryRatio is the fraction of a service's requests that may be retried, over
-	// all nodes, in addition to RetryReserve retries in total.
+	// all nodes, in addition to RetryReserve retries in total. Where both are zero, the
+	// platform sets no limit.
 	RetryRatio   float64 `toml:"retry_ratio"`
 	RetryReserve float64 `toml:"retry_reserve"`
 	// QuotaExcess is the fraction by which an account may exceed its rate and burst
@@ -110,13 +112,15 @@
 	if len(p.FailureDomains) == 0 {
 		errs = append(errs, SettingError{Name: "platform.failure_domains", Description: "is missing"})
 	}
-	times := map[string]Duration{
-		"upstream_heartbeat": p.UpstreamHeartbeat, "shortest_lease": p.ShortestLease, "longest_grant": p.LongestGrant,
-		"drain": p.Drain, "grace": p.Grace,
+	if p.UpstreamHeartbeat <= 0 {
+		errs = append(errs, SettingError{Name: "platform.upstream_heartbeat", Description: "want a time above zero"})
 	}
-	for name, value := range times {
-		if value <= 0 {
-			errs = append(errs, SettingError{Name: "platform." + name, Description: "want a time above zero"})
+	optional := map[string]Duration{
+		"shortest_lease": p.ShortestLease, "longest_grant": p.LongestGrant, "drain": p.Drain, "grace": p.Grace, "quota_window": p.QuotaWindow,
+	}
+	for name, value := range optional {
+		if value < 0 {
+			errs = append(errs, SettingError{Name: "platform." + name, Description: "want no negative time"})
 		}
 	}
 	return errs
