--- a/core/blassign/directory.go
+++ b/core/blassign/directory.go
@@ -15,6 +15,9 @@
 	Node     blvalue.Host
 	// Gone is set when the upstream no longer exists.
 	Gone bool
+	// Held is set while a roll-out keeps the upstream without new requests and without
+	// partitions.
+	Held bool
 }
 
 // gone returns the entry of an upstream that no longer exists.
--- a/core/blassign/messages.go
+++ b/core/blassign/messages.go
@@ -70,7 +70,10 @@
 	// Reclaiming is set while the node takes back what an upstream may hold for longer
 	// than the lead knows.
 	Reclaiming bool
-	Reply      blring.Reply[HeartbeatReply]
+	// Results holds the results of the node's upstreams whose services have a roll-out
+	// order.
+	Results []blvalue.UpstreamResults
+	Reply   blring.Reply[HeartbeatReply]
 }
 
 // UpstreamLoad is the load of one incarnation of an upstream.
@@ -103,6 +106,8 @@
 	// ReportAfter is the delay after which the node should report again, or zero to
 	// keep to its heartbeat period.
 	ReportAfter time.Duration
+	// Allowances holds what the node may send to its upstreams of unproven versions.
+	Allowances []blvalue.Allowance
 }
 
 // upstream returns the upstream of the given incarnation, if the report lists
--- a/core/blconfig/plan.go
+++ b/core/blconfig/plan.go
@@ -78,6 +78,10 @@
 	Drained map[blvalue.UpstreamName]bool
 	Timing  Timing
 	Limits  Limits
+	// Rollouts holds the roll-out orders in force, and Exposure limits what an unproven
+	// version gets. Both are empty where the deployment has no roll-outs.
+	Rollouts map[blvalue.ServiceName]RolloutOrder
+	Exposure Exposure
 	// routesByHost holds the routes that match by authority, longest prefix first.
 	routesByHost map[string][]Route
 }
--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -80,6 +80,18 @@
 // configuration in use is ignored.
 type ConfigChanged struct{ Accepted blconfig.Accepted }
 
+// AllowancesSeen carries what the lead allows the node to send to its upstreams of
+// unproven versions.
+type AllowancesSeen struct {
+	// SentAt is when the node sent the heartbeat that the lead answered.
+	SentAt bltimer.Instant
+	// Term is the term of the lead.
+	Term       uint64
+	Allowances []blvalue.Allowance
+}
+
+func (AllowancesSeen) deliverMessage() {}
+
 // Tick triggers the work that depends on time: it refuses requests that expired,
 // became too late or wait for a closed upstream, and admits requests under the
 // cold-start rate.
--- a/core/blvalue/identity.go
+++ b/core/blvalue/identity.go
@@ -52,6 +52,8 @@
 	// beside the server knows it.
 	ID      UpstreamID
 	Service ServiceName
+	// Version is the version of the server's software, or empty if it names none.
+	Version string
 	// Slots is the number of requests that the server processes concurrently.
 	Slots int
 	// ChecksFence reports whether the server rejects orders with an outdated
