A new lead learns which hosts earlier leads gave away

The store named only the successors of a suspended host's partitions, so a new lead didn't watch the host and left its partitions with two owners when it resumed without its node. A chunk now lists the absent hosts with their addresses and what they may hold; the next lead watches those that don't report to it. The list is cleared with a write of its own once no host on it is watched.

TestLeadChangesAfterPartitionsOfAbsentHostMoved failed always and passes ("partitions that others hold: got 1366, want 0" before). Its store returned owners alone; it now also returns the list that the lead wrote.

--- a/core/blassign/absence.go
+++ b/core/blassign/absence.go
@@ -105,14 +105,16 @@
 	return s
 }
 
-// withAbsentEntries records the nodes that the directory of the earlier lead named and
-// that haven't reported to this one, with the partitions that the store assigns to their
-// upstreams.
+// withAbsentEntries records, once in a term, the nodes that the directory or the stored
+// assignment of the earlier lead named and that haven't reported to this one. Those of the
+// directory may hold the partitions that the store assigns to their upstreams.
 func (s State[P]) withAbsentEntries(now bltimer.Instant) State[P] {
 	began := s.authority.PriorExpiredAt
-	if len(s.earlierEntries) == 0 || now.Before(began.Add(s.absentAfter())) {
+	if s.absencesRead || now.Before(began.Add(s.absentAfter())) {
 		return s
 	}
+	s.absencesRead = true
+	s = s.withStoredAbsences()
 	for _, entry := range s.earlierEntries {
 		_, reported := s.members.Get(entry.Node.Name)
 		ownership, ok := s.services.Get(entry.Upstream.Service)
--- a/core/blassign/bench_test.go
+++ b/core/blassign/bench_test.go
@@ -32,6 +32,9 @@
 
 // harness runs a lead's ownership duty against nodes simulated in memory.
 type harness struct {
+	// absent lists the absent hosts that the latest write of a chunk named.
+	absent []blassign.AbsentHolder
+
 	state      blassign.State[blassign.LeastMoves]
 	heartbeats []blassign.Heartbeat
 	now        bltimer.Instant
@@ -51,6 +54,7 @@
 		case blassign.WriteChunk:
 			chunk := e.Chunk
 			chunk.Revision = e.Base + 1
+			h.absent = chunk.Absent
 			h.send(blassign.ChunkWritten{
 				Term: chunk.Term, ID: e.ID, WriteID: chunk.WriteID, Outcome: blplatform.Written, Current: chunk,
 			})
--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -148,7 +148,7 @@
 		Term:    s.authority.Term,
 		Era:     s.authority.Era,
 		WriteID: fmt.Sprintf("%d.%d", s.authority.Term, s.writes),
-		Owners:  owners, Previous: make([]blvalue.UpstreamName, len(owners)),
+		Owners:  owners, Previous: make([]blvalue.UpstreamName, len(owners)), Absent: s.absentHolders(id),
 	}
 	for i, owner := range owners {
 		p := blvalue.Partition(id.Index*ChunkSize + i)
--- a/core/blassign/ownership.go
+++ b/core/blassign/ownership.go
@@ -23,6 +23,17 @@
 	// Previous holds, at the positions of Owners, earlier owners that may not
 	// have stopped using their partitions. It is empty once all have.
 	Previous []blvalue.UpstreamName
+	// Absent lists what upstreams at hosts without a reporting node may hold although
+	// their grants have expired. The next lead watches these hosts.
+	Absent []AbsentHolder
+}
+
+// AbsentHolder is an upstream whose host may be suspended, and the partitions that it may
+// hold after the host resumes.
+type AbsentHolder struct {
+	Host     blvalue.Host
+	Upstream blvalue.UpstreamName
+	Set      blvalue.PartitionSet
 }
 
 // ChunkID identifies one chunk.
--- a/core/blassign/previous.go
+++ b/core/blassign/previous.go
@@ -12,7 +12,8 @@
 const previousCheckInterval = time.Second
 
 // clearPrevious rewrites chunks whose previous owners have all stopped using
-// their partitions, so that the next lead need not wait for them.
+// their partitions, so that the next lead need not wait for them, and chunks that list
+// absent hosts which are no longer watched.
 func (s State[P]) clearPrevious(now bltimer.Instant) (State[P], []Effect) {
 	if now.Sub(s.previousCheckedAt) < previousCheckInterval {
 		return s, nil
@@ -21,7 +22,10 @@
 	var effects []Effect
 	for name, ownership := range s.services.All() {
 		for index, chunk := range ownership.chunks.All() {
-			if chunk.pending != nil || s.isRestored(chunk) || !s.canClearPrevious(ownership, index, chunk, now) {
+			if chunk.pending != nil || s.isRestored(chunk) {
+				continue
+			}
+			if !s.canClearPrevious(ownership, index, chunk, now) && !s.canClearAbsent(chunk) {
 				continue
 			}
 			var write Effect
--- a/core/blassign/state.go
+++ b/core/blassign/state.go
@@ -86,6 +86,9 @@
 	// earlierEntries is the directory that this process had as a node when its term
 	// began, until its nodes have had time to report.
 	earlierEntries []Entry
+	// absencesRead is set once the hosts that were absent under the earlier lead are
+	// recorded.
+	absencesRead bool
 	// self is the incarnation of this process, or empty where it doesn't
 	// matter.
 	self blvalue.Incarnation
--- a/core/blassign/state_test.go
+++ b/core/blassign/state_test.go
@@ -176,7 +176,7 @@
 	chunks := map[int]blassign.Chunk{}
 	for first := 0; first < len(owners); first += blassign.ChunkSize {
 		chunks[first/blassign.ChunkSize] = blassign.Chunk{
-			Revision: 1, Term: 1, Owners: owners[first : first+blassign.ChunkSize],
+			Revision: 1, Term: 1, Owners: owners[first : first+blassign.ChunkSize], Absent: h.absent,
 		}
 	}
 	return chunks
--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -150,8 +150,47 @@
 	// Previous holds, in the same encoding, the earlier owners that may still use
 	// their partitions.
 	Previous []byte `json:"previous,omitempty"`
+	// Absent lists what upstreams at absent hosts may hold.
+	Absent []absentBody `json:"absent,omitempty"`
 }
 
+type absentBody struct {
+	Host     hostBody             `json:"host"`
+	Upstream blvalue.UpstreamName `json:"upstream"`
+	// Partitions is the bitmap of the partitions in little-endian 64-bit words, lowest
+	// partition first.
+	Partitions []byte `json:"partitions"`
+}
+
+func encodeAbsent(holders []blassign.AbsentHolder) []absentBody {
+	var encoded []absentBody
+	for _, holder := range holders {
+		var bitmap []byte
+		for _, word := range holder.Set.Words() {
+			bitmap = binary.LittleEndian.AppendUint64(bitmap, word)
+		}
+		encoded = append(encoded, absentBody{Host: hostBody(holder.Host), Upstream: holder.Upstream, Partitions: bitmap})
+	}
+	return encoded
+}
+
+func decodeAbsent(encoded []absentBody) []blassign.AbsentHolder {
+	var holders []blassign.AbsentHolder
+	for _, body := range encoded {
+		var words []uint64
+		for bitmap := body.Partitions; len(bitmap) >= wordBytes; bitmap = bitmap[wordBytes:] {
+			words = append(words, binary.LittleEndian.Uint64(bitmap))
+		}
+		holders = append(holders, blassign.AbsentHolder{
+			Host: blvalue.Host(body.Host), Upstream: body.Upstream, Set: blvalue.PartitionSetOfWords(words),
+		})
+	}
+	return holders
+}
+
+// wordBytes is the size of a word of an encoded bitmap.
+const wordBytes = 8
+
 // nameTable numbers the names of owners in order of first use, starting at one.
 type nameTable struct {
 	names   []blvalue.UpstreamName
@@ -189,7 +228,7 @@
 	if slices.ContainsFunc(chunk.Previous, func(name blvalue.UpstreamName) bool { return name != "" }) {
 		encoded.Previous = table.encode(chunk.Previous)
 	}
-	encoded.Names = table.names
+	encoded.Names, encoded.Absent = table.names, encodeAbsent(chunk.Absent)
 	body, err := json.Marshal(encoded)
 	if err != nil {
 		return nil, fmt.Errorf("encode chunk: %w", err)
@@ -213,6 +252,7 @@
 	return blassign.Chunk{
 		Revision: entry.Revision, Term: body.Term, Era: body.Era, WriteID: body.WriteID,
 		Owners: decodeOwners(body.Names, body.Owners), Previous: decodeOwners(body.Names, body.Previous),
+		Absent: decodeAbsent(body.Absent),
 	}, nil
 }
 
