bldeliver: classes of calls are recognised by where they enter

Without client accounts, calls that upstreams make while they run a request can't be told from callers' requests. All of them enter at the hosts of one service, callers' requests at the hosts of all.

The node beside the upstream reads the service of the entry host from the header that travels with each order (blupstream.Protocol.Origin), so no more bytes are sent. A class is recognised if its latest requests all came from one service, over at least a second, and if a class distributed like the other classes has such a run with a probability of at most 1e-9. One request from another service ends it. Each change is a log line. Deployments with accounts classify nothing.

--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -31,8 +31,11 @@
 	Deadline bltimer.Instant
 	// Goal is the time by which an answer meets the latency goal, or zero if
 	// there is none.
-	Goal  bltimer.Instant
-	Reply blring.Reply[AcquireAnswer]
+	Goal bltimer.Instant
+	// Origin is the service of the host at which the request entered, or empty if
+	// unknown.
+	Origin blvalue.ServiceName
+	Reply  blring.Reply[AcquireAnswer]
 }
 
 // AcquireAnswer answers Acquire.
@@ -107,8 +110,11 @@
 func (ConfigChanged) deliverMessage() {}
 func (Tick) deliverMessage()          {}
 
-// Effect is an output of the delivery duty: the answer to an Acquire message.
+// Effect is an output of the delivery duty: the answer to an Acquire message, or a change
+// of the recognised calls.
 type Effect struct {
 	Reply  blring.Reply[AcquireAnswer]
 	Answer AcquireAnswer
+	// Calls is set if the effect is no answer but a change of the recognised calls.
+	Calls *CallsChanged
 }
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -19,6 +19,7 @@
 	config    blconfig.Accepted
 	upstreams bltable.Table[blvalue.UpstreamName, UpstreamState]
 	inFlight  bltable.Table[Ticket, inFlightRequest]
+	calls     CallClasses
 	// domain is the failure domain of this node.
 	domain blvalue.DomainName
 	// closed is set when this node ends.
@@ -63,7 +64,7 @@
 func Decide(s State, message Message, now bltimer.Instant) (State, []Effect) {
 	switch m := message.(type) {
 	case Acquire:
-		return s.acquire(m, now)
+		return s.arrive(m, now)
 	case Release:
 		return s.release(m, now)
 	case UpstreamsSeen:
--- a/io/blnode/duty_effects.go
+++ b/io/blnode/duty_effects.go
@@ -185,5 +185,9 @@
 }
 
 func (n *Node) performDeliver(effect bldeliver.Effect) {
+	if effect.Calls != nil {
+		n.stateLog.logCalls(*effect.Calls)
+		return
+	}
 	effect.Reply.Put(effect.Answer)
 }
