bldeliver: calls go before callers' requests

A read holds its slot while its calls run, and fails if one of them isn't served. Calls competed with the callers' requests of the called service, and were refused when they would miss their latency objective.

Recognised calls go first, are refused only for their deadline, and take the place of the last caller's request in a full queue. The slots that the work of calls fills are kept for them, so that a call doesn't wait for the end of a longer request. Refusals are counted by class and limit.

--- a/core/bldeliver/calls.go
+++ b/core/bldeliver/calls.go
@@ -190,6 +190,9 @@
 	}
 	var change *CallsChanged
 	s.calls, change = s.calls.WithRequest(m.Class, m.Origin, now)
+	if s.calls.Contains(m.Class) {
+		m = m.asCall()
+	}
 	s, effects := s.acquire(m, now)
 	if change != nil {
 		effects = append(effects, Effect{Calls: change})
--- a/core/bldeliver/estimate.go
+++ b/core/bldeliver/estimate.go
@@ -32,9 +32,9 @@
 }
 
 // minLatency returns the minimum time in which the request can be expected to be
-// answered, or zero if it has no latency goal.
+// answered, or zero if it is a caller's request without a latency goal.
 func (u UpstreamState) minLatency(a Acquire) time.Duration {
-	if a.Goal == 0 {
+	if a.Goal == 0 && !a.call {
 		return 0
 	}
 	return u.classLatency(a.Class) / minLatencyDivisor
@@ -44,6 +44,9 @@
 // requests ahead of it in the queue, and more urgent ones that arrive in the
 // meantime, have been answered.
 func (u UpstreamState) estimatedWait(a Acquire, now bltimer.Instant) time.Duration {
+	if a.call {
+		return u.callWait(a, now)
+	}
 	load := u.Load()
 	load.Waiting = 0
 	for _, other := range u.queue {
@@ -52,6 +55,9 @@
 		}
 	}
 	wait := time.Duration(float64(load.QueueDelay()) / (1 - u.offeredLoad.UrgentShare(a.Rank, load.Limit)))
+	if u.offeredLoad.Has(callRank) {
+		wait = min(wait, u.reservedWait(a, now))
+	}
 	if u.cold(now) && u.pacer.enabled() {
 		perRequest := time.Duration(float64(time.Second) / u.pacer.perSecond)
 		wait = max(wait, perRequest*time.Duration(load.Waiting+1))
@@ -61,16 +67,17 @@
 
 // tooLate reports whether a request with the given estimated wait should be
 // refused immediately: it can't be answered before its deadline, or it would miss
-// its latency goal after waiting for too much of the time left.
+// its latency goal after waiting for too much of the time left. A call is refused only
+// for its deadline.
 func (u UpstreamState) tooLate(a Acquire, wait time.Duration, now bltimer.Instant) bool {
-	if a.Goal == 0 || wait == 0 {
+	if a.Goal == 0 && !a.call || wait == 0 {
 		return false
 	}
 	start := now.Add(wait)
 	if !start.Add(u.minLatency(a)).Before(a.Deadline) {
 		return true
 	}
-	return !u.meetsGoal(a, start) && wait > a.Deadline.Sub(now)/lateWaitDivisor
+	return !a.call && !u.meetsGoal(a, start) && wait > a.Deadline.Sub(now)/lateWaitDivisor
 }
 
 // withoutTooLate returns the upstream without the queued requests that later
--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -36,6 +36,8 @@
 	// unknown.
 	Origin blvalue.ServiceName
 	Reply  blring.Reply[AcquireAnswer]
+	// call is set if an upstream made the request while it ran another one.
+	call bool
 }
 
 // AcquireAnswer answers Acquire.
@@ -115,6 +117,31 @@
 type Effect struct {
 	Reply  blring.Reply[AcquireAnswer]
 	Answer AcquireAnswer
+	// Class is the class of the request, and Limit the limit for which it was refused.
+	// Both are empty if it was admitted.
+	Class string
+	Limit Limit
 	// Calls is set if the effect is no answer but a change of the recognised calls.
 	Calls *CallsChanged
 }
+
+// Limit names the limit for which a request is refused.
+type Limit string
+
+// The limits.
+const (
+	// LimitState means that the upstream or the node takes no requests, or not this one.
+	LimitState Limit = "state"
+	// LimitQueue means that the queue is full.
+	LimitQueue Limit = "queue"
+	// LimitWait means that the wait is too long for the latency goal or the deadline.
+	LimitWait Limit = "wait"
+	// LimitCalls means that a call of an upstream took the place in the queue.
+	LimitCalls Limit = "calls"
+)
+
+// at returns the refusal with the limit that caused it.
+func (e Effect) at(limit Limit) Effect {
+	e.Limit = limit
+	return e
+}
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -12,6 +12,7 @@
 	upstream blvalue.UpstreamName
 	account  blvalue.AccountName
 	class    string
+	call     bool
 }
 
 // State is the immutable state of the delivery duty.
@@ -80,7 +81,7 @@
 }
 
 func refuse(a Acquire, reason blvalue.RefusalReason, detail string) Effect {
-	return Effect{Reply: a.Reply, Answer: AcquireAnswer{Refusal: blvalue.NotRun(reason, detail)}}
+	return Effect{Reply: a.Reply, Answer: AcquireAnswer{Refusal: blvalue.NotRun(reason, detail)}, Class: a.Class, Limit: LimitState}
 }
 
 // close refuses the waiting requests.
@@ -111,22 +112,24 @@
 	if upstream.announcement.Upstream.Service != m.Service {
 		return s, []Effect{refuse(m, blvalue.ReasonNotOwner, "the upstream is of another service")}
 	}
-	if len(upstream.queue) >= s.config.Plan.Limits.QueueLength {
-		return s, []Effect{refuse(m, blvalue.ReasonOverload, "too many requests wait for the upstream")}
+	if s.full(upstream, m) {
+		return s, []Effect{refuse(m, blvalue.ReasonOverload, "too many requests wait for the upstream").at(LimitQueue)}
 	}
 	if upstream.closed(now) {
 		return s, []Effect{refuse(m, blvalue.ReasonLeaving, "the upstream is leaving")}
 	}
 	upstream.offeredLoad = upstream.offeredLoad.WithWork(m.Rank, upstream.classLatency(m.Class), now)
 	if wait := upstream.estimatedWait(m, now); upstream.tooLate(m, wait, now) {
-		refusal := refuse(m, blvalue.ReasonOverload, "the upstream can't answer in time")
+		refusal := refuse(m, blvalue.ReasonOverload, "the upstream can't answer in time").at(LimitWait)
 		upstream, refusal.Answer.RetryAfter = upstream.withReturn(m, wait, now)
 		s.upstreams = s.upstreams.With(m.Upstream, upstream)
 		refusal.Answer.Load = upstream.Load()
 		return s, []Effect{refusal}
 	}
+	upstream, dropped := s.withRoom(upstream, m, now)
 	upstream.queue = append(upstream.queue[:len(upstream.queue):len(upstream.queue)], m)
-	return s.admitNext(m.Upstream, upstream, now)
+	s, admitted := s.admitNext(m.Upstream, upstream, now)
+	return s, append(dropped, admitted...)
 }
 
 // admitNext admits waiting requests while the upstream has free slots.
@@ -138,9 +141,9 @@
 			break
 		}
 		chosen := upstream.queue[position]
-		upstream = upstream.without(position).withRunning(chosen.Account, 1)
+		upstream = upstream.without(position).withRunning(chosen.Account, 1).withWorkAdmitted(chosen)
 		upstream.pacer = upstream.pacer.WithSent(now)
-		s.inFlight = s.inFlight.With(chosen.Ticket, inFlightRequest{upstream: name, account: chosen.Account, class: chosen.Class})
+		s.inFlight = s.inFlight.With(chosen.Ticket, inFlightRequest{upstream: name, account: chosen.Account, class: chosen.Class, call: chosen.call})
 		effects = append(effects, Effect{
 			Reply: chosen.Reply, Answer: AcquireAnswer{
 				Address: upstream.announcement.Address, Incarnation: upstream.Incarnation(), Load: upstream.Load(),
@@ -161,7 +164,7 @@
 	if !ok {
 		return s, nil
 	}
-	upstream = upstream.withRunning(request.account, -1)
+	upstream = upstream.withRunning(request.account, -1).withWorkEnded(request)
 	switch m.Result {
 	case ResultAnswered:
 		upstream.limiter = upstream.limiter.WithAnswer(m.Latency)
@@ -200,16 +203,16 @@
 		}
 		remaining, tooLate := upstream.withoutTooLate(now)
 		for _, waiting := range tooLate {
-			refusal := refuse(waiting, blvalue.ReasonOverload, "the upstream can no longer answer in time")
+			refusal := refuse(waiting, blvalue.ReasonOverload, "the upstream can no longer answer in time").at(LimitWait)
 			remaining, refusal.Answer.RetryAfter = remaining.withReturn(waiting, upstream.limiter.AverageLatency(), now)
 			refusal.Answer.Load = upstream.Load()
 			effects = append(effects, refusal)
 		}
 		remaining, expired := remaining.withoutExpired(now)
 		for _, waiting := range expired {
-			effects = append(effects, refuse(waiting, blvalue.ReasonTimeout, "no slot came free in time"))
+			effects = append(effects, refuse(waiting, blvalue.ReasonTimeout, "no slot came free in time").at(LimitWait))
 		}
-		if len(expired)+len(tooLate) > 0 || remaining.pacer.enabled() {
+		if len(expired)+len(tooLate) > 0 || remaining.pacer.enabled() || remaining.running < remaining.Limit() {
 			var admitted []Effect
 			s, admitted = s.admitNext(name, remaining, now)
 			effects = append(effects, admitted...)
--- a/io/blnode/duty_effects.go
+++ b/io/blnode/duty_effects.go
@@ -189,5 +189,8 @@
 		n.stateLog.logCalls(*effect.Calls)
 		return
 	}
+	if effect.Answer.Refusal != nil {
+		n.metrics.SlotRefused(effect.Class, string(effect.Limit))
+	}
 	effect.Reply.Put(effect.Answer)
 }
