A refusal for lack of an allowance is followed by another upstream at once

A node that may send an upstream of an unproven version no more requests refuses with the reason version_unproven. No work was done, so the entry node tries another upstream at once and without the retry budget, and backs off after four attempts. The owner of a key is tried again after a backoff, since the lead may allow more. The refusal isn't a failure of the upstream.

--- a/core/blroute/retry_test.go
+++ b/core/blroute/retry_test.go
@@ -43,6 +43,7 @@
 
 func TestStepAfterOverloadOrOwnerChange(t *testing.T) {
 	busy := blvalue.NotRun(blvalue.ReasonOverload, "busy")
+	unproven := blvalue.NotRun(blvalue.ReasonUnproven, "not allowed")
 	moving := blvalue.NotRun(blvalue.ReasonNotOwner, "moving")
 	failed := blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "broke")
 	goal := 400 * time.Millisecond
@@ -54,6 +55,10 @@
 		{"overloaded, not sent", blroute.Failure{Refusal: busy, Retryable: true, Attempt: 1}, blroute.StepOtherUpstream},
 		{"overloaded, not sent, exclusive", blroute.Failure{Refusal: busy, Retryable: true, Attempt: 1, Exclusive: true}, blroute.StepGiveUp},
 		{"overloaded, not sent, overload attempts exhausted", blroute.Failure{Refusal: busy, Retryable: true, Attempt: 4}, blroute.StepGiveUp},
+		{"unproven version, not sent", blroute.Failure{Refusal: unproven, Retryable: true, Attempt: 1}, blroute.StepOtherUpstream},
+		{"unproven version, not sent, others tried", blroute.Failure{Refusal: unproven, Retryable: true, Attempt: 4}, blroute.StepBackoff},
+		{"unproven version, not sent, exclusive", blroute.Failure{Refusal: unproven, Retryable: true, Exclusive: true}, blroute.StepBackoff},
+		{"unproven version, wait limit exceeded", blroute.Failure{Refusal: unproven, Retryable: true, Goal: goal, Waited: goal / 2}, blroute.StepGiveUp},
 		{"shed by the upstream", blroute.Failure{Refusal: busy, Attempt: 1, Sent: 1, MaxAttempts: 2}, blroute.StepBudgetedRetry},
 		{"shed by the upstream, attempts exhausted", blroute.Failure{Refusal: busy, Attempt: 2, Sent: 2, MaxAttempts: 2}, blroute.StepGiveUp},
 		{"owner changing, within the wait limit", blroute.Failure{Refusal: moving, Goal: goal, Waited: goal / 8}, blroute.StepBackoff},
