Routing leaves out upstreams that a roll-out holds back

Held upstreams of shared services are no candidates for first attempts, retries, hedges and the fallback to ejected ones. If all are held, the request is refused as no_upstream. The owner of a key is still found while it is held, until its partitions have moved.

--- a/core/blroute/directory.go
+++ b/core/blroute/directory.go
@@ -63,11 +63,12 @@
 	return d.entries.Get(owners[index])
 }
 
-// Upstreams returns the upstreams of a service that accept new requests.
+// Upstreams returns the upstreams of a service that accept new requests: those that
+// aren't leaving and that no roll-out holds back.
 func (d Directory) Upstreams(service blvalue.ServiceName) []blassign.Entry {
 	var entries []blassign.Entry
 	for _, entry := range d.entries.All() {
-		if entry.Upstream.Service == service && !entry.Upstream.Leaving {
+		if entry.Upstream.Service == service && !entry.Upstream.Leaving && !entry.Held {
 			entries = append(entries, entry)
 		}
 	}
