Nodes count results under a roll-out order and enforce allowances

While the plan has a roll-out order for a service, the delivery duty counts the requests that it sends to each run of an upstream, and by class those answered, failed and slow, from the time at which the node learned of the order. An order written again with the same target goes on with the counts.

An upstream of the target version gets a request only under an allowance of the lead for its run and the order that is neither expired nor used up. Requests that wait are refused as soon as no more may be sent. Without orders nothing is counted and nothing refused.

--- a/core/blconfig/rollout.go
+++ b/core/blconfig/rollout.go
@@ -18,6 +18,12 @@
 	Revision uint64
 }
 
+// RolloutOf returns the roll-out order in force for a service, if there is one.
+func (p Plan) RolloutOf(service blvalue.ServiceName) (RolloutOrder, bool) {
+	order, ok := p.Rollouts[service]
+	return order, ok && p.Exposure.Share > 0
+}
+
 // Exposure limits the requests that the upstreams of an unproven version get, over all
 // nodes.
 type Exposure struct {
--- a/core/bldeliver/announced.go
+++ b/core/bldeliver/announced.go
@@ -9,6 +9,7 @@
 
 func (s State) upstreamsSeen(m UpstreamsSeen, now bltimer.Instant) (State, []Effect) {
 	var effects []Effect
+	s.rollouts = s.rollouts.withAnnounced(m.Announcements, now)
 	for _, a := range m.Announcements {
 		upstream, ok := s.upstreams.Get(a.Upstream.Name)
 		if !ok {
@@ -80,6 +81,7 @@
 		return s, nil
 	}
 	s.config = m.Accepted
+	s.rollouts = s.rollouts.withOrders(m.Accepted.Plan, now)
 	var effects []Effect
 	for name, upstream := range s.upstreams.All() {
 		upstream = s.withBounds(s.withLeaving(upstream, now))
--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -71,6 +71,10 @@
 	Ticket  Ticket
 	Result  Result
 	Latency time.Duration
+	// ServerError is set when the upstream answered with a status of 500 or above, and
+	// Lost when the request was sent and its answer was lost, broken or too late.
+	ServerError bool
+	Lost        bool
 }
 
 // UpstreamsSeen carries the announcements of all local upstreams.
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -12,6 +12,12 @@
 	upstream blvalue.UpstreamName
 	account  blvalue.AccountName
 	class    string
+	// incarnation is the run of the upstream. Order is the revision of the roll-out order
+	// at which the counts began that the request belongs to, or zero.
+	incarnation blvalue.Incarnation
+	order       uint64
+	// cold is set if the upstream was in cold start when the request was sent.
+	cold bool
 }
 
 // State is the immutable state of the delivery duty.
@@ -19,6 +25,7 @@
 	config    blconfig.Accepted
 	upstreams bltable.Table[blvalue.UpstreamName, UpstreamState]
 	inFlight  bltable.Table[Ticket, inFlightRequest]
+	rollouts  Rollouts
 	// domain is the failure domain of this node.
 	domain blvalue.DomainName
 	// closed is set when this node ends.
@@ -70,6 +77,9 @@
 		return s.upstreamsSeen(m, now)
 	case ConfigChanged:
 		return s.configChanged(m, now)
+	case AllowancesSeen:
+		s.rollouts = s.rollouts.withAllowances(m)
+		return s, nil
 	case Close:
 		return s.close()
 	case Tick:
@@ -116,6 +126,9 @@
 	if upstream.closed(now) {
 		return s, []Effect{refuse(m, blvalue.ReasonLeaving, "the upstream is leaving")}
 	}
+	if s.rollouts.left(upstream.announcement.Upstream, now) <= uint64(len(upstream.queue)) {
+		return s, []Effect{refuseUnproven(m, upstream)}
+	}
 	upstream.offeredLoad = upstream.offeredLoad.WithWork(m.Rank, upstream.classLatency(m.Class), now)
 	if wait := upstream.estimatedWait(m, now); upstream.tooLate(m, wait, now) {
 		refusal := refuse(m, blvalue.ReasonOverload, "the upstream can't answer in time")
@@ -128,10 +141,33 @@
 	return s.admitNext(m.Upstream, upstream, now)
 }
 
+// refuseUnproven refuses a request that no allowance covers.
+func refuseUnproven(a Acquire, upstream UpstreamState) Effect {
+	refusal := refuse(a, blvalue.ReasonUnproven, "the upstream may be sent no more requests of a roll-out")
+	refusal.Answer.Load = upstream.Load()
+	return refusal
+}
+
+// refuseUncovered refuses the waiting requests if the upstream may be sent none.
+func (s State) refuseUncovered(upstream UpstreamState, now bltimer.Instant) (UpstreamState, []Effect) {
+	if len(upstream.queue) == 0 || s.rollouts.left(upstream.announcement.Upstream, now) > 0 {
+		return upstream, nil
+	}
+	effects := make([]Effect, 0, len(upstream.queue))
+	for _, waiting := range upstream.queue {
+		effects = append(effects, refuseUnproven(waiting, upstream))
+	}
+	upstream.queue = nil
+	return upstream, effects
+}
+
 // admitNext admits waiting requests while the upstream has free slots.
 func (s State) admitNext(name blvalue.UpstreamName, upstream UpstreamState, now bltimer.Instant) (State, []Effect) {
 	var effects []Effect
 	for {
+		var refused []Effect
+		upstream, refused = s.refuseUncovered(upstream, now)
+		effects = append(effects, refused...)
 		position := upstream.next(now)
 		if position < 0 {
 			break
@@ -139,7 +175,11 @@
 		chosen := upstream.queue[position]
 		upstream = upstream.without(position).withRunning(chosen.Account, 1)
 		upstream.pacer = upstream.pacer.WithSent(now)
-		s.inFlight = s.inFlight.With(chosen.Ticket, inFlightRequest{upstream: name, account: chosen.Account, class: chosen.Class})
+		request := inFlightRequest{
+			upstream: name, account: chosen.Account, class: chosen.Class, incarnation: upstream.Incarnation(), cold: upstream.cold(now),
+		}
+		s.rollouts, request.order = s.rollouts.withSent(upstream.announcement.Upstream)
+		s.inFlight = s.inFlight.With(chosen.Ticket, request)
 		effects = append(effects, Effect{
 			Reply: chosen.Reply, Answer: AcquireAnswer{
 				Address: upstream.announcement.Address, Incarnation: upstream.Incarnation(), Load: upstream.Load(),
@@ -157,6 +197,7 @@
 	}
 	s.inFlight = s.inFlight.Without(m.Ticket)
 	upstream, ok := s.upstreams.Get(request.upstream)
+	s.rollouts = s.rollouts.withResult(request, m, request.cold || ok && upstream.cold(now))
 	if !ok {
 		return s, nil
 	}
@@ -208,7 +249,8 @@
 		for _, waiting := range expired {
 			effects = append(effects, refuse(waiting, blvalue.ReasonTimeout, "no slot came free in time"))
 		}
-		if len(expired)+len(tooLate) > 0 || remaining.pacer.enabled() {
+		uncovered := len(remaining.queue) > 0 && s.rollouts.left(remaining.announcement.Upstream, now) == 0
+		if len(expired)+len(tooLate) > 0 || remaining.pacer.enabled() || uncovered {
 			var admitted []Effect
 			s, admitted = s.admitNext(name, remaining, now)
 			effects = append(effects, admitted...)
