Attempts report whether the answer was an error of the server or lost

The delivery duty needs this for the results of a roll-out. An answer is lost if the request had a connection and the upstream broke off, or didn't answer before the caller's deadline. What the caller cancelled earlier, rejections and failed dials don't count.

--- a/io/blupstream/attempt.go
+++ b/io/blupstream/attempt.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync/atomic"
-	"time"
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/bldeliver"
@@ -27,6 +27,8 @@
 	// connected is set once the request has a connection, after which the
 	// upstream may have received it.
 	connected atomic.Bool
+	// status is that of the upstream's response, or zero while there is none.
+	status int
 	// bodyFailed is set when the caller's body was cut short or exceeded the
 	// limit, which is no failure of the upstream.
 	bodyFailed atomic.Bool
@@ -47,23 +49,39 @@
 		return delivery
 	}
 	if refusal := a.recheck(ctx, startedAt); refusal != nil {
-		a.releaseSlot(bldeliver.ResultUnused, 0)
+		a.releaseSlot(bldeliver.Release{Result: bldeliver.ResultUnused})
 		return refused(refusal)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if refusal := a.acquirePermit(ctx, cancel); refusal != nil {
-		a.releaseSlot(bldeliver.ResultUnused, 0)
+		a.releaseSlot(bldeliver.Release{Result: bldeliver.ResultUnused})
 		return refused(refusal)
 	}
 	defer a.releasePermit()
 	sentAt := a.deliverer.clock.Now()
 	delivery, result := a.send(ctx, slot)
 	delivery.Load = slot.Load
-	a.releaseSlot(result, a.deliverer.clock.Now().Sub(sentAt))
+	now := a.deliverer.clock.Now()
+	a.releaseSlot(bldeliver.Release{
+		Result: result, Latency: now.Sub(sentAt), ServerError: a.status >= http.StatusInternalServerError, Lost: a.lost(ctx, result, now),
+	})
 	return delivery
 }
 
+// lost reports whether the upstream may have received the request and didn't answer it
+// completely, or not in the time that the caller had. What the caller ended earlier isn't
+// the upstream's doing.
+func (a *attempt) lost(ctx context.Context, result bldeliver.Result, now bltimer.Instant) bool {
+	switch {
+	case !a.connected.Load() || result == bldeliver.ResultAnswered:
+		return false
+	case ctx.Err() == nil:
+		return result == bldeliver.ResultFailed
+	}
+	return a.status == 0 && !now.Before(a.deadline)
+}
+
 // acquireSlot waits for a slot at the upstream.
 func (a *attempt) acquireSlot(ctx context.Context, now bltimer.Instant) bldeliver.AcquireAnswer {
 	reply := blring.NewReply[bldeliver.AcquireAnswer]()
@@ -80,7 +98,7 @@
 	}
 	answer, err := reply.Await(ctx)
 	if err != nil {
-		a.releaseSlot(bldeliver.ResultUnused, 0)
+		a.releaseSlot(bldeliver.Release{Result: bldeliver.ResultUnused})
 		return bldeliver.AcquireAnswer{
 			Refusal: blvalue.NotRun(contextReason(ctx), "the request ended while it waited for a slot"),
 		}
@@ -95,10 +113,9 @@
 	return blvalue.ReasonCancelled
 }
 
-func (a *attempt) releaseSlot(result bldeliver.Result, latency time.Duration) {
-	blduty.PutBlocking[bldeliver.Message](a.deliverer.duties.Deliver, bldeliver.Release{
-		Ticket: a.ticket, Result: result, Latency: latency,
-	})
+func (a *attempt) releaseSlot(release bldeliver.Release) {
+	release.Ticket = a.ticket
+	blduty.PutBlocking[bldeliver.Message](a.deliverer.duties.Deliver, release)
 }
 
 // recheck checks after a long wait whether the client key is still valid.
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -44,6 +44,7 @@
 		refusal, result := rejection.refusal()
 		return refused(refusal), result
 	}
+	a.status = response.StatusCode
 	if response.StatusCode >= http.StatusInternalServerError {
 		now := a.deliverer.clock.Now()
 		a.deliverer.failed(Failure{
