The ownership duty holds upstreams back and passes on allowances

AdmissionChanged sets Held in the directory, and the allowances go into the replies to heartbeats of the node run that they are for. Held upstreams are no candidates for placement while the service has others. What the roll-out duty hasn't decided yet stays as it was in the directory, also in that of the earlier lead; an upstream of the target version that wasn't there is held from the start.

Each tick reports the upstreams of services with an order, with the partitions that they own or may still be using, and the latest step that every node has confirmed that may still pass on requests. Results in accepted heartbeats go to the roll-out duty.

--- a/core/blassign/decide.go
+++ b/core/blassign/decide.go
@@ -24,6 +24,8 @@
 		return s.chunkWritten(m, now)
 	case Heartbeat:
 		return s.heartbeat(m, now)
+	case AdmissionChanged:
+		return s.admissionChanged(m, now)
 	case HostProbed:
 		return s.hostProbed(m, now)
 	}
@@ -48,7 +50,7 @@
 		return s, nil
 	}
 	s = s.withoutTermState()
-	s.earlierEntries = m.Entries
+	s.earlierEntries, s.admission.inherited = m.Entries, m.Entries
 	return s, []Effect{LoadConfig{}}
 }
 
--- a/core/blassign/heartbeat.go
+++ b/core/blassign/heartbeat.go
@@ -41,6 +41,10 @@
 		}
 	}
 	reply.Directory = s.directorySince(m.Directory)
+	reply.Allowances = s.allowancesFor(m)
+	if len(m.Results) > 0 {
+		effects = append(effects, ResultsReported{Term: s.authority.Term, Node: m.Node, Results: m.Results})
+	}
 	return s, append([]Effect{AnswerHeartbeat{Reply: m.Reply, HeartbeatReply: reply}}, effects...)
 }
 
@@ -158,11 +162,11 @@
 func (s State[P]) withMember(m Heartbeat, now bltimer.Instant) State[P] {
 	s.members = s.members.With(m.Node.Name, Member{
 		Host: m.Node, LastHeartbeatAt: now, Sequence: m.Sequence, ConfigRevision: m.ConfigRevision, Leaving: m.Leaving, Upstreams: m.Upstreams,
-		ReadsConfig: !m.WantsConfig,
+		ReadsConfig: !m.WantsConfig, Directory: m.Directory,
 	})
 	for _, upstream := range m.Upstreams {
 		if s.ownsName(m.Node, upstream) {
-			s = s.withEntry(Entry{Upstream: upstream.WithLeaving(s.isLeaving(m, upstream)), Node: m.Node})
+			s = s.withEntry(Entry{Upstream: upstream.WithLeaving(s.isLeaving(m, upstream)), Node: m.Node, Held: s.isHeld(upstream)})
 		}
 	}
 	return s
--- a/core/blassign/place.go
+++ b/core/blassign/place.go
@@ -29,6 +29,8 @@
 	s, effects := s.reportPeers(now)
 	s, absent := s.trackAbsences(now)
 	effects = append(effects, absent...)
+	s, view := s.viewRollouts(now)
+	effects = append(effects, view...)
 	if !s.authority.MayChange || !s.priorGrantsExpired(now) || now.Sub(s.lastAttemptAt) < placementInterval {
 		return s, effects
 	}
@@ -200,14 +202,23 @@
 }
 
 // candidates returns the upstreams of a service that are eligible to own
-// partitions, sorted by name.
+// partitions, sorted by name. Those that a roll-out holds back are eligible only if
+// there are no others, so that no key loses its owner.
 func (s State[P]) candidates(service blvalue.ServiceName) []Candidate {
-	var candidates []Candidate
+	var candidates, held []Candidate
 	for name, entry := range s.entries.All() {
 		if entry.Gone || entry.Upstream.Leaving || entry.Upstream.Service != service {
 			continue
 		}
-		candidates = append(candidates, Candidate{Name: name, Weight: s.weight(entry.Entry)})
+		candidate := Candidate{Name: name, Weight: s.weight(entry.Entry)}
+		if entry.Held {
+			held = append(held, candidate)
+			continue
+		}
+		candidates = append(candidates, candidate)
+	}
+	if len(candidates) == 0 {
+		return held
 	}
 	return candidates
 }
--- a/core/blassign/state.go
+++ b/core/blassign/state.go
@@ -24,6 +24,8 @@
 	// depending on the lead for it.
 	ReadsConfig bool
 	Upstreams   []blvalue.Upstream
+	// Directory is the directory version that the node reported.
+	Directory DirectoryVersion
 }
 
 // directoryEntry is an entry with the directory version of its last change.
@@ -86,6 +88,7 @@
 	// earlierEntries is the directory that this process had as a node when its term
 	// began, until its nodes have had time to report.
 	earlierEntries []Entry
+	admission      admission
 	// self is the incarnation of this process, or empty where it doesn't
 	// matter.
 	self blvalue.Incarnation
@@ -135,22 +138,32 @@
 // InForce reports whether the revision is in force on every node that may still
 // admit requests.
 func (s State[P]) InForce(revision uint64, now bltimer.Instant) bool {
-	timing := s.config.Plan.Timing
-	freshness := timing.Freshness + timing.ClockMargin
-	// A node known only to the previous lead may admit requests until its
-	// freshness limit has passed.
-	knowsAll := s.authority.SettledAt(max(s.config.MaxGrantLifetime(), freshness))
-	if now.Before(knowsAll) || s.members.Len() == 0 {
+	if !s.knowsAllNodes(now) {
 		return false
 	}
 	for _, member := range s.members.All() {
-		if now.Sub(member.LastHeartbeatAt) <= freshness && member.ConfigRevision < revision {
+		if s.mayAdmit(member, now) && member.ConfigRevision < revision {
 			return false
 		}
 	}
 	return true
 }
 
+// freshness returns how long after its last heartbeat a node may admit requests.
+func (s State[P]) freshness() time.Duration {
+	return s.config.Plan.Timing.Freshness + s.config.Plan.Timing.ClockMargin
+}
+
+// knowsAllNodes reports whether every node that may admit requests has reported to this
+// lead. A node known only to the previous lead may until its freshness limit has passed.
+func (s State[P]) knowsAllNodes(now bltimer.Instant) bool {
+	return s.members.Len() > 0 && !now.Before(s.authority.SettledAt(max(s.config.MaxGrantLifetime(), s.freshness())))
+}
+
+func (s State[P]) mayAdmit(member Member, now bltimer.Instant) bool {
+	return now.Sub(member.LastHeartbeatAt) <= s.freshness()
+}
+
 // priorGrantsExpired reports whether every grant of an older term has expired.
 func (s State[P]) priorGrantsExpired(now bltimer.Instant) bool {
 	return !now.Before(s.authority.SettledAt(s.config.MaxGrantLifetime()))
--- a/core/blvalue/partition_set.go
+++ b/core/blvalue/partition_set.go
@@ -87,6 +87,16 @@
 	return index < len(s.words) && s.words[index]&(1<<(p%wordBits)) != 0
 }
 
+// Includes reports whether every partition of other is in the set.
+func (s PartitionSet) Includes(other PartitionSet) bool {
+	for i, word := range other.words {
+		if i >= len(s.words) && word != 0 || i < len(s.words) && word&^s.words[i] != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Len returns the number of partitions in the set.
 func (s PartitionSet) Len() int {
 	count := 0
--- a/core/blvalue/value_test.go
+++ b/core/blvalue/value_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -44,6 +45,12 @@
 				}
 			}
 		}
+		if got, want := left.Includes(right), right.Without(left).Len() == 0; got != want {
+			t.Fatalf("Includes: got %t, want %t", got, want)
+		}
+		if !left.Union(right).Includes(left) {
+			t.Fatal("union includes a part: got false, want true")
+		}
 		if got, want := left.Len(), len(leftModel); got != want {
 			t.Fatalf("Len: got %d, want %d", got, want)
 		}
@@ -61,3 +68,27 @@
 	}
 	return set, model
 }
+
+// TestLatencyBucket guards against answers that are counted as faster or slower than their
+// bucket says.
+func TestLatencyBucket(t *testing.T) {
+	cases := []struct {
+		latency time.Duration
+		want    int
+	}{
+		{-time.Millisecond, 0},
+		{0, 0},
+		{time.Millisecond - 1, 0},
+		{time.Millisecond, 1},
+		{2*time.Millisecond - 1, 1},
+		{2 * time.Millisecond, 2},
+		{127 * time.Millisecond, 7},
+		{128 * time.Millisecond, 8},
+		{time.Hour, blvalue.LatencyBuckets - 1},
+	}
+	for _, c := range cases {
+		if got := blvalue.LatencyBucket(c.latency); got != c.want {
+			t.Errorf("bucket of %v: got %d, want %d", c.latency, got, c.want)
+		}
+	}
+}
