Heartbeats carry results of roll-outs, and replies allowances

The sender adds the results that have changed since the lead acknowledged them; one that may be new gets all. Allowances in a reply go to the delivery duty with the time at which the heartbeat was sent. Without an order nothing is added.

Tests: core/blmember, io/blnode and io/blgrpc pass.

--- a/core/blmember/heartbeat.go
+++ b/core/blmember/heartbeat.go
@@ -51,7 +51,18 @@
 	for _, a := range s.Announcements(now) {
 		heartbeat.Upstreams = append(heartbeat.Upstreams, a.Upstream)
 	}
-	return s, []Effect{SendHeartbeat{SentAt: now, To: to, Heartbeat: heartbeat, ListHeld: s.listHeld}}
+	report := s.resultsReport(to)
+	s.reportsAll = report.Reported.Len() == 0
+	return s, []Effect{SendHeartbeat{SentAt: now, To: to, Heartbeat: heartbeat, ListHeld: s.listHeld, Report: report}}
+}
+
+// resultsReport returns which results go to a lead. One that may be new gets all.
+func (s State) resultsReport(to blvalue.Host) ResultsReport {
+	report := ResultsReport{Orders: s.config.Plan.Rollouts}
+	if !s.listHeld && to == s.lead {
+		report.Reported = s.reported
+	}
+	return report
 }
 
 // target returns the recipient of the next heartbeat: the lead in the record. While
@@ -87,9 +98,13 @@
 		s.nextAt = now.Add(retryDelay)
 		return s, nil
 	}
+	s.reported = m.Reported
 	if m.Reply.Term > s.term {
 		s.directory = blassign.DirectoryVersion{}
 	}
+	if m.Reply.Term > s.term && !s.reportsAll {
+		s.reported = ReportedResults{}
+	}
 	s.term = m.Reply.Term
 	s.lead = m.From
 	s.lastContact = m.SentAt
@@ -118,6 +133,9 @@
 		LeadResponded{SentAt: m.SentAt, Term: m.Reply.Term, Lead: m.From},
 		GrantsOffered{Offered: blgrant.OffersReceived{SentAt: m.SentAt, Term: m.Reply.Term, Offers: m.Reply.Offers}},
 	}
+	if len(m.Reply.Allowances) > 0 {
+		effects = append(effects, AllowancesGiven{SentAt: m.SentAt, Term: m.Reply.Term, Allowances: m.Reply.Allowances})
+	}
 	if m.Reply.FetchConfig {
 		effects = append(effects, FetchConfig{From: m.From})
 	}
--- a/core/blmember/messages.go
+++ b/core/blmember/messages.go
@@ -65,6 +65,8 @@
 	Reply  blassign.HeartbeatReply
 	// Failed is set when no answer was received, or none from a lead.
 	Failed bool
+	// Reported holds the results that a lead knows that accepted the heartbeat.
+	Reported ReportedResults
 }
 
 // HeartbeatRequested requests a heartbeat before the interval has elapsed.
@@ -106,7 +108,7 @@
 type Effect interface{ memberEffect() }
 
 // SendHeartbeat sends a heartbeat to the lead. The sender adds the grants that the
-// node holds.
+// node holds, and the results of roll-outs.
 type SendHeartbeat struct {
 	// SentAt is the time from which the durations of the grants in the answer are
 	// counted.
@@ -115,6 +117,8 @@
 	Heartbeat blassign.Heartbeat
 	// ListHeld makes the sender list the partitions that the node holds.
 	ListHeld bool
+	// Report selects the results of roll-outs that the sender adds.
+	Report ResultsReport
 }
 
 // UpstreamsSeen lists the local upstreams of this node.
@@ -123,6 +127,17 @@
 // GrantsOffered passes grants to the grant duty.
 type GrantsOffered struct{ Offered blgrant.OffersReceived }
 
+// AllowancesGiven passes on what the lead allows the node to send to its upstreams of
+// unproven versions.
+type AllowancesGiven struct {
+	// SentAt is when the heartbeat was sent that the lead answered.
+	SentAt     bltimer.Instant
+	Term       uint64
+	Allowances []blvalue.Allowance
+}
+
+func (AllowancesGiven) memberEffect() {}
+
 // ConfigOrigin says from where a node received a configuration.
 type ConfigOrigin string
 
--- a/core/blmember/state.go
+++ b/core/blmember/state.go
@@ -90,8 +90,12 @@
 	// listHeld is set when the next heartbeat has to list the partitions held,
 	// because the lead may be a new one.
 	listHeld bool
-	sequence uint64
-	inFlight bool
+	// reported holds the results that the lead has acknowledged.
+	reported ReportedResults
+	// reportsAll is set if the latest heartbeat carries all results.
+	reportsAll bool
+	sequence   uint64
+	inFlight   bool
 	// heartbeatQueued is set when another heartbeat is due as soon as the one in
 	// flight is answered.
 	heartbeatQueued bool
--- a/io/blnode/heartbeat_work.go
+++ b/io/blnode/heartbeat_work.go
@@ -22,6 +22,8 @@
 	outage *outageLog
 	// loads returns the loads of the local upstreams.
 	loads func() []blassign.UpstreamLoad
+	// results returns the results of the local upstreams under roll-out orders.
+	results func() []blvalue.UpstreamResults
 	// reclaiming reports whether the node takes back what an upstream may hold.
 	reclaiming func() bool
 }
@@ -32,8 +34,8 @@
 // Error implements error.
 func (NotLeadError) Error() string { return "the node isn't lead" }
 
-// perform adds the grants held and the upstreams' loads to a heartbeat and sends
-// it.
+// perform adds the grants held and the upstreams' loads and results to a heartbeat and
+// sends it.
 func (s heartbeatSender) perform(effect blmember.SendHeartbeat) {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
@@ -44,6 +46,7 @@
 			heartbeat := effect.Heartbeat
 			heartbeat.Held = trimHeld(held, effect.ListHeld)
 			heartbeat.Loads = s.loads()
+			heartbeat.Results, answer.Reported = effect.Report.Select(s.results())
 			heartbeat.Reclaiming = s.reclaiming()
 			answer.Reply, err = s.client.Heartbeat(ctx, effect.To.Address, heartbeat)
 			answer.Failed = err != nil
--- a/io/blnode/member_effects.go
+++ b/io/blnode/member_effects.go
@@ -21,6 +21,8 @@
 		n.upstreamsSeen(e)
 	case blmember.GrantsOffered:
 		n.logDropped("grant", n.duties.grant.Put(e.Offered))
+	case blmember.AllowancesGiven:
+		n.logDropped("deliver", n.duties.deliver.Put(bldeliver.AllowancesSeen{SentAt: e.SentAt, Term: e.Term, Allowances: e.Allowances}))
 	case blmember.ConfigChanged:
 		n.configChanged(e)
 	case blmember.ReloadConfig:
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -70,6 +70,7 @@
 	heartbeat := heartbeatSender{
 		client: n.client, grant: func(m blgrant.Message) error { return n.duties.grant.Put(m) },
 		put: func(m blmember.Message) error { return n.duties.member.Put(m) }, loads: n.upstreamLoads,
+		results:    func() []blvalue.UpstreamResults { return n.duties.deliver.View().Results(n.clock.Now()) },
 		reclaiming: func() bool { return n.duties.reconciler.View().Reclaiming() },
 		outage:     n.newOutageLog("heartbeat not answered", "heartbeat answered again"),
 	}
