A node refuses requests for the held upstreams beside it

Routing by an earlier directory, an entry node that is cut off from the lead still sends requests to an upstream that the lead takes for idle. Its own node now refuses them for shared services, so that an upstream is idle once its node has the directory. The owner of a key runs requests until its grant ends.

A heartbeat with results names the directory version that the delivery duty has, not one that is still in its ring. The reason of these refusals and of those for lack of an allowance is held_back (was version_unproven).

--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/blring"
@@ -96,6 +97,11 @@
 
 func (AllowancesSeen) deliverMessage() {}
 
+// DirectoryChanged carries changes to the directory, which say what upstreams are held.
+type DirectoryChanged struct{ Directory blassign.Directory }
+
+func (DirectoryChanged) deliverMessage() {}
+
 // Tick triggers the work that depends on time: it refuses requests that expired,
 // became too late or wait for a closed upstream, and admits requests under the
 // cold-start rate.
--- a/core/bldeliver/rollout.go
+++ b/core/bldeliver/rollout.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/bltable"
@@ -64,6 +65,10 @@
 	allowances bltable.Table[blvalue.Incarnation, receivedAllowance]
 	// term is the latest term of which allowances have been seen.
 	term uint64
+	// held holds the runs of upstreams that are held in the directory of the given
+	// version.
+	held      bltable.Table[blvalue.Incarnation, bool]
+	directory blassign.DirectoryVersion
 }
 
 // withOrders returns the roll-outs under a new configuration. A service whose order is
@@ -165,6 +170,28 @@
 	return r
 }
 
+// withDirectory returns the roll-outs after the lead's changes to the directory.
+func (r Rollouts) withDirectory(changes blassign.Directory) Rollouts {
+	if changes.Full {
+		r.held = bltable.Table[blvalue.Incarnation, bool]{}
+	}
+	for _, entry := range changes.Entries {
+		if entry.Held && !entry.Gone {
+			r.held = r.held.With(entry.Upstream.Incarnation, true)
+			continue
+		}
+		r.held = r.held.Without(entry.Upstream.Incarnation)
+	}
+	r.directory = changes.Version
+	return r
+}
+
+// isHeld reports whether the directory holds the upstream.
+func (r Rollouts) isHeld(upstream blvalue.Upstream) bool {
+	held, _ := r.held.Get(upstream.Incarnation)
+	return held
+}
+
 // left returns how many more requests the node may send to the upstream. Where the
 // service has an order for the upstream's version, that takes a valid allowance.
 func (r Rollouts) left(upstream blvalue.Upstream, now bltimer.Instant) uint64 {
@@ -232,6 +259,20 @@
 	return r
 }
 
+// left returns how many more requests the node may send to an upstream. One that is held
+// gets none, so that no node with an earlier directory reaches it. The owner of a key is
+// sent requests until its grant ends.
+func (s State) left(upstream UpstreamState, now bltimer.Instant) uint64 {
+	run := upstream.announcement.Upstream
+	if s.rollouts.isHeld(run) && s.service(upstream.announcement).Kind != blconfig.ServiceExclusive {
+		return 0
+	}
+	return s.rollouts.left(run, now)
+}
+
+// Directory returns the version of the directory by which this node holds upstreams back.
+func (s State) Directory() blassign.DirectoryVersion { return s.rollouts.directory }
+
 // Results returns the results of the requests that this node sent to its upstreams whose
 // services have a roll-out order. Upstreams that were sent none are listed as well.
 func (s State) Results(now bltimer.Instant) []blvalue.UpstreamResults {
--- a/core/bldeliver/rollout_test.go
+++ b/core/bldeliver/rollout_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blmember"
@@ -15,6 +16,7 @@
 type rolloutNode struct {
 	*node
 	revision uint64
+	kind     blconfig.ServiceKind
 }
 
 func newRolloutNode() *rolloutNode {
@@ -31,7 +33,7 @@
 func (n *rolloutNode) configure(order blconfig.RolloutOrder) {
 	n.revision++
 	plan := blconfig.Plan{
-		Services: map[blvalue.ServiceName]blconfig.Service{"pot": {Name: "pot", Slots: 6}},
+		Services: map[blvalue.ServiceName]blconfig.Service{"pot": {Name: "pot", Kind: n.kind, Slots: 6}},
 		Limits:   blconfig.Limits{QueueLength: 64},
 	}
 	if order.Target != "" {
@@ -187,7 +189,7 @@
 	if !ok || answer.Refusal == nil {
 		t.Fatalf("answer: got %+v, want a refusal", answer)
 	}
-	if got, want := answer.Refusal.Reason, blvalue.ReasonUnproven; got != want || answer.Refusal.Outcome != blvalue.OutcomeNotRun {
+	if got, want := answer.Refusal.Reason, blvalue.ReasonHeldBack; got != want || answer.Refusal.Outcome != blvalue.OutcomeNotRun {
 		t.Errorf("refusal: got %v, want not run, %s", answer.Refusal, want)
 	}
 }
@@ -343,3 +345,47 @@
 		t.Errorf("age: got %s, want %s", got, want)
 	}
 }
+
+// TestHeldUpstream guards against requests from nodes with an earlier directory that reach
+// an upstream which the lead takes for idle, and against keys that lose their owner early.
+func TestHeldUpstream(t *testing.T) {
+	hold := func(n *rolloutNode, held, gone, full bool) {
+		n.send(bldeliver.DirectoryChanged{Directory: blassign.Directory{Full: full, Entries: []blassign.Entry{
+			{Upstream: blvalue.Upstream{Name: "pot_1", Incarnation: "run_1"}, Held: held, Gone: gone},
+		}}})
+	}
+	cases := []struct {
+		name string
+		kind blconfig.ServiceKind
+		run  func(n *rolloutNode)
+		// want is how many of ten requests are sent.
+		want int
+	}{
+		{"not held", blconfig.ServiceShared, func(n *rolloutNode) { hold(n, false, false, false) }, 10},
+		{"held", blconfig.ServiceShared, func(n *rolloutNode) { hold(n, true, false, false) }, 0},
+		{"held, owner of keys", blconfig.ServiceExclusive, func(n *rolloutNode) { hold(n, true, false, false) }, 10},
+		{"held with an allowance", blconfig.ServiceShared, func(n *rolloutNode) {
+			n.configure(orderNew)
+			n.allow(1, 10)
+			hold(n, true, false, false)
+		}, 0},
+		{"released", blconfig.ServiceShared, func(n *rolloutNode) { hold(n, true, false, false); hold(n, false, false, false) }, 10},
+		{"gone from the directory", blconfig.ServiceShared, func(n *rolloutNode) { hold(n, true, false, false); hold(n, true, true, false) }, 10},
+		{"a full directory without it", blconfig.ServiceShared, func(n *rolloutNode) {
+			hold(n, true, false, false)
+			n.send(bldeliver.DirectoryChanged{Directory: blassign.Directory{Full: true}})
+		}, 10},
+		{"another run", blconfig.ServiceShared, func(n *rolloutNode) { hold(n, true, false, false); n.run("run_2", false) }, 10},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := newRolloutNode()
+			n.kind = c.kind
+			n.configure(blconfig.RolloutOrder{})
+			c.run(n)
+			if got := n.serve(10); got != c.want {
+				t.Errorf("requests sent of ten: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -80,6 +80,9 @@
 	case AllowancesSeen:
 		s.rollouts = s.rollouts.withAllowances(m)
 		return s, nil
+	case DirectoryChanged:
+		s.rollouts = s.rollouts.withDirectory(m.Directory)
+		return s, nil
 	case Close:
 		return s.close()
 	case Tick:
@@ -126,8 +129,8 @@
 	if upstream.closed(now) {
 		return s, []Effect{refuse(m, blvalue.ReasonLeaving, "the upstream is leaving")}
 	}
-	if s.rollouts.left(upstream.announcement.Upstream, now) <= uint64(len(upstream.queue)) {
-		return s, []Effect{refuseUnproven(m, upstream)}
+	if s.left(upstream, now) <= uint64(len(upstream.queue)) {
+		return s, []Effect{refuseHeldBack(m, upstream)}
 	}
 	upstream.offeredLoad = upstream.offeredLoad.WithWork(m.Rank, upstream.classLatency(m.Class), now)
 	if wait := upstream.estimatedWait(m, now); upstream.tooLate(m, wait, now) {
@@ -141,21 +144,21 @@
 	return s.admitNext(m.Upstream, upstream, now)
 }
 
-// refuseUnproven refuses a request that no allowance covers.
-func refuseUnproven(a Acquire, upstream UpstreamState) Effect {
-	refusal := refuse(a, blvalue.ReasonUnproven, "the upstream may be sent no more requests of a roll-out")
+// refuseHeldBack refuses a request that no allowance covers.
+func refuseHeldBack(a Acquire, upstream UpstreamState) Effect {
+	refusal := refuse(a, blvalue.ReasonHeldBack, "a roll-out allows the upstream no more requests")
 	refusal.Answer.Load = upstream.Load()
 	return refusal
 }
 
 // refuseUncovered refuses the waiting requests if the upstream may be sent none.
 func (s State) refuseUncovered(upstream UpstreamState, now bltimer.Instant) (UpstreamState, []Effect) {
-	if len(upstream.queue) == 0 || s.rollouts.left(upstream.announcement.Upstream, now) > 0 {
+	if len(upstream.queue) == 0 || s.left(upstream, now) > 0 {
 		return upstream, nil
 	}
 	effects := make([]Effect, 0, len(upstream.queue))
 	for _, waiting := range upstream.queue {
-		effects = append(effects, refuseUnproven(waiting, upstream))
+		effects = append(effects, refuseHeldBack(waiting, upstream))
 	}
 	upstream.queue = nil
 	return upstream, effects
@@ -249,7 +252,7 @@
 		for _, waiting := range expired {
 			effects = append(effects, refuse(waiting, blvalue.ReasonTimeout, "no slot came free in time"))
 		}
-		uncovered := len(remaining.queue) > 0 && s.rollouts.left(remaining.announcement.Upstream, now) == 0
+		uncovered := len(remaining.queue) > 0 && s.left(remaining, now) == 0
 		if len(expired)+len(tooLate) > 0 || remaining.pacer.enabled() || uncovered {
 			var admitted []Effect
 			s, admitted = s.admitNext(name, remaining, now)
--- a/core/blroute/retry.go
+++ b/core/blroute/retry.go
@@ -85,7 +85,7 @@
 		blvalue.ReasonStale, blvalue.ReasonTimeout, blvalue.ReasonCancelled:
 		return StepGiveUp
 	case blvalue.ReasonOverload, blvalue.ReasonLeaving, blvalue.ReasonUnreachable, blvalue.ReasonUpstreamFailed,
-		blvalue.ReasonGrantExpired, blvalue.ReasonUnproven:
+		blvalue.ReasonGrantExpired, blvalue.ReasonHeldBack:
 	}
 	if notRun && f.Retryable {
 		return f.afterUnsent()
@@ -108,8 +108,8 @@
 // afterUnsent returns the step after an attempt that caused no work at any
 // upstream.
 func (f Failure) afterUnsent() Step {
-	if f.Refusal.Reason == blvalue.ReasonUnproven {
-		return f.afterUnproven()
+	if f.Refusal.Reason == blvalue.ReasonHeldBack {
+		return f.afterHeldBack()
 	}
 	overloaded := f.Refusal.Reason == blvalue.ReasonOverload
 	if overloaded && (f.Exclusive || f.Attempt >= maxOverloadAttempts) || f.waitLimitReached() {
@@ -121,10 +121,10 @@
 	return StepBackoff
 }
 
-// afterUnproven returns the step after an attempt at an upstream that may not be sent
-// the request while its version is unproven. The owner of a key may be sent it once the
-// lead allows more, and so may the upstream of a shared service if no other is found.
-func (f Failure) afterUnproven() Step {
+// afterHeldBack returns the step after an attempt at an upstream that a roll-out keeps
+// from running the request. The owner of a key may run it once the lead allows more, and
+// so may the upstream of a shared service if no other is found.
+func (f Failure) afterHeldBack() Step {
 	if f.waitLimitReached() {
 		return StepGiveUp
 	}
--- a/core/blroute/retry_test.go
+++ b/core/blroute/retry_test.go
@@ -43,7 +43,7 @@
 
 func TestStepAfterOverloadOrOwnerChange(t *testing.T) {
 	busy := blvalue.NotRun(blvalue.ReasonOverload, "busy")
-	unproven := blvalue.NotRun(blvalue.ReasonUnproven, "not allowed")
+	unproven := blvalue.NotRun(blvalue.ReasonHeldBack, "not allowed")
 	moving := blvalue.NotRun(blvalue.ReasonNotOwner, "moving")
 	failed := blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "broke")
 	goal := 400 * time.Millisecond
--- a/core/blroute/returns.go
+++ b/core/blroute/returns.go
@@ -30,7 +30,7 @@
 	case blvalue.ReasonStale, blvalue.ReasonNoOwner, blvalue.ReasonNotOwner, blvalue.ReasonNoUpstream,
 		blvalue.ReasonUnreachable, blvalue.ReasonUpstreamFailed, blvalue.ReasonGrantExpired:
 		about = recoveryTime
-	case blvalue.ReasonOverload, blvalue.ReasonRateLimited, blvalue.ReasonUnproven:
+	case blvalue.ReasonOverload, blvalue.ReasonRateLimited, blvalue.ReasonHeldBack:
 		about = briefOverload
 	case blvalue.ReasonMalformed, blvalue.ReasonUnknownRoute, blvalue.ReasonUnknownKey, blvalue.ReasonTimeout,
 		blvalue.ReasonCancelled, blvalue.ReasonLeaving:
--- a/core/blroute/returns_test.go
+++ b/core/blroute/returns_test.go
@@ -21,7 +21,7 @@
 		{"no owner", notRun(blvalue.ReasonNoOwner), 0, 5 * time.Second, 350 * time.Millisecond, 1050 * time.Millisecond},
 		{"little time left", notRun(blvalue.ReasonStale), 0, 300 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond},
 		{"a full queue", notRun(blvalue.ReasonOverload), 0, 5 * time.Second, 50 * time.Millisecond, 150 * time.Millisecond},
-		{"no allowance for an unproven version", notRun(blvalue.ReasonUnproven), 0, 5 * time.Second, 50 * time.Millisecond, 150 * time.Millisecond},
+		{"no allowance for an unproven version", notRun(blvalue.ReasonHeldBack), 0, 5 * time.Second, 50 * time.Millisecond, 150 * time.Millisecond},
 		{"an unknown key", notRun(blvalue.ReasonUnknownKey), 0, 5 * time.Second, 0, 0},
 		{"may have run", blvalue.UnknownOutcome(blvalue.ReasonUnreachable, ""), 0, 5 * time.Second, 0, 0},
 	}
--- a/core/blvalue/request.go
+++ b/core/blvalue/request.go
@@ -60,7 +60,7 @@
 	ReasonTimeout        RefusalReason = "timeout"
 	ReasonCancelled      RefusalReason = "cancelled"
 	ReasonGrantExpired   RefusalReason = "grant_lapsed"
-	ReasonUnproven       RefusalReason = "version_unproven"
+	ReasonHeldBack       RefusalReason = "held_back"
 )
 
 // Refusal is the error response to a request that no upstream answered.
--- a/io/blhttp/attempts.go
+++ b/io/blhttp/attempts.go
@@ -108,7 +108,7 @@
 		return true
 	case blvalue.ReasonMalformed, blvalue.ReasonUnknownRoute, blvalue.ReasonUnknownKey, blvalue.ReasonRateLimited,
 		blvalue.ReasonStale, blvalue.ReasonNoOwner, blvalue.ReasonNotOwner, blvalue.ReasonNoUpstream,
-		blvalue.ReasonLeaving, blvalue.ReasonCancelled, blvalue.ReasonGrantExpired, blvalue.ReasonUnproven:
+		blvalue.ReasonLeaving, blvalue.ReasonCancelled, blvalue.ReasonGrantExpired, blvalue.ReasonHeldBack:
 	}
 	return false
 }
--- a/io/blhttp/refusal.go
+++ b/io/blhttp/refusal.go
@@ -61,7 +61,7 @@
 	case blvalue.ReasonUpstreamFailed, blvalue.ReasonUnreachable:
 		return http.StatusBadGateway
 	case blvalue.ReasonStale, blvalue.ReasonNoOwner, blvalue.ReasonNotOwner, blvalue.ReasonNoUpstream,
-		blvalue.ReasonOverload, blvalue.ReasonLeaving, blvalue.ReasonGrantExpired, blvalue.ReasonUnproven:
+		blvalue.ReasonOverload, blvalue.ReasonLeaving, blvalue.ReasonGrantExpired, blvalue.ReasonHeldBack:
 	}
 	return http.StatusServiceUnavailable
 }
--- a/io/blnode/heartbeat_work.go
+++ b/io/blnode/heartbeat_work.go
@@ -22,8 +22,9 @@
 	outage *outageLog
 	// loads returns the loads of the local upstreams.
 	loads func() []blassign.UpstreamLoad
-	// results returns the results of the local upstreams under roll-out orders.
-	results func() []blvalue.UpstreamResults
+	// results returns the results of the local upstreams under roll-out orders, and the
+	// directory by which the node holds upstreams back.
+	results func() ([]blvalue.UpstreamResults, blassign.DirectoryVersion)
 	// reclaiming reports whether the node takes back what an upstream may hold.
 	reclaiming func() bool
 }
@@ -46,7 +47,13 @@
 			heartbeat := effect.Heartbeat
 			heartbeat.Held = trimHeld(held, effect.ListHeld)
 			heartbeat.Loads = s.loads()
-			heartbeat.Results, answer.Reported = effect.Report.Select(s.results())
+			results, directory := s.results()
+			heartbeat.Results, answer.Reported = effect.Report.Select(results)
+			if len(results) > 0 {
+				// The lead takes a version for the word of this node that its upstreams
+				// are held, so it must not be ahead of the results.
+				heartbeat.Directory = directory
+			}
 			heartbeat.Reclaiming = s.reclaiming()
 			answer.Reply, err = s.client.Heartbeat(ctx, effect.To.Address, heartbeat)
 			answer.Failed = err != nil
--- a/io/blnode/member_effects.go
+++ b/io/blnode/member_effects.go
@@ -31,6 +31,7 @@
 		n.logDropped("fetch", n.workers.fetch.Put(fetchJob{from: e.From, known: n.configInForce}))
 	case blmember.DirectoryChanged:
 		blduty.PutBlocking[blroute.Message](n.duties.route.Put, blroute.DirectoryChanged{Directory: e.Directory})
+		blduty.PutBlocking[bldeliver.Message](n.duties.deliver.Put, bldeliver.DirectoryChanged{Directory: e.Directory})
 	case blmember.NodesChanged:
 		blduty.PutBlocking[bladmit.Message](n.duties.admit.Put, bladmit.NodesChanged{Nodes: e.Nodes})
 		n.logDropped("lead", n.duties.lead.Put(bllead.NodesCounted{Nodes: len(e.Nodes)}))
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -70,7 +70,7 @@
 	heartbeat := heartbeatSender{
 		client: n.client, grant: func(m blgrant.Message) error { return n.duties.grant.Put(m) },
 		put: func(m blmember.Message) error { return n.duties.member.Put(m) }, loads: n.upstreamLoads,
-		results:    func() []blvalue.UpstreamResults { return n.duties.deliver.View().Results(n.clock.Now()) },
+		results:    n.upstreamResults,
 		reclaiming: func() bool { return n.duties.reconciler.View().Reclaiming() },
 		outage:     n.newOutageLog("heartbeat not answered", "heartbeat answered again"),
 	}
@@ -175,6 +175,13 @@
 	return loads
 }
 
+// upstreamResults returns the results of the local upstreams, and the directory version
+// from which on they count.
+func (n *Node) upstreamResults() ([]blvalue.UpstreamResults, blassign.DirectoryVersion) {
+	deliver := n.duties.deliver.View()
+	return deliver.Results(n.clock.Now()), deliver.Directory()
+}
+
 // leadUnavailable reports whether no lead has answered this node in time, or the
 // lead has reported that it doesn't reach the store.
 func (n *Node) leadUnavailable() bool {
