A step of a roll-out doesn't wait for nodes that can't use the old directory

On the users' platform a node admits requests for a minute without a lead. Counting each silent node for that long, and every node that only an earlier lead knew, a roll-out of 12 to 16 s could not be completed in time after a lead or a host was killed. Since each node refuses requests for its own held upstreams, a silent node counts only if it is beside a held upstream of a service without grants. A new lead waits for the grants of the earlier ones.

--- a/core/blassign/admission.go
+++ b/core/blassign/admission.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bltable"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
@@ -172,16 +173,18 @@
 	return list
 }
 
-// confirmedStep returns the latest step of AdmissionChanged whose directory all nodes have
-// that may still pass on requests.
+// confirmedStep returns the latest step of AdmissionChanged by whose directory no held
+// upstream gets a request any more. All nodes that are up must have it. Of those that have
+// been silent, only the nodes beside held upstreams matter, since each node refuses
+// requests for its own held upstreams, and partitions are granted for a time.
 func (s State[P]) confirmedStep(now bltimer.Instant) uint64 {
-	if !s.knowsAllNodes(now) {
+	if !s.priorGrantsExpired(now) || s.members.Len() == 0 || s.unreportedMayRun(now) {
 		return 0
 	}
 	version := s.version
 	for _, member := range s.members.All() {
 		switch {
-		case !s.mayAdmit(member, now):
+		case !s.mustConfirm(member, now):
 		case member.Directory.Term != s.authority.Term:
 			return 0
 		default:
@@ -190,3 +193,31 @@
 	}
 	return s.admission.confirmed(version)
 }
+
+// mustConfirm reports whether the node is up or may still send requests to a held upstream
+// beside it.
+func (s State[P]) mustConfirm(member Member, now bltimer.Instant) bool {
+	timing := s.config.Plan.Timing
+	if now.Sub(member.LastHeartbeatAt) <= timing.GrantTTL+timing.ClockMargin {
+		return true
+	}
+	return s.mayAdmit(member, now) && slices.ContainsFunc(member.Upstreams, s.runsWithoutGrant)
+}
+
+// runsWithoutGrant reports whether the upstream is held and of a service whose requests
+// need no grant.
+func (s State[P]) runsWithoutGrant(upstream blvalue.Upstream) bool {
+	return s.isHeld(upstream) && s.config.Plan.Services[upstream.Service].Kind != blconfig.ServiceExclusive
+}
+
+// unreportedMayRun reports whether a node that only the earlier lead knew may still send
+// requests to a held upstream beside it.
+func (s State[P]) unreportedMayRun(now bltimer.Instant) bool {
+	if !now.Before(s.authority.SettledAt(s.freshness())) {
+		return false
+	}
+	return slices.ContainsFunc(s.admission.inherited, func(e Entry) bool {
+		_, reported := s.members.Get(e.Node.Name)
+		return !reported && s.runsWithoutGrant(e.Upstream)
+	})
+}
--- a/core/blassign/rollout_messages.go
+++ b/core/blassign/rollout_messages.go
@@ -32,8 +32,9 @@
 type RolloutView struct {
 	Term      uint64
 	Upstreams []RolloutUpstream
-	// ConfirmedStep is the latest step of AdmissionChanged whose directory all nodes
-	// have that may still pass on requests.
+	// ConfirmedStep is the latest step of AdmissionChanged by whose directory no held
+	// upstream gets a request any more: all nodes have it that are up, or that may still
+	// send requests to a held upstream beside them.
 	ConfirmedStep uint64
 }
 
