--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/blring"
@@ -76,6 +77,10 @@
 	Ticket  Ticket
 	Result  Result
 	Latency time.Duration
+	// ServerError is set when the upstream answered with a status of 500 or above, and
+	// Lost when the request was sent and its answer was lost, broken or too late.
+	ServerError bool
+	Lost        bool
 }
 
 // UpstreamsSeen carries the announcements of all local upstreams.
@@ -97,6 +102,11 @@
 
 func (AllowancesSeen) deliverMessage() {}
 
+// DirectoryChanged carries changes to the directory, which say what upstreams are held.
+type DirectoryChanged struct{ Directory blassign.Directory }
+
+func (DirectoryChanged) deliverMessage() {}
+
 // Tick triggers the work that depends on time: it refuses requests that expired,
 // became too late or wait for a closed upstream, and admits requests under the
 // cold-start rate.
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -13,6 +13,12 @@
 	account  blvalue.AccountName
 	class    string
 	call     bool
+	// incarnation is the run of the upstream. Order is the revision of the roll-out order
+	// at which the counts began that the request belongs to, or zero.
+	incarnation blvalue.Incarnation
+	order       uint64
+	// cold is set if the upstream was in cold start when the request was sent.
+	cold bool
 }
 
 // State is the immutable state of the delivery duty.
@@ -21,6 +27,7 @@
 	upstreams bltable.Table[blvalue.UpstreamName, UpstreamState]
 	inFlight  bltable.Table[Ticket, inFlightRequest]
 	calls     CallClasses
+	rollouts  Rollouts
 	// domain is the failure domain of this node.
 	domain blvalue.DomainName
 	// closed is set when this node ends.
@@ -72,6 +79,12 @@
 		return s.upstreamsSeen(m, now)
 	case ConfigChanged:
 		return s.configChanged(m, now)
+	case AllowancesSeen:
+		s.rollouts = s.rollouts.withAllowances(m)
+		return s, nil
+	case DirectoryChanged:
+		s.rollouts = s.rollouts.withDirectory(m.Directory)
+		return s, nil
 	case Close:
 		return s.close()
 	case Tick:
@@ -118,6 +131,9 @@
 	if upstream.closed(now) {
 		return s, []Effect{refuse(m, blvalue.ReasonLeaving, "the upstream is leaving")}
 	}
+	if s.left(upstream, now) <= uint64(len(upstream.queue)) {
+		return s, []Effect{refuseHeldBack(m, upstream)}
+	}
 	upstream.offeredLoad = upstream.offeredLoad.WithWork(m.Rank, upstream.classLatency(m.Class), now)
 	if wait := upstream.estimatedWait(m, now); upstream.tooLate(m, wait, now) {
 		refusal := refuse(m, blvalue.ReasonOverload, "the upstream can't answer in time").at(LimitWait)
@@ -132,10 +148,33 @@
 	return s, append(dropped, admitted...)
 }
 
+// refuseHeldBack refuses a request that no allowance covers.
+func refuseHeldBack(a Acquire, upstream UpstreamState) Effect {
+	refusal := refuse(a, blvalue.ReasonHeldBack, "a roll-out allows the upstream no more requests")
+	refusal.Answer.Load = upstream.Load()
+	return refusal
+}
+
+// refuseUncovered refuses the waiting requests if the upstream may be sent none.
+func (s State) refuseUncovered(upstream UpstreamState, now bltimer.Instant) (UpstreamState, []Effect) {
+	if len(upstream.queue) == 0 || s.left(upstream, now) > 0 {
+		return upstream, nil
+	}
+	effects := make([]Effect, 0, len(upstream.queue))
+	for _, waiting := range upstream.queue {
+		effects = append(effects, refuseHeldBack(waiting, upstream))
+	}
+	upstream.queue = nil
+	return upstream, effects
+}
+
 // admitNext admits waiting requests while the upstream has free slots.
 func (s State) admitNext(name blvalue.UpstreamName, upstream UpstreamState, now bltimer.Instant) (State, []Effect) {
 	var effects []Effect
 	for {
+		var refused []Effect
+		upstream, refused = s.refuseUncovered(upstream, now)
+		effects = append(effects, refused...)
 		position := upstream.next(now)
 		if position < 0 {
 			break
@@ -143,7 +182,11 @@
 		chosen := upstream.queue[position]
 		upstream = upstream.without(position).withRunning(chosen.Account, 1).withWorkAdmitted(chosen)
 		upstream.pacer = upstream.pacer.WithSent(now)
-		s.inFlight = s.inFlight.With(chosen.Ticket, inFlightRequest{upstream: name, account: chosen.Account, class: chosen.Class, call: chosen.call})
+		request := inFlightRequest{
+			upstream: name, account: chosen.Account, class: chosen.Class, call: chosen.call, incarnation: upstream.Incarnation(), cold: upstream.cold(now),
+		}
+		s.rollouts, request.order = s.rollouts.withSent(upstream.announcement.Upstream)
+		s.inFlight = s.inFlight.With(chosen.Ticket, request)
 		effects = append(effects, Effect{
 			Reply: chosen.Reply, Answer: AcquireAnswer{
 				Address: upstream.announcement.Address, Incarnation: upstream.Incarnation(), Load: upstream.Load(),
@@ -161,6 +204,7 @@
 	}
 	s.inFlight = s.inFlight.Without(m.Ticket)
 	upstream, ok := s.upstreams.Get(request.upstream)
+	s.rollouts = s.rollouts.withResult(request, m, request.cold || ok && upstream.cold(now))
 	if !ok {
 		return s, nil
 	}
@@ -212,7 +256,8 @@
 		for _, waiting := range expired {
 			effects = append(effects, refuse(waiting, blvalue.ReasonTimeout, "no slot came free in time").at(LimitWait))
 		}
-		if len(expired)+len(tooLate) > 0 || remaining.pacer.enabled() || remaining.running < remaining.Limit() {
+		uncovered := len(remaining.queue) > 0 && s.left(remaining, now) == 0
+		if len(expired)+len(tooLate) > 0 || remaining.pacer.enabled() || uncovered || remaining.running < remaining.Limit() {
 			var admitted []Effect
 			s, admitted = s.admitNext(name, remaining, now)
 			effects = append(effects, admitted...)
--- a/io/blnode/heartbeat_work.go
+++ b/io/blnode/heartbeat_work.go
@@ -22,6 +22,9 @@
 	outage *outageLog
 	// loads returns the loads of the local upstreams.
 	loads func() []blassign.UpstreamLoad
+	// results returns the results of the local upstreams under roll-out orders, and the
+	// directory by which the node holds upstreams back.
+	results func() ([]blvalue.UpstreamResults, blassign.DirectoryVersion)
 	// reclaiming reports whether the node takes back what an upstream may hold.
 	reclaiming func() bool
 }
@@ -32,8 +35,8 @@
 // Error implements error.
 func (NotLeadError) Error() string { return "the node isn't lead" }
 
-// perform adds the grants held and the upstreams' loads to a heartbeat and sends
-// it.
+// perform adds the grants held and the upstreams' loads and results to a heartbeat and
+// sends it.
 func (s heartbeatSender) perform(effect blmember.SendHeartbeat) {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
@@ -44,6 +47,13 @@
 			heartbeat := effect.Heartbeat
 			heartbeat.Held = trimHeld(held, effect.ListHeld)
 			heartbeat.Loads = s.loads()
+			results, directory := s.results()
+			heartbeat.Results, answer.Reported = effect.Report.Select(results)
+			if len(results) > 0 {
+				// The lead takes a version for the word of this node that its upstreams
+				// are held, so it must not be ahead of the results.
+				heartbeat.Directory = directory
+			}
 			heartbeat.Reclaiming = s.reclaiming()
 			answer.Reply, err = s.client.Heartbeat(ctx, effect.To.Address, heartbeat)
 			answer.Failed = err != nil
