--- a/io/blsettings/process.go
+++ b/io/blsettings/process.go
@@ -89,6 +89,14 @@
 	QuotaExcess float64  `toml:"quota_excess"`
 	QuotaWindow Duration `toml:"quota_window"`
 	QuotaSlack  float64  `toml:"quota_slack"`
+	// ExposureShare is the fraction of a service's requests that an unproven version
+	// may get during a roll-out, over all nodes, and ExposureReserve a number of requests
+	// in addition to it. Without a share, the deployment has no roll-outs.
+	ExposureShare   float64 `toml:"exposure_share"`
+	ExposureReserve float64 `toml:"exposure_reserve"`
+	// RollbackTime is how long after a number of failures a faulty version may still
+	// get requests.
+	RollbackTime Duration `toml:"rollback_time"`
 }
 
 // Duration is a time.Duration that is written as text, such as 1500ms or 2.5s.
@@ -117,12 +125,18 @@
 	}
 	optional := map[string]Duration{
 		"shortest_lease": p.ShortestLease, "longest_grant": p.LongestGrant, "drain": p.Drain, "grace": p.Grace, "quota_window": p.QuotaWindow,
+		"rollback_time": p.RollbackTime,
 	}
 	for name, value := range optional {
 		if value < 0 {
 			errs = append(errs, SettingError{Name: "platform." + name, Description: "want no negative time"})
 		}
 	}
+	for name, value := range map[string]float64{"exposure_share": p.ExposureShare, "exposure_reserve": p.ExposureReserve} {
+		if value < 0 {
+			errs = append(errs, SettingError{Name: "platform." + name, Description: "want no negative number"})
+		}
+	}
 	return errs
 }
 
--- a/io/blsettings/process_test.go
+++ b/io/blsettings/process_test.go
@@ -62,6 +62,9 @@
 quota_excess = 0
 quota_window = "2.5s"
 quota_slack = 1.4285
+exposure_share = 0.1
+exposure_reserve = 50
+rollback_time = "5s"
 `
 	settings, err := blsettings.ParseProcess([]byte(validProcess + platform))
 	if err != nil {
