Orders: roll-out orders from the store

Operators order roll-outs by keys of the store, which nothing read. After a restore of the store, orders that it has lost stay in force for 30 s, or until operators write or remove them again.

--- a/core/blconfig/document.go
+++ b/core/blconfig/document.go
@@ -112,7 +112,8 @@
 	// StoredVersion is the version that the store holds. It is earlier than Version
 	// after the store was restored from an older copy.
 	StoredVersion uint64
-	// Held is set while failure domains are held out that the store may not list.
+	// Held is set while failure domains or roll-out orders are held that the store may not
+	// list.
 	Held     bool
 	Document Document
 	// Source is the text from which the configuration was decoded.
--- a/core/blconfig/stored.go
+++ b/core/blconfig/stored.go
@@ -20,13 +20,15 @@
 	Text    string
 	// Out lists the names of the failure domains that must get no work, sorted.
 	Out []string
-	// Held is set where Out holds failure domains that the store may not list.
+	// Orders holds the roll-out orders, sorted by service.
+	Orders []StoredOrder
+	// Held is set where Out or Orders hold what the store may not list.
 	Held bool
 }
 
 // SameContents reports whether both differ in their revisions and Held at most.
 func (s Stored) SameContents(other Stored) bool {
-	return s.Version == other.Version && s.Text == other.Text && slices.Equal(s.Out, other.Out)
+	return s.Version == other.Version && s.Text == other.Text && slices.Equal(s.Out, other.Out) && slices.Equal(s.Orders, other.Orders)
 }
 
 // Latest holds the latest that a node has learned of what operators stored, from the
@@ -40,22 +42,25 @@
 	// doesn't list them.
 	held      []string
 	heldUntil bltimer.Instant
+	// heldOrders holds the roll-out orders that stay in force until ordersHeldUntil
+	// although the store doesn't list them.
+	heldOrders      []heldOrder
+	ordersHeldUntil bltimer.Instant
 }
 
 // WithRead returns the state after a read of the store, and what is in force then: the
-// later one of the two versions of the configuration, and the failure domains that are
-// out in the store or held out.
+// later one of the two versions of the configuration, and the failure domains and
+// roll-out orders that are in the store or held.
 func (l Latest) WithRead(read Stored, now bltimer.Instant) (Latest, Stored) {
 	l = l.withEra(read, now)
 	if blplatform.RevisionEra(read.Revision) == l.era {
 		// What the store lists again is no longer held: it says when that ends.
 		l.held = without(l.held, read.Out)
+		l = l.withListedOrders(read.Orders)
 	}
-	if !now.Before(l.heldUntil) {
-		l.held = nil
-	}
+	l = l.withoutExpired(now)
 	merged := l.withLaterVersion(read)
-	merged.Out, merged.Held = union(read.Out, l.held), len(l.held) > 0
+	merged.Out, merged.Orders, merged.Held = union(read.Out, l.held), l.ordersInForce(read.Orders), l.holds()
 	return l.withStored(merged), merged
 }
 
@@ -63,18 +68,20 @@
 // and what is in force then. The version received may be later although its revision
 // is earlier, if that node has not read the restored store yet. A failure domain that
 // is out there stays out until the store lists it or restoreHold has passed, since the
-// other node may know what the store has lost.
+// other node may know what the store has lost. The same applies to the roll-out orders
+// that the other node holds.
 func (l Latest) WithReceived(received Stored, now bltimer.Instant) (Latest, Stored) {
 	merged := l.withLaterVersion(received)
 	if received.Revision < l.stored.Revision {
 		if received.Version > l.stored.Version {
-			l = l.withHeld(received.Out, now)
+			l = l.withHeld(received.Out, now).withReceivedOrders(received.Orders, now)
 		}
-		merged.Revision, merged.Out, merged.Held = l.stored.Revision, union(l.stored.Out, l.held), len(l.held) > 0
+		merged.Revision, merged.Out, merged.Held = l.stored.Revision, union(l.stored.Out, l.held), l.holds()
+		merged.Orders = l.ordersInForce(l.stored.Orders)
 		return l.withStored(merged), merged
 	}
-	l = l.withEra(received, now).withHeld(received.Out, now)
-	merged.Out, merged.Held = union(received.Out, l.held), len(l.held) > 0
+	l = l.withEra(received, now).withHeld(received.Out, now).withReceivedOrders(received.Orders, now)
+	merged.Out, merged.Orders, merged.Held = union(received.Out, l.held), l.ordersInForce(received.Orders), l.holds()
 	return l.withStored(merged), merged
 }
 
@@ -87,14 +94,8 @@
 	return l
 }
 
-// HoldLeft returns how long failure domains are held out yet, and whether any are. Once
-// nothing of that time is left, the store is to be read again.
-func (l Latest) HoldLeft(now bltimer.Instant) (time.Duration, bool) {
-	return max(l.heldUntil.Sub(now), 0), len(l.held) > 0
-}
-
-// withEra returns the state that holds out all failure domains that are out, if the
-// store was restored before the read.
+// withEra returns the state that holds all failure domains that are out and the roll-out
+// orders that the store has lost, if the store was restored before the read.
 func (l Latest) withEra(read Stored, now bltimer.Instant) Latest {
 	era := blplatform.RevisionEra(read.Revision)
 	if era <= l.era {
@@ -102,6 +103,7 @@
 	}
 	if l.stored.Revision != 0 {
 		l.held, l.heldUntil = union(l.held, l.stored.Out), now.Add(restoreHold)
+		l = l.withLostOrders(read.Orders, now)
 	}
 	l.era = era
 	return l
