Store: record and status of roll-outs

A roll-out needs a durable record that leads replace by compare-and-swap, and a status for operators.

--- a/io/blnode/platform.go
+++ b/io/blnode/platform.go
@@ -12,7 +12,9 @@
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/blplatform"
 	"bergamotlead/core/blreconciler"
+	"bergamotlead/core/blrollout"
 	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blhttp"
 	"bergamotlead/io/blsettings"
 	"bergamotlead/io/blstore"
@@ -38,6 +40,14 @@
 	Send(ctx context.Context, send blreconciler.Send) []blreconciler.Answer
 }
 
+// RolloutStatuses stores the status of roll-outs where operators read it.
+type RolloutStatuses interface {
+	// Revision returns the revision of the status of a service, zero if there is none.
+	Revision(ctx context.Context, service blvalue.ServiceName) (uint64, error)
+	// Replace writes a status if the one of its service is still at the revision.
+	Replace(ctx context.Context, revision uint64, status blrollout.Status) error
+}
+
 // Platform holds the integrations and parameters that differ between the
 // platforms on which a node runs.
 type Platform struct {
@@ -55,6 +65,8 @@
 	Transport http.RoundTripper
 	// Orders is nil on platforms where no upstream keeps its grants itself.
 	Orders OrderSender
+	// Rollouts is nil on platforms without roll-out orders.
+	Rollouts RolloutStatuses
 	// UpstreamAddress is the address at which an upstream that keeps its grants takes
 	// orders before it has announced itself, or empty if it is unknown.
 	UpstreamAddress string
--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -45,6 +45,11 @@
 	return k.region + ".assignment." + string(id.Service) + "." + strconv.Itoa(id.Index)
 }
 
+// Rollout returns the key of the record of a service's latest roll-out.
+func (k Keys) Rollout(service blvalue.ServiceName) string {
+	return k.region + ".rollout." + string(service)
+}
+
 type hostBody struct {
 	Name        blvalue.HostName    `json:"name"`
 	Incarnation blvalue.Incarnation `json:"incarnation"`
