Roll-outs: the decision of the lead about a version

core/blrollout decides which upstreams of a new version get requests and how many, whether the version is good, and when the order is completed or rolled back.

Record.Superseded keeps the upstreams of an order that didn't complete held after a change of lead. Allowance.Node names the run of the node that an allowance is for: another run counts from zero, so that it could send as much again as the earlier run was allowed.

--- /dev/null
+++ b/core/blrollout/completion.go
@@ -0,0 +1,45 @@
+package blrollout
+
+import (
+	"slices"
+
+	"bergamotlead/core/blassign"
+	"bergamotlead/core/bltimer"
+)
+
+// withConfirmation records when all nodes were first known to have the directory with
+// what the roll-out holds.
+func (r rollout) withConfirmation(confirmed uint64, now bltimer.Instant) rollout {
+	switch {
+	case r.heldStep == 0 || confirmed < r.heldStep:
+		r.confirmedAt = 0
+	case r.confirmedAt == 0:
+		r.confirmedAt = now
+	}
+	return r
+}
+
+// mayComplete reports whether the operator may stop the other versions: no node sends
+// them requests any more, none of them runs one, and none may be using a partition.
+func (s Rollouts[J]) mayComplete(r rollout, f fleet, now bltimer.Instant) bool {
+	if r.step != StepHolding || !r.ordered || s.working(f.target) == 0 || !s.knowsFleet(now) {
+		return false
+	}
+	for _, u := range f.others {
+		if !r.isIdle(u) {
+			return false
+		}
+	}
+	return true
+}
+
+// isIdle reports whether an upstream is held, all nodes know it, and its node has reported
+// since that it runs nothing. The report must not have been under way when the last node
+// confirmed, since that node may have passed on a request until then.
+func (r rollout) isIdle(u blassign.RolloutUpstream) bool {
+	if u.Partitions > 0 || !slices.Contains(r.held, u.Upstream.Incarnation) || r.confirmedAt == 0 {
+		return false
+	}
+	report, ok := r.results.Get(grantKey(u))
+	return ok && report.results.Running == 0 && !report.at.Before(r.confirmedAt.Add(reportDelay))
+}
--- /dev/null
+++ b/core/blrollout/fleet_sim_test.go
@@ -0,0 +1,443 @@
+package blrollout_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bergamotlead/core/blassign"
+	"bergamotlead/core/blconfig"
+	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
+)
+
+const (
+	service  = blvalue.ServiceName("pot")
+	simTick  = 20 * time.Millisecond
+	leadTick = 60 * time.Millisecond
+	// coldTime is how long a started upstream is cold, and coldRate the number of requests
+	// that its node passes to it per second meanwhile.
+	coldTime = 3 * time.Second
+	coldRate = 4
+	// freshness is how long a node without an answer of a lead goes on sending.
+	freshness = 2500 * time.Millisecond
+	attempts  = 3
+	// orderAt is when the operator writes the order, to an established lead.
+	orderAt                = 5 * time.Second
+	oldVersion, newVersion = "v1", "v2"
+)
+
+// behaviour is how an upstream answers: the part of the requests that it fails and by
+// what factor it is slower.
+type behaviour func(u *simNode, class string, now time.Duration) (failing, slowness float64)
+
+func healthy(*simNode, string, time.Duration) (float64, float64) { return 0.003, 1 }
+
+// simOptions describes a fleet.
+type simOptions struct {
+	old, added int
+	rate       float64
+	heartbeat  time.Duration
+	duration   time.Duration
+	version    behaviour
+	others     behaviour
+	classes    []simClass
+	startAfter time.Duration
+	seed       uint64
+}
+
+// simClass is a class with its part of the traffic and its usual service time.
+type simClass struct {
+	name  string
+	part  float64
+	usual time.Duration
+}
+
+func defaultClasses() []simClass {
+	return []simClass{{"read", 0.6, 150 * time.Millisecond}, {"write", 0.3, 190 * time.Millisecond}, {"upload", 0.1, 130 * time.Millisecond}}
+}
+
+// simRequest is a request that an upstream runs.
+type simRequest struct {
+	node    *simNode
+	run     int
+	class   string
+	sentAt  time.Duration
+	endsAt  time.Duration
+	failed  bool
+	counted bool
+}
+
+// simNode is a host with a node and an upstream.
+type simNode struct {
+	sim       *fleetSim
+	index     int
+	run       int
+	upstream  blvalue.Upstream
+	host      blvalue.Host
+	startedAt time.Duration
+	behaviour behaviour
+	stopped   bool
+
+	orderSeenAt  time.Duration
+	orderRev     uint64
+	sent         uint64
+	running      int
+	classes      map[string]*blvalue.ClassResults
+	allowance    blvalue.Allowance
+	allowedUntil time.Duration
+	lastColdAt   time.Duration
+
+	// directory is what the node knows of held upstreams: of the lead of term, by step.
+	term, step uint64
+	held       map[blvalue.Incarnation]bool
+	answeredAt time.Duration
+	nextBeatAt time.Duration
+	cutUntil   time.Duration
+}
+
+func (n *simNode) cold(now time.Duration) bool { return now < n.startedAt+coldTime }
+
+func (n *simNode) fresh(now time.Duration) bool { return now < n.answeredAt+freshness }
+
+func (n *simNode) restart(now time.Duration) {
+	n.run++
+	n.host.Incarnation = blvalue.Incarnation(fmt.Sprintf("n%02d.%d", n.index, n.run))
+	n.sent, n.running, n.classes = 0, 0, map[string]*blvalue.ClassResults{}
+	n.allowance, n.allowedUntil, n.orderSeenAt = blvalue.Allowance{}, 0, now
+	n.term, n.step, n.held, n.answeredAt = 0, 0, nil, -freshness
+}
+
+// fleetSim runs nodes with upstreams, leads and a store in simulated time.
+type fleetSim struct {
+	simOptions
+	random   *rand.Rand
+	now      time.Duration
+	order    blconfig.RolloutOrder
+	config   uint64
+	nodes    []*simNode
+	requests []*simRequest
+	leads    []*simLead
+	store    simStore
+	// total counts the requests that reached the service since the order, exposed those
+	// sent to the version, and served those answered without a failure.
+	total, exposed, served, refused int
+	badAt                           []time.Duration
+	lastExposedAt                   time.Duration
+	decided                         []string
+	violations                      []string
+	partitions                      []simPartition
+	mutation                        mutation
+	lossPerThousand                 int
+}
+
+func newFleetSim(o simOptions) *fleetSim {
+	if o.classes == nil {
+		o.classes = defaultClasses()
+	}
+	if o.others == nil {
+		o.others = healthy
+	}
+	if o.version == nil {
+		o.version = healthy
+	}
+	sim := &fleetSim{simOptions: o, random: rand.New(rand.NewPCG(o.seed, 17))}
+	sim.store.sim = sim
+	for i := range o.old + o.added {
+		sim.addNode(i)
+	}
+	return sim
+}
+
+func (sim *fleetSim) addNode(i int) {
+	version, answers, started := oldVersion, sim.others, -time.Hour
+	if i >= sim.old {
+		version, answers, started = newVersion, sim.version, orderAt+sim.startAfter+time.Duration(sim.random.IntN(200))*time.Millisecond
+	}
+	n := &simNode{sim: sim, index: i, startedAt: started, behaviour: answers, answeredAt: -freshness}
+	n.upstream = blvalue.Upstream{
+		Name: blvalue.UpstreamName(fmt.Sprintf("u%02d", i)), Incarnation: blvalue.Incarnation(fmt.Sprintf("u%02d_run", i)),
+		Service: service, Version: version, Slots: 6,
+	}
+	n.host = blvalue.Host{Name: blvalue.HostName(fmt.Sprintf("h%02d", i)), Domain: blvalue.DomainName(fmt.Sprintf("d%d", i%4))}
+	n.restart(0)
+	n.nextBeatAt = max(started, 0) + time.Duration(sim.random.IntN(int(sim.heartbeat)))
+	sim.nodes = append(sim.nodes, n)
+}
+
+func (sim *fleetSim) plan() blconfig.Plan {
+	plan := blconfig.Plan{
+		Services: map[blvalue.ServiceName]blconfig.Service{service: {Name: service}},
+		Domains:  map[blvalue.DomainName]blconfig.DomainState{"d0": "in", "d1": "in", "d2": "in", "d3": "in"},
+		Timing:   blconfig.Timing{Heartbeat: sim.heartbeat, Freshness: freshness, ClockMargin: 50 * time.Millisecond},
+		Exposure: blconfig.Exposure{Share: 0.1, Reserve: 50, RollbackTime: 5 * time.Second},
+		Rollouts: map[blvalue.ServiceName]blconfig.RolloutOrder{},
+	}
+	if sim.order.Target != "" {
+		plan.Rollouts[service] = sim.order
+	}
+	return plan
+}
+
+// writeOrder has the operator store an order, which nodes and leads see at once.
+func (sim *fleetSim) writeOrder(target string) {
+	sim.store.number++
+	sim.order = blconfig.RolloutOrder{Service: service, Target: target, Duration: sim.duration, Revision: sim.store.revision()}
+	sim.configChanged()
+	for _, n := range sim.nodes {
+		if n.orderRev == 0 {
+			n.orderSeenAt = max(sim.now, n.startedAt)
+		}
+		n.orderRev = sim.order.Revision
+	}
+}
+
+func (sim *fleetSim) configChanged() {
+	sim.store.number++
+	sim.config = sim.store.revision()
+	for _, l := range sim.leads {
+		l.configure()
+	}
+}
+
+// runUntil advances the simulation.
+func (sim *fleetSim) runUntil(end time.Duration) {
+	for ; sim.now < end; sim.now += simTick {
+		sim.finishRequests()
+		sim.arrive()
+		sim.store.deliver()
+		for _, n := range sim.nodes {
+			if !n.stopped && sim.now >= n.nextBeatAt && sim.now >= n.startedAt {
+				sim.beat(n)
+			}
+		}
+		for _, l := range sim.leads {
+			l.tick()
+		}
+		sim.movePartitions()
+	}
+}
+
+func (sim *fleetSim) arrive() {
+	expected := sim.rate * simTick.Seconds()
+	count := int(expected)
+	if sim.random.Float64() < expected-float64(count) {
+		count++
+	}
+	for range count {
+		sim.request()
+	}
+}
+
+func (sim *fleetSim) request() {
+	if sim.order.Target != "" {
+		sim.total++
+	}
+	entry := sim.nodes[sim.random.IntN(len(sim.nodes))]
+	if entry.stopped || !entry.fresh(sim.now) {
+		sim.refused++
+		return
+	}
+	class := sim.classes[0]
+	for draw, i := sim.random.Float64(), 0; i < len(sim.classes); i++ {
+		if class = sim.classes[i]; draw < class.part {
+			break
+		}
+		draw -= class.part
+	}
+	tried := map[int]bool{}
+	for range attempts {
+		n := sim.choose(entry, tried)
+		if n == nil {
+			break
+		}
+		tried[n.index] = true
+		if sim.pass(n, class) {
+			return
+		}
+	}
+	sim.refused++
+}
+
+// choose returns an upstream that the entry node doesn't know to be held.
+func (sim *fleetSim) choose(entry *simNode, tried map[int]bool) *simNode {
+	var open []*simNode
+	for _, n := range sim.nodes {
+		known := n.index < sim.old || sim.now >= n.startedAt+sim.heartbeat
+		if !n.stopped && known && !tried[n.index] && !entry.held[n.upstream.Incarnation] {
+			open = append(open, n)
+		}
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	return open[sim.random.IntN(len(open))]
+}
+
+// pass passes a request to the upstream of a node, if the node has an allowance for it.
+func (sim *fleetSim) pass(n *simNode, class simClass) bool {
+	target := sim.order.Target != "" && n.upstream.Version == sim.order.Target
+	if target && !n.allowance.Unlimited && (n.sent >= n.allowance.Requests || sim.now >= n.allowedUntil) {
+		return false
+	}
+	if n.cold(sim.now) {
+		if sim.now < n.lastColdAt+time.Second/coldRate {
+			return false
+		}
+		n.lastColdAt = sim.now
+	}
+	failing, slowness := n.behaviour(n, class.name, sim.now-orderAt)
+	bad := sim.random.Float64() < failing
+	took := time.Duration(float64(class.usual) * (0.8 + 0.6*sim.random.Float64()) * slowness)
+	n.sent++
+	n.running++
+	sim.requests = append(sim.requests, &simRequest{
+		node: n, run: n.run, class: class.name, sentAt: sim.now, endsAt: sim.now + took, failed: bad, counted: !n.cold(sim.now),
+	})
+	if target {
+		sim.exposed++
+		sim.lastExposedAt = sim.now
+	}
+	return true
+}
+
+func (sim *fleetSim) finishRequests() {
+	sim.requests = slices.DeleteFunc(sim.requests, func(q *simRequest) bool {
+		if sim.now < q.endsAt {
+			return false
+		}
+		sim.finish(q)
+		return true
+	})
+}
+
+func (sim *fleetSim) finish(q *simRequest) {
+	slow := q.endsAt-q.sentAt > time.Second
+	if q.node.index >= sim.old && (q.failed || slow) {
+		sim.badAt = append(sim.badAt, sim.now)
+	}
+	if !q.failed {
+		sim.served++
+	}
+	if q.run != q.node.run || q.node.stopped {
+		return
+	}
+	q.node.running--
+	counts, ok := q.node.classes[q.class]
+	if !ok {
+		counts = &blvalue.ClassResults{Class: q.class}
+		q.node.classes[q.class] = counts
+	}
+	counts.Answered++
+	if q.failed {
+		counts.Failed++
+	}
+	if q.counted {
+		bucket := 0
+		for bucket < blvalue.LatencyBuckets-1 && q.endsAt-q.sentAt >= time.Millisecond<<bucket {
+			bucket++
+		}
+		counts.Latency[bucket]++
+	}
+}
+
+// results returns what a node reports.
+func (sim *fleetSim) results(n *simNode) []blvalue.UpstreamResults {
+	if n.orderRev == 0 {
+		return nil
+	}
+	results := blvalue.UpstreamResults{
+		Upstream: n.upstream.Name, Incarnation: n.upstream.Incarnation, Service: service, Version: n.upstream.Version,
+		Order: n.orderRev, OrderAge: sim.now - n.orderSeenAt, Sent: n.sent, Running: n.running,
+	}
+	for _, class := range sim.classes {
+		if counts, ok := n.classes[class.name]; ok {
+			results.Classes = append(results.Classes, *counts)
+		}
+	}
+	return []blvalue.UpstreamResults{results}
+}
+
+// beat sends a heartbeat to the latest lead, and applies its answer.
+func (sim *fleetSim) beat(n *simNode) {
+	n.nextBeatAt = sim.now + sim.heartbeat
+	if n.orderRev == 0 && sim.order.Target != "" {
+		n.orderRev, n.orderSeenAt = sim.order.Revision, sim.now
+	}
+	if sim.now < n.cutUntil || sim.random.IntN(1000) < sim.lossPerThousand {
+		return
+	}
+	for _, l := range slices.Backward(sim.leads) {
+		if !l.holds() {
+			continue
+		}
+		l.heartbeat(n)
+		return
+	}
+}
+
+// simPartition is a partition with its owner and an earlier one that may still use it.
+type simPartition struct {
+	owner, previous *simNode
+	movedAt         time.Duration
+}
+
+// movePartitions has the lead move partitions away from held upstreams.
+func (sim *fleetSim) movePartitions() {
+	lead := sim.lead()
+	if lead == nil {
+		return
+	}
+	for i, p := range sim.partitions {
+		if p.previous != nil && sim.now > p.movedAt+2*sim.heartbeat {
+			p.previous = nil
+		}
+		if p.previous == nil && (p.owner == nil || p.owner.stopped || lead.isHeld(p.owner)) && sim.random.IntN(10) == 0 {
+			if next := sim.nodes[sim.random.IntN(len(sim.nodes))]; !next.stopped && !lead.isHeld(next) && sim.now >= next.startedAt {
+				p = simPartition{owner: next, previous: p.owner, movedAt: sim.now}
+			}
+		}
+		sim.partitions[i] = p
+	}
+}
+
+func (sim *fleetSim) partitionsOf(n *simNode) int {
+	count := 0
+	for _, p := range sim.partitions {
+		if p.owner == n || p.previous == n {
+			count++
+		}
+	}
+	return count
+}
+
+func (sim *fleetSim) instant() bltimer.Instant {
+	// Clocks of processes start some time before the simulation.
+	return bltimer.Instant(sim.now + time.Minute)
+}
+
+func (sim *fleetSim) lead() *simLead {
+	for _, l := range slices.Backward(sim.leads) {
+		if l.holds() {
+			return l
+		}
+	}
+	return nil
+}
+
+func (sim *fleetSim) view(l *simLead) blassign.RolloutView {
+	view := blassign.RolloutView{Term: l.term, ConfirmedStep: l.confirmed()}
+	if sim.order.Target == "" && len(l.lastViewOrder) == 0 {
+		return view
+	}
+	for _, n := range sim.nodes {
+		if n.stopped && sim.partitionsOf(n) == 0 || !l.knows[n.index] {
+			continue
+		}
+		u := n.upstream
+		u.Cold = n.cold(sim.now)
+		view.Upstreams = append(view.Upstreams, blassign.RolloutUpstream{Upstream: u, Node: l.hosts[n.index], Partitions: sim.partitionsOf(n)})
+	}
+	return view
+}
--- a/core/blrollout/messages.go
+++ b/core/blrollout/messages.go
@@ -87,6 +87,9 @@
 	Reserved uint64
 	// Reason says why the roll-out ended.
 	Reason string
+	// Superseded is the target of the preceding order if that didn't complete. Its
+	// upstreams stay held.
+	Superseded string
 	// Term is the term of the lead that wrote the record.
 	Term    uint64
 	WriteID string
--- a/core/blvalue/rollout.go
+++ b/core/blvalue/rollout.go
@@ -41,6 +41,9 @@
 // is unproven.
 type Allowance struct {
 	Incarnation Incarnation
+	// Node is the run of the node that the allowance is for. Another run has counted
+	// nothing of what was sent before and must not get it.
+	Node Incarnation
 	// Order is the revision of the roll-out order.
 	Order uint64
 	// Unlimited is set once the version has passed.
