--- a/io/blstore/rollout_codec.go
+++ b/io/blstore/rollout_codec.go
@@ -16,12 +16,13 @@
 	Target     string              `json:"target"`
 	DurationMS int64               `json:"duration_ms"`
 	// Order is the store's revision of the order.
-	Order    uint64          `json:"order"`
-	Phase    blrollout.Phase `json:"phase"`
-	Reserved uint64          `json:"reserved"`
-	Reason   string          `json:"reason,omitempty"`
-	Term     uint64          `json:"term"`
-	WriteID  string          `json:"write_id"`
+	Order      uint64          `json:"order"`
+	Phase      blrollout.Phase `json:"phase"`
+	Reserved   uint64          `json:"reserved"`
+	Reason     string          `json:"reason,omitempty"`
+	Superseded string          `json:"superseded,omitempty"`
+	Term       uint64          `json:"term"`
+	WriteID    string          `json:"write_id"`
 }
 
 // PhaseError reports a roll-out record with a phase that the system doesn't write.
@@ -49,7 +50,7 @@
 	body, err := json.Marshal(rolloutBody{
 		Service: record.Order.Service, Target: record.Order.Target, DurationMS: record.Order.Duration.Milliseconds(),
 		Order: record.Order.Revision, Phase: record.Phase, Reserved: record.Reserved, Reason: record.Reason,
-		Term: record.Term, WriteID: record.WriteID,
+		Superseded: record.Superseded, Term: record.Term, WriteID: record.WriteID,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode roll-out: %w", err)
@@ -81,7 +82,7 @@
 		Order: blconfig.RolloutOrder{
 			Service: body.Service, Target: body.Target, Duration: time.Duration(body.DurationMS) * time.Millisecond, Revision: body.Order,
 		},
-		Phase: body.Phase, Reserved: body.Reserved, Reason: body.Reason, Term: body.Term, WriteID: body.WriteID,
+		Phase: body.Phase, Reserved: body.Reserved, Reason: body.Reason, Superseded: body.Superseded, Term: body.Term, WriteID: body.WriteID,
 	}, nil
 }
 
