The duty rollout runs on each node

The decision about roll-outs had no thread. The duty gets authority changes, configurations, and the views and results that the duty assign passes on, and ticks while it is busy. Two workers make its calls to the store, one for records and one for statuses.

--- a/io/blnode/config_publish.go
+++ b/io/blnode/config_publish.go
@@ -6,6 +6,7 @@
 	"bergamotlead/core/blduty"
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/blquota"
+	"bergamotlead/core/blrollout"
 )
 
 // configSourceChanged informs the member duty whether this node's own reads of
@@ -35,9 +36,10 @@
 	n.publishConfig(accepted)
 }
 
-// publishConfig passes a configuration to the duties that act for the lead: assign
-// and quota.
+// publishConfig passes a configuration to the duties that act for the lead: assign,
+// rollout and quota.
 func (n *Node) publishConfig(accepted blconfig.Accepted) {
 	blduty.PutBlocking[blassign.Message](n.duties.assign.Put, blassign.ConfigSeen{Accepted: accepted})
+	blduty.PutBlocking[blrollout.Message](n.duties.rollout.Put, blrollout.ConfigSeen{Accepted: accepted})
 	blduty.PutBlocking[blquota.Message](n.duties.quota.Put, blquota.ConfigSeen{Accepted: accepted})
 }
--- a/io/blnode/duties.go
+++ b/io/blnode/duties.go
@@ -12,6 +12,7 @@
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/blquota"
 	"bergamotlead/core/blreconciler"
+	"bergamotlead/core/blrollout"
 	"bergamotlead/core/blroute"
 	"bergamotlead/core/bltimer"
 )
@@ -29,12 +30,14 @@
 type (
 	placement = blassign.LeastMoves
 	selection = blroute.LocalityFirst
+	judge     = blrollout.SequentialTest
 )
 
 // duties are the threads that run the decision functions.
 type duties struct {
 	lead       *blduty.Duty[bllead.State, bllead.Message, bllead.Effect]
 	assign     *blduty.Duty[blassign.State[placement], blassign.Message, blassign.Effect]
+	rollout    *blduty.Duty[blrollout.Rollouts[judge], blrollout.Message, blrollout.Effect]
 	quota      *blduty.Duty[blquota.State, blquota.Message, blquota.Effect]
 	member     *blduty.Duty[blmember.State, blmember.Message, blmember.Effect]
 	grant      *blduty.Duty[blgrant.State, blgrant.Message, blgrant.Effect]
@@ -50,7 +53,8 @@
 			bllead.Decide, n.performLead, n.clock),
 		assign: blduty.New("assign", ringCapacity, blassign.New(placement{}).WithSelf(n.self.Incarnation),
 			blassign.Decide[placement], n.performAssign, n.clock),
-		quota: blduty.New("quota", ringCapacity, blquota.New(), blquota.Decide, n.performQuota, n.clock),
+		rollout: blduty.New("rollout", ringCapacity, blrollout.NewWith(judge{}), blrollout.Decide[judge], n.performRollout, n.clock),
+		quota:   blduty.New("quota", ringCapacity, blquota.New(), blquota.Decide, n.performQuota, n.clock),
 		member: blduty.New("member", ringCapacity, blmember.New(n.self).WithUpstreamTimeouts(n.platform.UpstreamTimeouts),
 			blmember.Decide, n.performMember, n.clock),
 		grant: blduty.New("grant", ringCapacity, blgrant.New(), blgrant.Decide, n.performGrant, n.clock),
@@ -91,6 +95,7 @@
 func (d duties) start() {
 	d.lead.Start()
 	d.assign.Start()
+	d.rollout.Start()
 	d.quota.Start()
 	d.member.Start()
 	d.grant.Start()
@@ -104,6 +109,7 @@
 func (d duties) stop() {
 	d.member.Stop()
 	d.lead.Stop()
+	d.rollout.Stop()
 	d.assign.Stop()
 	d.quota.Stop()
 	d.admit.Stop()
@@ -125,6 +131,9 @@
 		})
 	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.assign.Ring(),
 		func(bltimer.Tick) blassign.Message { return blassign.Tick{} }, n.isLead)
+	bltimer.SubscribeWhile(n.timer, tickPeriod, n.duties.rollout.Ring(),
+		func(bltimer.Tick) blrollout.Message { return blrollout.Tick{} },
+		func() bool { return n.duties.rollout.View().Busy() })
 	// A watch can miss changes when the store compacts its history. The lead
 	// therefore rereads the configuration periodically, and so does a node that
 	// hears from no lead, or only from one that doesn't reach the store.
--- a/io/blnode/duty_effects.go
+++ b/io/blnode/duty_effects.go
@@ -10,6 +10,7 @@
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/blquota"
 	"bergamotlead/core/blreconciler"
+	"bergamotlead/core/blrollout"
 	"bergamotlead/core/blroute"
 	"bergamotlead/core/blvalue"
 )
@@ -46,6 +47,7 @@
 func (n *Node) authorityChanged(authority bllead.Authority) {
 	last := n.duties.assign.View().Authority()
 	blduty.PutBlocking[blassign.Message](n.duties.assign.Put, n.ownershipAuthority(last, authority))
+	blduty.PutBlocking[blrollout.Message](n.duties.rollout.Put, blrollout.AuthorityChanged{Authority: authority})
 	blduty.PutBlocking[blquota.Message](n.duties.quota.Put, blquota.AuthorityChanged{Authority: authority})
 	if n.platform.AllNodesReadConfig && authority.Term != 0 && last.Term != authority.Term {
 		// The configuration in force lets the new lead start before it has read the
@@ -84,6 +86,10 @@
 		n.logDropped("nudge", n.workers.nudge.Put(e))
 	case blassign.ProbeHosts:
 		n.logDropped("probe", n.workers.probe.Put(e))
+	case blassign.RolloutView:
+		n.logDropped("rollout", n.duties.rollout.Put(blrollout.ViewSeen{View: e}))
+	case blassign.ResultsReported:
+		n.logDropped("rollout", n.duties.rollout.Put(blrollout.ResultsSeen{Reported: e}))
 	case blassign.WithholdingChanged:
 		n.stateLog.logWithholding(e)
 	case blassign.LoadChunk, blassign.WriteChunk:
--- a/io/blnode/stop_test.go
+++ b/io/blnode/stop_test.go
@@ -38,6 +38,16 @@
 
 // startLoneNode starts a node without a store, a lead or a configuration.
 func startLoneNode(t *testing.T) *Node {
+	t.Helper()
+	n := newLoneNode(t)
+	if err := n.Start(t.Context()); err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	return n
+}
+
+// newLoneNode returns such a node that isn't running.
+func newLoneNode(t *testing.T) *Node {
 	t.Helper()
 	settings := blsettings.Process{
 		Host: "lone", Region: "west", Domain: "west_a", Store: freeAddress(t),
@@ -48,9 +58,6 @@
 	if err != nil {
 		t.Fatalf("new node: %v", err)
 	}
-	if err := n.Start(t.Context()); err != nil {
-		t.Fatalf("start: %v", err)
-	}
 	return n
 }
 
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -11,6 +11,7 @@
 	"bergamotlead/core/bllead"
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/blreconciler"
+	"bergamotlead/core/blrollout"
 	"bergamotlead/core/blvalue"
 )
 
@@ -23,22 +24,25 @@
 
 // workers are the threads that make blocking calls to other processes.
 type workers struct {
-	lease      *blduty.Worker[bllead.Effect]
-	record     *blduty.Worker[bllead.Effect]
-	peer       *blduty.Worker[bllead.Effect]
-	assign     *blduty.Worker[blassign.Effect]
-	watch      *blduty.Worker[watchJob]
-	heartbeat  *blduty.Worker[blmember.SendHeartbeat]
-	borrow     *blduty.Worker[bladmit.Borrow]
-	delegates  delegateWorkers
-	nudge      *blduty.Worker[blassign.Nudge]
-	probe      *blduty.Worker[blassign.ProbeHosts]
-	upstream   *blduty.Worker[grantJob]
-	reconciler *blduty.Worker[blreconciler.Send]
-	release    *blduty.Worker[blreconciler.Release]
-	reclaim    *blduty.Worker[blreconciler.Reclaim]
-	reload     *blduty.Worker[reloadJob]
-	fetch      *blduty.Worker[fetchJob]
+	lease   *blduty.Worker[bllead.Effect]
+	record  *blduty.Worker[bllead.Effect]
+	peer    *blduty.Worker[bllead.Effect]
+	assign  *blduty.Worker[blassign.Effect]
+	rollout *blduty.Worker[blrollout.Effect]
+	// rolloutStatus is a worker of its own, so that statuses don't delay records.
+	rolloutStatus *blduty.Worker[blrollout.Effect]
+	watch         *blduty.Worker[watchJob]
+	heartbeat     *blduty.Worker[blmember.SendHeartbeat]
+	borrow        *blduty.Worker[bladmit.Borrow]
+	delegates     delegateWorkers
+	nudge         *blduty.Worker[blassign.Nudge]
+	probe         *blduty.Worker[blassign.ProbeHosts]
+	upstream      *blduty.Worker[grantJob]
+	reconciler    *blduty.Worker[blreconciler.Send]
+	release       *blduty.Worker[blreconciler.Release]
+	reclaim       *blduty.Worker[blreconciler.Reclaim]
+	reload        *blduty.Worker[reloadJob]
+	fetch         *blduty.Worker[fetchJob]
 }
 
 func (n *Node) newWorkers() {
@@ -59,6 +63,7 @@
 		put:       func(m blassign.Message) error { return n.duties.assign.Put(m) },
 		countCall: n.metrics.StoreCall,
 	}
+	rollout := n.newRolloutStore()
 	current := &currentWatch{}
 	watch := configWatcher{
 		current: current,
@@ -83,20 +88,22 @@
 		outage: n.newOutageLog("delegate didn't answer", "delegates answer again"),
 	}
 	n.workers = workers{
-		lease:      blduty.NewWorker("lease", shortQueueCapacity, lead.perform),
-		record:     blduty.NewWorker("record", shortQueueCapacity, lead.perform),
-		peer:       blduty.NewWorker("peer", shortQueueCapacity, peer.perform),
-		assign:     blduty.NewWorker("assign", longQueueCapacity, assign.perform),
-		watch:      blduty.NewWorker("watch", 1, watch.perform),
-		heartbeat:  blduty.NewWorker("heartbeat", 1, heartbeat.perform),
-		borrow:     blduty.NewWorker("borrow", 1, borrow.perform),
-		delegates:  newDelegateWorkers(delegate.perform),
-		nudge:      blduty.NewWorker("nudge", shortQueueCapacity, nudgeSender{nudge: n.client.Nudge}.perform),
-		probe:      blduty.NewWorker("probe", 1, hostProber{put: func(m blassign.Message) error { return n.duties.assign.Put(m) }}.perform),
-		upstream:   blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock).perform),
-		reconciler: blduty.NewWorker("reconciler", 1, n.sendOrders),
-		release:    blduty.NewWorker("release", 1, n.release),
-		reclaim:    blduty.NewWorker("reclaim", 1, n.reclaim),
+		lease:         blduty.NewWorker("lease", shortQueueCapacity, lead.perform),
+		record:        blduty.NewWorker("record", shortQueueCapacity, lead.perform),
+		peer:          blduty.NewWorker("peer", shortQueueCapacity, peer.perform),
+		assign:        blduty.NewWorker("assign", longQueueCapacity, assign.perform),
+		rollout:       blduty.NewWorker("rollout", longQueueCapacity, rollout.perform),
+		rolloutStatus: blduty.NewWorker("rollout_status", longQueueCapacity, rollout.perform),
+		watch:         blduty.NewWorker("watch", 1, watch.perform),
+		heartbeat:     blduty.NewWorker("heartbeat", 1, heartbeat.perform),
+		borrow:        blduty.NewWorker("borrow", 1, borrow.perform),
+		delegates:     newDelegateWorkers(delegate.perform),
+		nudge:         blduty.NewWorker("nudge", shortQueueCapacity, nudgeSender{nudge: n.client.Nudge}.perform),
+		probe:         blduty.NewWorker("probe", 1, hostProber{put: func(m blassign.Message) error { return n.duties.assign.Put(m) }}.perform),
+		upstream:      blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock).perform),
+		reconciler:    blduty.NewWorker("reconciler", 1, n.sendOrders),
+		release:       blduty.NewWorker("release", 1, n.release),
+		reclaim:       blduty.NewWorker("reclaim", 1, n.reclaim),
 		reload: blduty.NewWorker("reload", 1, configReloader{
 			source: n.platform.Config, onConfig: n.publishLocalConfig, onRead: n.configSourceChanged,
 			inForce: n.configInForce, onMissed: current.restart,
@@ -110,6 +117,19 @@
 	}
 }
 
+// newRolloutStore returns what performs the rollout duty's calls to the store.
+func (n *Node) newRolloutStore() rolloutStore {
+	return rolloutStore{
+		store: n.store, statuses: n.platform.Rollouts, keys: n.keys, clock: n.clock, leaseTTL: n.leaseTTL,
+		authority: func() bllead.Authority { return n.duties.assign.View().Authority() },
+		put:       func(m blrollout.Message) { blduty.PutBlocking(n.duties.rollout.Put, m) },
+		countCall: n.metrics.StoreCall, logger: n.logger,
+		reads:        n.newOutageLog("record of a roll-out not read", "record of a roll-out read again"),
+		writes:       n.newOutageLog("record of a roll-out not written", "record of a roll-out written again"),
+		statusWrites: n.newOutageLog("status of a roll-out not written", "status of a roll-out written again"),
+	}
+}
+
 func (n *Node) newOutageLog(lost, regained string) *outageLog {
 	return newOutageLog(n.logger, n.clock, lost, regained)
 }
@@ -119,6 +139,8 @@
 	w.record.Start()
 	w.peer.Start()
 	w.assign.Start()
+	w.rollout.Start()
+	w.rolloutStatus.Start()
 	w.watch.Start()
 	w.heartbeat.Start()
 	w.borrow.Start()
@@ -140,6 +162,8 @@
 	w.record.Stop()
 	w.peer.Stop()
 	w.assign.Stop()
+	w.rollout.Stop()
+	w.rolloutStatus.Stop()
 	w.heartbeat.Stop()
 	w.borrow.Stop()
 	w.delegates.stop()
