--- a/cmd/bergamotctl/show.go
+++ b/cmd/bergamotctl/show.go
@@ -67,9 +67,25 @@
 		t.printf("%s\t%s\t%s\t%d\t%d ms ago\t%t\n",
 			m.Host, m.Domain, m.Address, m.ConfigRevision, m.HeardAgoMS, m.Leaving)
 	}
+	for _, r := range status.Rollouts {
+		printRollout(t, r)
+	}
 	return t.flush()
 }
 
+func printRollout(t *table, r bloperator.Rollout) {
+	t.printf("\nroll-out\t%s to %s\nstate\t%s\nstep\t%s\nage\t%d of %d ms\ncanaries\t%d\n",
+		r.Service, r.Target, r.State, r.Step, r.AgeMS, r.DurationMS, r.Canaries)
+	t.printf("requests\t%d of %d\nallowed\t%d\nreserved\t%d of %d\n", r.Exposed, r.Requests, r.Allowed, r.Reserved, r.Limit)
+	if r.Reason != "" {
+		t.printf("reason\t%s\n", r.Reason)
+	}
+	t.printf("version\tclass\tanswered\tfailed\tslow\n")
+	for _, results := range r.Results {
+		t.printf("%s\t%s\t%d\t%d\t%d\n", results.Version, results.Class, results.Answered, results.Failed, results.Slow)
+	}
+}
+
 type assignmentCommand struct {
 	Service string `arg:"" help:"Service that is partitioned by key."`
 	Key     string `help:"Show only the owner of this key."`
--- a/io/blnode/member_effects.go
+++ b/io/blnode/member_effects.go
@@ -79,6 +79,7 @@
 	blduty.PutBlocking[bladmit.Message](n.duties.admit.Put, bladmit.ConfigChanged{Accepted: accepted})
 	blduty.PutBlocking[blroute.Message](n.duties.route.Put, blroute.ConfigChanged{Accepted: accepted})
 	blduty.PutBlocking[bldeliver.Message](n.duties.deliver.Put, bldeliver.ConfigChanged{Accepted: accepted})
+	n.addRolloutGauges(accepted.Plan)
 	timing := accepted.Plan.Timing
 	blduty.PutBlocking[bllead.Message](n.duties.lead.Put, bllead.TimingChanged{Timing: bllead.Timing{
 		Lease: timing.LeadLease, GrantTTL: timing.GrantTTL, ClockMargin: timing.ClockMargin,
--- a/io/blnode/status.go
+++ b/io/blnode/status.go
@@ -26,6 +26,7 @@
 	status.Standby = authority.Standby.Name
 	status.MayChange = authority.MayChange
 	status.Moves = assign.Moves()
+	status.Rollouts = n.rolloutStatus()
 	for _, m := range assign.Members() {
 		entry := bloperator.Member{
 			Host: m.Host.Name, Domain: m.Host.Domain, Address: m.Host.Address, ConfigRevision: m.ConfigRevision,
--- a/io/bloperator/status.go
+++ b/io/bloperator/status.go
@@ -32,6 +32,45 @@
 	Members []Member `json:"members,omitempty"`
 	// Moves is set on the lead: the number of partitions moved in its term.
 	Moves uint64 `json:"moves,omitempty"`
+	// Rollouts is set on the lead.
+	Rollouts []Rollout `json:"rollouts,omitempty"`
+}
+
+// Rollout is the lead's view of the roll-out of a service.
+type Rollout struct {
+	Service blvalue.ServiceName `json:"service"`
+	Target  string              `json:"target"`
+	// State is running, completed or rolled_back, as in the store, or empty until it is
+	// known there.
+	State string `json:"state"`
+	// Step is what the lead does at present.
+	Step       string `json:"step"`
+	AgeMS      int64  `json:"age_ms"`
+	DurationMS int64  `json:"duration_ms"`
+	// Canaries is the number of upstreams of the version that were released first.
+	Canaries int `json:"canaries"`
+	// Requests counts the requests of the service since the order, and Exposed those of
+	// them that the version got.
+	Requests uint64 `json:"requests"`
+	Exposed  uint64 `json:"exposed"`
+	// Reserved is the number of requests that leads reserved for the version in the
+	// store, Allowed what this lead has allowed of them, and Limit the highest number
+	// that may be reserved at present.
+	Reserved uint64           `json:"reserved"`
+	Allowed  uint64           `json:"allowed"`
+	Limit    uint64           `json:"limit"`
+	Reason   string           `json:"reason,omitempty"`
+	Results  []RolloutResults `json:"results,omitempty"`
+}
+
+// RolloutResults are the results of the target version or of all others in one class.
+type RolloutResults struct {
+	// Version is target or other.
+	Version  string `json:"version"`
+	Class    string `json:"class"`
+	Answered uint64 `json:"answered"`
+	Failed   uint64 `json:"failed"`
+	Slow     uint64 `json:"slow"`
 }
 
 // Upstream is an upstream on the node's host.
