An order written again doesn't stop requests while nodes learn of it

A lead that knows the later revision first gives allowances for it, which a node with the earlier one can't use. They replaced the allowance in use, so that the node refused all requests to upstreams of the target until it had read the order. It now keeps the allowance that it can use.

--- a/core/bldeliver/rollout.go
+++ b/core/bldeliver/rollout.go
@@ -153,9 +153,11 @@
 	return false
 }
 
-// withAllowances returns the roll-outs after an answer of a lead. Answers of leads before
-// the latest one are ignored.
-func (r Rollouts) withAllowances(m AllowancesSeen) Rollouts {
+// withAllowances returns the roll-outs after an answer of a lead to a node whose upstreams
+// are of the given services. Answers of leads before the latest one are ignored. One for an
+// order that the node doesn't know yet leaves the allowance for the present order: the
+// later order may have the same target.
+func (r Rollouts) withAllowances(m AllowancesSeen, services map[blvalue.Incarnation]blvalue.ServiceName) Rollouts {
 	if m.Term < r.term {
 		return r
 	}
@@ -163,6 +165,10 @@
 	for _, given := range m.Allowances {
 		received := receivedAllowance{Allowance: given, term: m.Term, sentAt: m.SentAt}
 		current, ok := r.allowances.Get(given.Incarnation)
+		order, ordered := r.orders.Get(services[given.Incarnation])
+		if ok && ordered && order.covers(current.Order) && given.Order > order.Revision {
+			continue
+		}
 		if !ok || current.replacedBy(received) {
 			r.allowances = r.allowances.With(given.Incarnation, received)
 		}
@@ -270,6 +276,15 @@
 	return s.rollouts.left(run, now)
 }
 
+func (s State) allowancesSeen(m AllowancesSeen) State {
+	services := map[blvalue.Incarnation]blvalue.ServiceName{}
+	for _, upstream := range s.upstreams.All() {
+		services[upstream.Incarnation()] = upstream.announcement.Upstream.Service
+	}
+	s.rollouts = s.rollouts.withAllowances(m, services)
+	return s
+}
+
 // Directory returns the version of the directory by which this node holds upstreams back.
 func (s State) Directory() blassign.DirectoryVersion { return s.rollouts.directory }
 
--- a/core/bldeliver/rollout_test.go
+++ b/core/bldeliver/rollout_test.go
@@ -166,6 +166,16 @@
 			n.give(1, blvalue.Allowance{Incarnation: "run_1", Order: 5, Unlimited: true})
 			n.allow(1, 4)
 		}, 4},
+		{"the lead knows first that the order was written again", func(n *rolloutNode) {
+			n.configure(orderNew)
+			n.give(1, blvalue.Allowance{Incarnation: "run_1", Order: 5, Unlimited: true})
+			n.give(1, blvalue.Allowance{Incarnation: "run_1", Order: 6, Unlimited: true})
+		}, 10},
+		{"the node knows first that the order was written again", func(n *rolloutNode) {
+			n.configure(orderNew)
+			n.configure(blconfig.RolloutOrder{Target: "new", Revision: 6})
+			n.allow(1, 4)
+		}, 4},
 		{"the order was removed", func(n *rolloutNode) { n.configure(orderNew); n.configure(blconfig.RolloutOrder{}) }, 10},
 	}
 	for _, c := range cases {
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -78,8 +78,7 @@
 	case ConfigChanged:
 		return s.configChanged(m, now)
 	case AllowancesSeen:
-		s.rollouts = s.rollouts.withAllowances(m)
-		return s, nil
+		return s.allowancesSeen(m), nil
 	case DirectoryChanged:
 		s.rollouts = s.rollouts.withDirectory(m.Directory)
 		return s, nil
