Roll-outs: model check under faults, and what it found

The model runs random schedules of leads, lost and late messages, store writes that are lost, unresolved or late, restarted and cut off nodes, and orders written again or removed, also with a store that loses its latest writes. It checks the exposure against the reservation, that no order reaches both ends, and that none is completed while another version runs a request, has a partition or may get a request.

It found two faults. A lead that read a completed record reported it although nodes had sent requests to old upstreams since: it now verifies first that they are idle. And upstreams of a service whose order was removed were released as soon as the view no longer listed them.

--- a/core/blrollout/admission.go
+++ b/core/blrollout/admission.go
@@ -46,7 +46,8 @@
 		return true
 	}
 	for _, r := range s.services.All() {
-		if r.order.Target != "" && (!r.stored.loaded || !s.settled(r, s.fleetOf(r), now)) {
+		known := r.stored.loaded && (r.isFinal() || s.settled(r, s.fleetOf(r), now))
+		if r.order.Target != "" && !known {
 			return false
 		}
 	}
@@ -67,6 +68,10 @@
 	if r.order.Target == "" {
 		return nil
 	}
+	if !r.ordered && len(f.target)+len(f.others) == 0 {
+		// The view no longer has the upstreams of a service without an order.
+		return r.held
+	}
 	var held []blvalue.Incarnation
 	for _, u := range f.target {
 		if !s.serves(r, u) {
@@ -74,7 +79,8 @@
 		}
 	}
 	for _, u := range f.others {
-		if s.holdsOther(r, f, u) {
+		// Of an owner whose node hasn't reported in this term only the name is known.
+		if u.Upstream.Incarnation != "" && s.holdsOther(r, f, u) {
 			held = append(held, u.Upstream.Incarnation)
 		}
 	}
@@ -88,21 +94,23 @@
 	case StepCanaries, StepPartial:
 		_, ok := r.serving.Get(u.Upstream.Incarnation)
 		return ok || r.aloneSince != 0 && !r.sawOthers
-	case StepReleased, StepHolding, StepCompleted:
+	case StepReleased, StepHolding, StepCompleted, StepEnded:
 		return true
 	case StepWithdrawn:
 	}
 	return false
 }
 
-// holdsOther reports whether an upstream of another version gets no requests. An ended
+// holdsOther reports whether an upstream of another version gets no requests. A completed
 // order holds none where no upstream of its version is left to serve.
 func (s Rollouts[J]) holdsOther(r rollout, f fleet, u blassign.RolloutUpstream) bool {
 	switch r.step {
 	case StepHolding:
 		return true
 	case StepCompleted:
-		return r.ordered && s.working(f.target) > 0
+		return s.working(f.target) > 0
+	case StepEnded:
+		return false
 	case StepCanaries, StepPartial, StepReleased, StepWithdrawn:
 	}
 	_, superseded := r.superseded.Get(u.Upstream.Version)
--- a/core/blrollout/completion.go
+++ b/core/blrollout/completion.go
@@ -22,7 +22,19 @@
 // mayComplete reports whether the operator may stop the other versions: no node sends
 // them requests any more, none of them runs one, and none may be using a partition.
 func (s Rollouts[J]) mayComplete(r rollout, f fleet, now bltimer.Instant) bool {
-	if r.step != StepHolding || !r.ordered || s.working(f.target) == 0 || !s.knowsFleet(now) {
+	return r.step == StepHolding && r.ordered && s.othersIdle(r, f, now)
+}
+
+// withVerification verifies that the other versions of a completed order are idle. A lead
+// that finds the order completed in the record may have passed on requests to them before
+// it read that.
+func (s Rollouts[J]) withVerification(r rollout, f fleet, now bltimer.Instant) rollout {
+	r.verified = r.verified || r.step == StepCompleted && s.othersIdle(r, f, now)
+	return r
+}
+
+func (s Rollouts[J]) othersIdle(r rollout, f fleet, now bltimer.Instant) bool {
+	if s.working(f.target) == 0 || !s.knowsFleet(now) {
 		return false
 	}
 	for _, u := range f.others {
--- a/core/blrollout/decide.go
+++ b/core/blrollout/decide.go
@@ -1,6 +1,8 @@
 package blrollout
 
 import (
+	"time"
+
 	"bergamotlead/core/bltimer"
 )
 
@@ -73,22 +75,25 @@
 func (s Rollouts[J]) advanceService(r rollout, now bltimer.Instant) (Rollouts[J], []Effect) {
 	f := s.fleetOf(r)
 	r, effects := s.advanceSteps(r, f, now)
-	r = s.withAllowances(r, f, now)
+	r = s.withVerification(s.withAllowances(r, f, now), f, now)
 	s, r, more := s.advanceRecord(r, f, now)
 	r, status := s.advanceStatus(r, now)
 	effects = append(append(effects, more...), status...)
-	if r.obsolete(f) {
+	if r.obsolete(now) {
 		s.services = s.services.Without(r.order.Service)
 		return s, effects
 	}
 	return s.withRollout(r), effects
 }
 
-// obsolete reports whether nothing of an order that has been removed is left to do: no
-// write, and no upstream to hold.
-func (r rollout) obsolete(f fleet) bool {
+// withdrawnTime is how long the upstreams of an order that was removed while it ran stay
+// held. They are stopped some seconds after the end.
+const withdrawnTime = time.Minute
+
+// obsolete reports whether nothing of an order that has been removed is left to do.
+func (r rollout) obsolete(now bltimer.Instant) bool {
 	if r.ordered || r.order.Target == "" || r.busy() {
 		return false
 	}
-	return r.step != StepWithdrawn || len(f.target) == 0
+	return r.step != StepWithdrawn || now.Sub(r.stepAt) >= withdrawnTime
 }
--- a/core/blrollout/fleet_sim_test.go
+++ b/core/blrollout/fleet_sim_test.go
@@ -89,8 +89,10 @@
 	allowedUntil time.Duration
 	lastColdAt   time.Duration
 
-	// directory is what the node knows of held upstreams: of the lead of term, by step.
+	// listed and held are the nodes whose upstreams the directory lists, and the upstreams
+	// held in it. It is that of the lead of term, by step.
 	term, step uint64
+	listed     map[int]bool
 	held       map[blvalue.Incarnation]bool
 	answeredAt time.Duration
 	nextBeatAt time.Duration
@@ -106,7 +108,7 @@
 	n.host.Incarnation = blvalue.Incarnation(fmt.Sprintf("n%02d.%d", n.index, n.run))
 	n.sent, n.running, n.classes = 0, 0, map[string]*blvalue.ClassResults{}
 	n.allowance, n.allowedUntil, n.orderSeenAt = blvalue.Allowance{}, 0, now
-	n.term, n.step, n.held, n.answeredAt = 0, 0, nil, -freshness
+	n.term, n.step, n.listed, n.held, n.answeredAt = 0, 0, nil, nil, -freshness
 }
 
 // fleetSim runs nodes with upstreams, leads and a store in simulated time.
@@ -130,6 +132,13 @@
 	partitions                      []simPartition
 	mutation                        mutation
 	lossPerThousand                 int
+	// maxDelay bounds how long messages between nodes and leads take.
+	maxDelay time.Duration
+	calls    []simCall
+	// proven is set once a lead has passed the version.
+	proven bool
+	// ticked is called after each step of the simulation, unless it is nil.
+	ticked func()
 }
 
 func newFleetSim(o simOptions) *fleetSim {
@@ -186,18 +195,25 @@
 	sim.order = blconfig.RolloutOrder{Service: service, Target: target, Duration: sim.duration, Revision: sim.store.revision()}
 	sim.configChanged()
 	for _, n := range sim.nodes {
-		if n.orderRev == 0 {
-			n.orderSeenAt = max(sim.now, n.startedAt)
-		}
-		n.orderRev = sim.order.Revision
+		sim.seeOrder(n)
 	}
 }
 
+// seeOrder makes a node count from zero when it learns of the first order.
+func (sim *fleetSim) seeOrder(n *simNode) {
+	if n.orderRev == 0 && sim.order.Target != "" {
+		n.orderSeenAt, n.sent, n.classes = max(sim.now, n.startedAt), 0, map[string]*blvalue.ClassResults{}
+	}
+	n.orderRev = sim.order.Revision
+}
+
 func (sim *fleetSim) configChanged() {
 	sim.store.number++
 	sim.config = sim.store.revision()
 	for _, l := range sim.leads {
-		l.configure()
+		if l.holds() {
+			l.configure()
+		}
 	}
 }
 
@@ -206,7 +222,7 @@
 	for ; sim.now < end; sim.now += simTick {
 		sim.finishRequests()
 		sim.arrive()
-		sim.store.deliver()
+		sim.deliver()
 		for _, n := range sim.nodes {
 			if !n.stopped && sim.now >= n.nextBeatAt && sim.now >= n.startedAt {
 				sim.beat(n)
@@ -216,9 +232,42 @@
 			l.tick()
 		}
 		sim.movePartitions()
+		if sim.ticked != nil {
+			sim.ticked()
+		}
+	}
+}
+
+// simCall is a message or a call on its way.
+type simCall struct {
+	at  time.Duration
+	run func()
+}
+
+func (sim *fleetSim) after(delay time.Duration, run func()) {
+	sim.calls = append(sim.calls, simCall{at: sim.now + delay, run: run})
+}
+
+func (sim *fleetSim) deliver() {
+	calls := sim.calls
+	sim.calls = nil
+	for _, call := range calls {
+		if sim.now < call.at {
+			sim.calls = append(sim.calls, call)
+			continue
+		}
+		call.run()
 	}
 }
 
+// delay returns how long a message takes.
+func (sim *fleetSim) delay() time.Duration {
+	if sim.maxDelay == 0 {
+		return 0
+	}
+	return time.Duration(sim.random.Int64N(int64(sim.maxDelay)))
+}
+
 func (sim *fleetSim) arrive() {
 	expected := sim.rate * simTick.Seconds()
 	count := int(expected)
@@ -264,8 +313,7 @@
 func (sim *fleetSim) choose(entry *simNode, tried map[int]bool) *simNode {
 	var open []*simNode
 	for _, n := range sim.nodes {
-		known := n.index < sim.old || sim.now >= n.startedAt+sim.heartbeat
-		if !n.stopped && known && !tried[n.index] && !entry.held[n.upstream.Incarnation] {
+		if !n.stopped && entry.listed[n.index] && !tried[n.index] && !entry.held[n.upstream.Incarnation] {
 			open = append(open, n)
 		}
 	}
@@ -362,9 +410,7 @@
 // beat sends a heartbeat to the latest lead, and applies its answer.
 func (sim *fleetSim) beat(n *simNode) {
 	n.nextBeatAt = sim.now + sim.heartbeat
-	if n.orderRev == 0 && sim.order.Target != "" {
-		n.orderRev, n.orderSeenAt = sim.order.Revision, sim.now
-	}
+	sim.seeOrder(n)
 	if sim.now < n.cutUntil || sim.random.IntN(1000) < sim.lossPerThousand {
 		return
 	}
@@ -372,11 +418,25 @@
 		if !l.holds() {
 			continue
 		}
-		l.heartbeat(n)
+		report := simReport{node: n, host: n.host, results: sim.results(n), term: n.term, step: n.step, sentAt: sim.now}
+		if sim.maxDelay == 0 {
+			l.heartbeat(report)
+			return
+		}
+		sim.after(sim.delay(), func() { l.heartbeat(report) })
 		return
 	}
 }
 
+// simReport is a heartbeat on its way.
+type simReport struct {
+	node       *simNode
+	host       blvalue.Host
+	results    []blvalue.UpstreamResults
+	term, step uint64
+	sentAt     time.Duration
+}
+
 // simPartition is a partition with its owner and an earlier one that may still use it.
 type simPartition struct {
 	owner, previous *simNode
@@ -428,16 +488,21 @@
 
 func (sim *fleetSim) view(l *simLead) blassign.RolloutView {
 	view := blassign.RolloutView{Term: l.term, ConfirmedStep: l.confirmed()}
-	if sim.order.Target == "" && len(l.lastViewOrder) == 0 {
+	if sim.order.Target == "" {
 		return view
 	}
 	for _, n := range sim.nodes {
-		if n.stopped && sim.partitionsOf(n) == 0 || !l.knows[n.index] {
+		partitions := sim.partitionsOf(n)
+		if (n.stopped || !l.knows[n.index]) && partitions == 0 {
 			continue
 		}
 		u := n.upstream
+		if !l.knows[n.index] {
+			// Only the assignment in the store names it.
+			u = blvalue.Upstream{Name: u.Name, Service: u.Service}
+		}
 		u.Cold = n.cold(sim.now)
-		view.Upstreams = append(view.Upstreams, blassign.RolloutUpstream{Upstream: u, Node: l.hosts[n.index], Partitions: sim.partitionsOf(n)})
+		view.Upstreams = append(view.Upstreams, blassign.RolloutUpstream{Upstream: u, Node: l.hosts[n.index], Partitions: partitions})
 	}
 	return view
 }
--- a/core/blrollout/lead_sim_test.go
+++ b/core/blrollout/lead_sim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"bergamotlead/core/blassign"
@@ -22,6 +24,10 @@
 	hidesPartitions bool
 	// hidesRunning reports no running request.
 	hidesRunning bool
+	// forgetsReserved has leads issue allowances without a reservation in the store.
+	forgetsReserved bool
+	// ignoresNodeRun has nodes use allowances for an earlier run of them.
+	ignoresNodeRun bool
 }
 
 // simLead is a process that leads in one term, with what its ownership duty does.
@@ -33,28 +39,47 @@
 	until     time.Duration
 	admission blassign.AdmissionChanged
 	// knows, hosts, steps and beatAt are what nodes have reported.
-	knows         map[int]bool
-	hosts         map[int]blvalue.Host
-	steps         map[int]uint64
-	beatAt        map[int]time.Duration
-	nextTickAt    time.Duration
-	lastViewOrder string
+	knows      map[int]bool
+	hosts      map[int]blvalue.Host
+	steps      map[int]uint64
+	beatAt     map[int]time.Duration
+	sentAt     map[int]time.Duration
+	nextTickAt time.Duration
 }
 
-// elect makes another process lead. The earlier lead goes on for overlap, but nodes no
-// longer report to it.
-func (sim *fleetSim) elect(overlap time.Duration) *simLead {
+// heldAtAnyNode returns what the directory of the node holds that becomes lead. It goes on
+// with that until its first admission.
+func (sim *fleetSim) heldAtAnyNode() []blvalue.Incarnation {
+	for _, n := range sim.nodes {
+		if !n.stopped && n.fresh(sim.now) {
+			return slices.Sorted(maps.Keys(n.held))
+		}
+	}
+	return nil
+}
+
+// depose ends the authority of the lead. Its calls to the store go on.
+func (sim *fleetSim) depose() {
 	for _, l := range sim.leads {
-		l.until = min(l.until, sim.now+overlap)
+		if l.holds() {
+			l.until = sim.now
+			l.send(blrollout.AuthorityChanged{})
+		}
 	}
+}
+
+// elect makes another process lead.
+func (sim *fleetSim) elect() {
+	sim.depose()
 	l := &simLead{
 		sim: sim, term: uint64(len(sim.leads) + 1), state: blrollout.New(), since: sim.now, until: 1 << 60,
 		knows: map[int]bool{}, hosts: map[int]blvalue.Host{}, steps: map[int]uint64{}, beatAt: map[int]time.Duration{},
+		sentAt: map[int]time.Duration{},
 	}
+	l.admission.Held = sim.heldAtAnyNode()
 	sim.leads = append(sim.leads, l)
 	l.configure()
 	l.authority()
-	return l
 }
 
 func (l *simLead) holds() bool { return l.sim.now < l.until }
@@ -88,6 +113,7 @@
 	case blrollout.Publish:
 		l.admission = e.Admission
 	case blrollout.Decided:
+		l.sim.proven = l.sim.proven || e.Decision == "passed"
 		l.sim.decided = append(l.sim.decided, fmt.Sprintf("%v term %d: %s %s", l.sim.now, l.term, e.Decision, e.Reason))
 	}
 }
@@ -119,37 +145,48 @@
 }
 
 // heartbeat handles the report of a node and answers it.
-func (l *simLead) heartbeat(n *simNode) {
-	sim := l.sim
-	if n.term > l.term {
+func (l *simLead) heartbeat(report simReport) {
+	sim, n := l.sim, report.node
+	if !l.holds() || report.sentAt < l.sentAt[n.index] || n.term > l.term {
 		return
 	}
-	l.knows[n.index], l.hosts[n.index], l.beatAt[n.index] = true, n.host, sim.now
+	l.knows[n.index], l.hosts[n.index], l.beatAt[n.index], l.sentAt[n.index] = true, report.host, sim.now, report.sentAt
 	l.steps[n.index] = 0
-	if n.term == l.term {
-		l.steps[n.index] = n.step
+	if report.term == l.term {
+		l.steps[n.index] = report.step
 	}
-	results := sim.results(n)
 	if sim.mutation.hidesRunning {
-		for i := range results {
-			results[i].Running = 0
+		for i := range report.results {
+			report.results[i].Running = 0
 		}
 	}
-	l.send(blrollout.ResultsSeen{Reported: blassign.ResultsReported{Term: l.term, Node: n.host, Results: results}})
+	l.send(blrollout.ResultsSeen{Reported: blassign.ResultsReported{Term: l.term, Node: report.host, Results: report.results}})
 	if sim.random.IntN(1000) < sim.lossPerThousand {
 		return
 	}
-	n.answeredAt = sim.now
-	if l.admission.Step == 0 {
+	admission, listed := l.admission, maps.Clone(l.knows)
+	if sim.maxDelay == 0 {
+		l.answer(report, admission, listed)
 		return
 	}
-	n.term, n.step, n.held = l.term, l.admission.Step, map[blvalue.Incarnation]bool{}
-	for _, held := range l.admission.Held {
+	sim.after(sim.delay(), func() { l.answer(report, admission, listed) })
+}
+
+// answer applies the answer to a heartbeat at its node.
+func (l *simLead) answer(report simReport, admission blassign.AdmissionChanged, listed map[int]bool) {
+	n := report.node
+	if n.host.Incarnation != report.host.Incarnation || n.term > l.term || n.term == l.term && n.step > admission.Step {
+		return
+	}
+	n.answeredAt = max(n.answeredAt, report.sentAt)
+	n.term, n.step, n.listed, n.held = l.term, admission.Step, listed, map[blvalue.Incarnation]bool{}
+	for _, held := range admission.Held {
 		n.held[held] = true
 	}
-	for _, allowance := range l.admission.Allowances {
-		if allowance.Incarnation == n.upstream.Incarnation && allowance.Node == n.host.Incarnation && allowance.Order == n.orderRev {
-			n.allowance, n.allowedUntil = allowance, sim.now+allowance.TTL
+	for _, allowance := range admission.Allowances {
+		ownRun := allowance.Node == n.host.Incarnation || l.sim.mutation.ignoresNodeRun
+		if allowance.Incarnation == n.upstream.Incarnation && ownRun && allowance.Order == n.orderRev {
+			n.allowance, n.allowedUntil = allowance, report.sentAt+allowance.TTL
 		}
 	}
 }
@@ -184,7 +221,6 @@
 	status  blrollout.Status
 	finals  []string
 	finalAt time.Duration
-	calls   []storeCall
 	down    bool
 	writes  int
 	maxKept uint64
@@ -194,40 +230,21 @@
 	latePerThousand    int
 }
 
-// storeCall is a call on its way.
-type storeCall struct {
-	at  time.Duration
-	run func()
-}
-
 const storeDelay = 30 * time.Millisecond
 
 func (st *simStore) revision() uint64 { return blplatform.NewRevision(st.era, st.number) }
 
-func (st *simStore) after(delay time.Duration, run func()) {
-	st.calls = append(st.calls, storeCall{at: st.sim.now + delay, run: run})
-}
-
-func (st *simStore) deliver() {
-	calls := st.calls
-	st.calls = nil
-	for _, call := range calls {
-		if st.sim.now < call.at {
-			st.calls = append(st.calls, call)
-			continue
-		}
-		call.run()
-	}
-}
-
 func (st *simStore) load(l *simLead, e blrollout.LoadRecord) {
-	st.after(storeDelay, func() {
+	st.sim.after(storeDelay, func() {
 		l.send(blrollout.RecordLoaded{Term: e.Term, Service: e.Service, Record: st.read(), Failed: st.down})
 	})
 }
 
 func (st *simStore) read() blrollout.Record {
 	record := st.record
+	if st.sim.mutation.forgetsReserved {
+		record.Reserved = 0
+	}
 	if record.Revision != 0 {
 		record.Revision = blplatform.NewRevision(st.era, blplatform.RevisionNumber(record.Revision))
 	}
@@ -246,12 +263,12 @@
 	switch {
 	case st.sim.random.IntN(1000) < st.latePerThousand:
 		// The write arrives long after its sender has given up waiting.
-		st.after(storeDelay, func() { answer(blplatform.Unresolved) })
-		st.after(time.Duration(st.sim.random.IntN(4000))*time.Millisecond, func() { st.swap(l, e) })
+		st.sim.after(storeDelay, func() { answer(blplatform.Unresolved) })
+		st.sim.after(time.Duration(st.sim.random.IntN(4000))*time.Millisecond, func() { st.swap(l, e) })
 		return
 	case st.sim.random.IntN(1000) < st.unknownPerThousand:
 		applied := st.sim.random.IntN(2) == 0
-		st.after(delay, func() {
+		st.sim.after(delay, func() {
 			if applied && !st.down {
 				st.swap(l, e)
 			}
@@ -259,7 +276,7 @@
 		})
 		return
 	}
-	st.after(delay, func() {
+	st.sim.after(delay, func() {
 		if st.down {
 			answer(blplatform.Unresolved)
 			return
@@ -284,7 +301,7 @@
 }
 
 func (st *simStore) writeStatus(l *simLead, e blrollout.WriteStatus) {
-	st.after(storeDelay, func() {
+	st.sim.after(storeDelay, func() {
 		if !st.down {
 			st.setStatus(e.Status)
 		}
@@ -303,10 +320,39 @@
 	st.status = status
 }
 
+// storeCopy is what a store is restored from.
+type storeCopy struct {
+	record blrollout.Record
+	status blrollout.Status
+	number uint64
+}
+
+func (st *simStore) copy() storeCopy {
+	return storeCopy{record: st.record, status: st.status, number: st.number}
+}
+
+// restore brings back a copy of an earlier time. Revisions after it are assigned again.
+func (st *simStore) restore(c storeCopy) {
+	st.era++
+	st.record, st.status, st.number = c.record, c.status, c.number
+	st.sim.order.Revision = blplatform.NewRevision(st.era, blplatform.RevisionNumber(st.sim.order.Revision))
+	st.sim.configChanged()
+	for _, l := range st.sim.leads {
+		if l.holds() {
+			l.authority()
+		}
+	}
+	for _, n := range st.sim.nodes {
+		if n.orderRev != 0 {
+			n.orderRev = st.sim.order.Revision
+		}
+	}
+}
+
 // checkCompletion records what makes it too early for a completed status.
 func (sim *fleetSim) checkCompletion() {
 	for _, n := range sim.nodes {
-		if n.upstream.Version == sim.order.Target || n.stopped {
+		if n.upstream.Version == newVersion || n.stopped {
 			continue
 		}
 		if n.running > 0 {
@@ -316,7 +362,7 @@
 			sim.violations = append(sim.violations, fmt.Sprintf("%v: completed while %s has partitions", sim.now, n.upstream.Name))
 		}
 		for _, entry := range sim.nodes {
-			if !entry.stopped && entry.fresh(sim.now) && !entry.held[n.upstream.Incarnation] {
+			if !entry.stopped && entry.fresh(sim.now) && entry.listed[n.index] && !entry.held[n.upstream.Incarnation] {
 				sim.violations = append(sim.violations, fmt.Sprintf("%v: completed while %s may send to %s", sim.now, entry.host.Name, n.upstream.Name))
 			}
 		}
--- a/core/blrollout/record.go
+++ b/core/blrollout/record.go
@@ -51,8 +51,7 @@
 		r.order = r.stored.record.Order
 		r.order.Service = m.Service
 		if r.stored.record.Phase != PhaseRunning {
-			// An ended roll-out whose order is gone holds nothing any more.
-			r.step = StepCompleted
+			r.step = StepEnded
 		}
 	}
 	return s.withRollout(r.withRecord(r.stored.record, r.knownAt))
@@ -71,16 +70,16 @@
 		}
 		return r
 	}
-	switch record.Phase {
-	case PhaseCompleted:
+	if record.Phase == PhaseRunning {
+		return r
+	}
+	r.reason = record.Reason
+	switch {
+	case !r.ordered && r.step == StepEnded:
+	case record.Phase == PhaseCompleted:
 		r = r.withStep(StepCompleted, now)
-		r.reason = record.Reason
-	case PhaseRolledBack:
-		if r.ordered || r.step != StepCompleted {
-			r = r.withStep(StepWithdrawn, now)
-		}
-		r.reason = record.Reason
-	case PhaseRunning:
+	case record.Phase == PhaseRolledBack:
+		r = r.withStep(StepWithdrawn, now)
 	}
 	return r
 }
@@ -188,6 +187,7 @@
 		r.stored.record = write.Record
 		r.stored.record.Revision = m.Current.Revision
 		r = r.withReserved(before, write.Record)
+		r.verified = r.verified || r.step == StepHolding && write.Record.Phase == PhaseCompleted && r.recorded()
 		return s.withRollout(r.withRecord(r.stored.record, now))
 	case blplatform.Conflicted:
 		r.stored.writing, r.stored.inDoubt = nil, false
--- a/core/blrollout/replay_test.go
+++ b/core/blrollout/replay_test.go
@@ -12,7 +12,7 @@
 // started returns a fleet with an established lead at the time of the order.
 func started(o simOptions) *fleetSim {
 	sim := newFleetSim(o)
-	sim.elect(0)
+	sim.elect()
 	sim.runUntil(orderAt)
 	sim.writeOrder(newVersion)
 	return sim
--- a/core/blrollout/state.go
+++ b/core/blrollout/state.go
@@ -64,6 +64,9 @@
 	heldStep uint64
 	// confirmedAt is when all nodes had heldStep, or zero.
 	confirmedAt bltimer.Instant
+	// verified is set once this lead has seen that the other versions of a completed order
+	// are idle.
+	verified bool
 	// inherited is set when an earlier lead began the roll-out.
 	inherited bool
 	reason    string
@@ -95,7 +98,8 @@
 }
 
 func (r rollout) busy() bool {
-	return !r.stored.loaded || r.stored.writing != nil || r.stored.rewrite || r.running() || r.statusDue()
+	return !r.stored.loaded || r.stored.writing != nil || r.stored.rewrite || r.running() || r.statusDue() ||
+		r.step == StepCompleted && !r.verified
 }
 
 // running reports whether the order has no recorded end yet.
--- a/core/blrollout/steps.go
+++ b/core/blrollout/steps.go
@@ -22,6 +22,8 @@
 	StepHolding Step = "holding"
 	// StepCompleted means that the record says so.
 	StepCompleted Step = "completed"
+	// StepEnded means that the order is gone and its end recorded. Nothing is held.
+	StepEnded Step = "ended"
 	// StepWithdrawn means that the version gets no traffic. The record follows.
 	StepWithdrawn Step = "withdrawn"
 )
@@ -93,7 +95,7 @@
 // advanceSteps goes on with the steps of a roll-out.
 func (s Rollouts[J]) advanceSteps(r rollout, f fleet, now bltimer.Instant) (rollout, []Effect) {
 	r = r.withConfirmation(s.view.ConfirmedStep, now).withAlone(f, now)
-	if r.step == StepCompleted || r.step == StepWithdrawn || r.order.Target == "" || r.stored.foreign || r.completing() {
+	if r.isFinal() || r.order.Target == "" || r.stored.foreign || r.completing() {
 		return r, nil
 	}
 	if !r.ordered {
@@ -116,6 +118,11 @@
 	return s.advanceRelease(r, f, now)
 }
 
+// isFinal reports whether the step is one of an order that has ended for this lead.
+func (r rollout) isFinal() bool {
+	return r.step == StepCompleted || r.step == StepEnded || r.step == StepWithdrawn
+}
+
 // completing reports whether the record may say in the store that the order is completed
 // without this lead knowing.
 func (r rollout) completing() bool {
@@ -182,16 +189,18 @@
 	return s.pass(r, f, step, "no evidence against the version", now)
 }
 
-// withCanaries chooses the canaries. One that looks bad alone is replaced once, so that
-// another one confirms the evidence or not. So is a single one, which must not decide.
+// withCanaries chooses the canaries. One that looks bad alone is replaced, so that another
+// one confirms the evidence or not. So is a single one, which must not decide.
 func (s Rollouts[J]) withCanaries(r rollout, f fleet, e evaluation, now bltimer.Instant) (rollout, []Effect) {
 	before := r.serving
 	count := s.canaryCount(f)
-	if r.aside == "" && s.working(f.target) > 1 {
+	_, suspected := r.serving.Get(e.suspect)
+	switch {
+	case s.working(f.target) <= 1:
+	case suspected:
 		r.aside = e.suspect
-		if r.aside == "" && count == 1 && len(f.target) >= severalUpstreams && e.answered >= rotationAnswers {
-			r.aside = firstKey(r.serving)
-		}
+	case r.aside == "" && count == 1 && len(f.target) >= severalUpstreams && e.answered >= rotationAnswers:
+		r.aside = firstKey(r.serving)
 	}
 	r = s.withServing(r, f, count, now)
 	if !sameKeys(before, r.serving) {
@@ -236,7 +245,7 @@
 			return r, nil
 		}
 		r = r.withStep(StepHolding, now)
-	case StepCanaries, StepHolding, StepCompleted, StepWithdrawn:
+	case StepCanaries, StepHolding, StepCompleted, StepEnded, StepWithdrawn:
 		return r, nil
 	}
 	return r, []Effect{s.decided(r, f, string(r.step), "")}
