Roll-outs: a lead that has heard of fewer upstreams than its predecessor waits

The record now has the number of other upstreams that its writer knew. A lead that knows fewer waits until the longest request has ended.

A lead that knows as many no longer waits for the freshness of nodes. A class with less than a fifth of the requests no longer has to be proven by itself.

--- a/core/blrollout/completion.go
+++ b/core/blrollout/completion.go
@@ -33,8 +33,23 @@
 	return r
 }
 
+// knowsOthers reports whether an upstream that this lead hasn't heard of can't run a request
+// any more: this lead knows as many as the writer of the record did, or the longest request
+// has ended that was sent before its term.
+func (s Rollouts[J]) knowsOthers(r rollout, f fleet, now bltimer.Instant) bool {
+	known := 0
+	for _, u := range f.others {
+		if u.Upstream.Incarnation != "" {
+			known++
+		}
+	}
+	timing := s.config.Plan.Timing
+	return known >= r.stored.record.Others && (known > 0 || s.knowsFleet(now)) ||
+		now.Sub(s.termAt) >= timing.Freshness+timing.ClockMargin+s.config.Plan.Limits.RequestTimeout
+}
+
 func (s Rollouts[J]) othersIdle(r rollout, f fleet, now bltimer.Instant) bool {
-	if s.working(f.target) == 0 || !s.knowsFleet(now) {
+	if s.working(f.target) == 0 || !s.settled(r, f, now) || !s.knowsOthers(r, f, now) {
 		return false
 	}
 	for _, u := range f.others {
--- a/core/blrollout/evaluation.go
+++ b/core/blrollout/evaluation.go
@@ -9,14 +9,11 @@
 )
 
 const (
-	// minClassTraffic is the number of answers of the others from which on a class has to
-	// be proven good by itself. With fewer the version would have to wait for its share.
-	minClassTraffic = 150
-	// usualClassPercent is the part of the others' answers from which on the version must
-	// have answered in a class at least minClassAnswers times to pass. Of a version that
-	// spoils 45 % of a class, 5 % get that far without a spoiled one.
-	usualClassPercent = 5
-	minClassAnswers   = 5
+	// usualClassPercent is the part of the others' answers from which on the version has to
+	// be good in a class by itself, and rareClassPercent the one from which on it has to be
+	// fair. It would take too long to see as much of a smaller class.
+	usualClassPercent = 20
+	rareClassPercent  = 5
 	// severalUpstreams is the number of upstreams of a version from which on a single
 	// one doesn't decide.
 	severalUpstreams = 3
@@ -117,12 +114,13 @@
 	}
 	e.doubtful = e.doubtful || verdict.Doubtful
 	e.contested = e.contested || verdict.Contested
-	if class == allClasses || others.ended() >= minClassTraffic {
+	share := others.ended() * percent
+	switch {
+	case class == allClasses || share >= traffic*usualClassPercent:
 		e.contestedInUsual = e.contestedInUsual || verdict.Contested
 		e.good = e.good && verdict.Good
-	}
-	if others.ended()*percent >= traffic*usualClassPercent && version.ended() < minClassAnswers {
-		e.good = false
+	case share >= traffic*rareClassPercent:
+		e.good = e.good && verdict.Fair
 	}
 	return e
 }
--- a/core/blrollout/fleet_sim_test.go
+++ b/core/blrollout/fleet_sim_test.go
@@ -180,6 +180,7 @@
 		Services: map[blvalue.ServiceName]blconfig.Service{service: {Name: service}},
 		Domains:  map[blvalue.DomainName]blconfig.DomainState{"d0": "in", "d1": "in", "d2": "in", "d3": "in"},
 		Timing:   blconfig.Timing{Heartbeat: sim.heartbeat, Freshness: freshness, ClockMargin: 50 * time.Millisecond},
+		Limits:   blconfig.Limits{RequestTimeout: 6 * time.Second},
 		Exposure: blconfig.Exposure{Share: 0.1, Reserve: 50, RollbackTime: 5 * time.Second},
 		Rollouts: map[blvalue.ServiceName]blconfig.RolloutOrder{},
 	}
--- a/core/blrollout/messages.go
+++ b/core/blrollout/messages.go
@@ -90,6 +90,9 @@
 	// Superseded is the target of the preceding order if that didn't complete. Its
 	// upstreams stay held.
 	Superseded string
+	// Others is the number of upstreams of other versions that the writer knew. A lead that
+	// knows fewer may not have heard of one that still runs requests.
+	Others int
 	// Term is the term of the lead that wrote the record.
 	Term    uint64
 	WriteID string
--- a/core/blrollout/record.go
+++ b/core/blrollout/record.go
@@ -128,7 +128,7 @@
 		return s, r, nil
 	}
 	s.writes++
-	record.Term = s.authority.Term
+	record.Term, record.Others = s.authority.Term, len(f.others)
 	record.WriteID = fmt.Sprintf("%d.%d", s.authority.Term, s.writes)
 	write := WriteRecord{Service: r.order.Service, Base: r.stored.record.Revision, Record: record}
 	r.stored.writing, r.stored.triedAt = &write, now
--- a/core/blrollout/steps.go
+++ b/core/blrollout/steps.go
@@ -41,7 +41,7 @@
 	underLoadPercent = 20
 	// holdPercent is the age by which the other versions are held, and finishPercent the
 	// age by which the order is to be completed.
-	holdPercent   = 72
+	holdPercent   = 66
 	finishPercent = 90
 	// forcedPercent is the age at which a version is passed or not by the data there is.
 	// earliestForcedPercent bounds how far that is brought forward where heartbeats are
@@ -51,7 +51,7 @@
 	// maxStepsPerDuration and minStepsPerDuration bound the time between two steps of a
 	// release. Longer ones show more of the version under load.
 	maxStepsPerDuration = 16
-	minStepsPerDuration = 8
+	minStepsPerDuration = 10
 	// partialShare is one in how many upstreams are released first.
 	partialShare = 3
 	// rotationAnswers is the number of answers after which a single canary is replaced.
