--- a/core/blrollout/admission.go
+++ b/core/blrollout/admission.go
@@ -93,7 +93,7 @@
 	switch r.step {
 	case StepCanaries, StepPartial:
 		_, ok := r.serving.Get(u.Upstream.Incarnation)
-		return ok || r.aloneSince != 0 && !r.sawOthers
+		return ok || r.aloneSince != 0 && !r.sawOld
 	case StepReleased, StepHolding, StepCompleted, StepEnded:
 		return true
 	case StepWithdrawn:
@@ -117,6 +117,11 @@
 	return superseded
 }
 
+// passedRequests is more than a node can send while a version that has passed is released.
+// The allowance still expires, since the version may yet be rolled back. It no longer does
+// once the other versions are held: without a lead nothing would serve.
+const passedRequests = 1 << 40
+
 // allowancesOf returns the allowances of the upstreams of a version. Those that are held
 // have one of nothing, which replaces an earlier one without a limit.
 func (s Rollouts[J]) allowancesOf(r rollout, f fleet) []blvalue.Allowance {
@@ -130,7 +135,9 @@
 		}
 		switch {
 		case !s.serves(r, u):
-		case r.step != StepCanaries || r.aloneSince != 0 && !r.sawOthers:
+		case r.step == StepPartial || r.step == StepReleased:
+			allowance.Requests = passedRequests
+		case r.step != StepCanaries || r.aloneSince != 0 && !r.sawOld:
 			allowance.Unlimited = true
 		default:
 			allowance.Requests, _ = r.budget.grants.Get(grantKey(u))
--- a/core/blrollout/decide.go
+++ b/core/blrollout/decide.go
@@ -18,6 +18,10 @@
 			return s, nil
 		}
 		s.view = m.View
+		if s.Busy() {
+			// A tick follows.
+			return s, nil
+		}
 	case ResultsSeen:
 		// Decided upon with the next tick: a tick covers the reports of many nodes.
 		return s.resultsSeen(m, now), nil
--- a/core/blrollout/evaluation.go
+++ b/core/blrollout/evaluation.go
@@ -33,7 +33,7 @@
 	contestedInUsual bool
 	suspect          blvalue.Incarnation
 	reason           string
-	// answered counts the results of the version without those of the canary aside.
+	// answered counts the results of the version without those of the suspect.
 	answered uint64
 }
 
@@ -82,15 +82,15 @@
 	e := evaluation{good: true}
 	comparisons := s.comparisons(r, f)
 	all, _ := comparisons.Get(allClasses)
-	for _, subject := range all.Version {
-		if subject.Upstream != r.aside {
-			e.answered += total(subject.Slots).ended()
-		}
-	}
 	traffic := total(all.Others).ended()
 	for class, c := range comparisons.All() {
 		e = e.withVerdict(class, s.judge.Judge(c), versionTotal(c), total(c.Others), traffic)
 	}
+	for _, subject := range all.Version {
+		if subject.Upstream != e.suspect {
+			e.answered += total(subject.Slots).ended()
+		}
+	}
 	e.good = e.good && e.answered > 0 && !e.doubtful && !e.contested
 	return e
 }
--- a/core/blrollout/fleet_sim_test.go
+++ b/core/blrollout/fleet_sim_test.go
@@ -135,6 +135,8 @@
 	// maxDelay bounds how long messages between nodes and leads take.
 	maxDelay time.Duration
 	calls    []simCall
+	// out holds the failure domains that operators have taken out.
+	out map[blvalue.DomainName]blconfig.DomainState
 	// proven is set once a lead has passed the version.
 	proven bool
 	// ticked is called after each step of the simulation, unless it is nil.
@@ -184,6 +186,9 @@
 		Exposure: blconfig.Exposure{Share: 0.1, Reserve: 50, RollbackTime: 5 * time.Second},
 		Rollouts: map[blvalue.ServiceName]blconfig.RolloutOrder{},
 	}
+	for domain, state := range sim.out {
+		plan.Domains[domain] = state
+	}
 	if sim.order.Target != "" {
 		plan.Rollouts[service] = sim.order
 	}
--- a/core/blrollout/lead_sim_test.go
+++ b/core/blrollout/lead_sim_test.go
@@ -39,12 +39,14 @@
 	until     time.Duration
 	admission blassign.AdmissionChanged
 	// knows, hosts, steps and beatAt are what nodes have reported.
-	knows      map[int]bool
-	hosts      map[int]blvalue.Host
-	steps      map[int]uint64
-	beatAt     map[int]time.Duration
-	sentAt     map[int]time.Duration
-	nextTickAt time.Duration
+	knows  map[int]bool
+	hosts  map[int]blvalue.Host
+	steps  map[int]uint64
+	beatAt map[int]time.Duration
+	sentAt map[int]time.Duration
+	// lastResults is the latest report of each node.
+	lastResults map[int][]blvalue.UpstreamResults
+	nextTickAt  time.Duration
 }
 
 // heldAtAnyNode returns what the directory of the node holds that becomes lead. It goes on
@@ -74,7 +76,7 @@
 	l := &simLead{
 		sim: sim, term: uint64(len(sim.leads) + 1), state: blrollout.New(), since: sim.now, until: 1 << 60,
 		knows: map[int]bool{}, hosts: map[int]blvalue.Host{}, steps: map[int]uint64{}, beatAt: map[int]time.Duration{},
-		sentAt: map[int]time.Duration{},
+		sentAt: map[int]time.Duration{}, lastResults: map[int][]blvalue.UpstreamResults{},
 	}
 	l.admission.Held = sim.heldAtAnyNode()
 	sim.leads = append(sim.leads, l)
@@ -160,7 +162,8 @@
 			report.results[i].Running = 0
 		}
 	}
-	l.send(blrollout.ResultsSeen{Reported: blassign.ResultsReported{Term: l.term, Node: report.host, Results: report.results}})
+	l.lastResults[n.index] = report.results
+	l.send(blrollout.ResultsSeen{Reported: l.reported(n, report.results)})
 	if sim.random.IntN(1000) < sim.lossPerThousand {
 		return
 	}
@@ -172,6 +175,10 @@
 	sim.after(sim.delay(), func() { l.answer(report, admission, listed) })
 }
 
+func (l *simLead) reported(n *simNode, results []blvalue.UpstreamResults) blassign.ResultsReported {
+	return blassign.ResultsReported{Term: l.term, Node: l.hosts[n.index], Results: results}
+}
+
 // answer applies the answer to a heartbeat at its node.
 func (l *simLead) answer(report simReport, admission blassign.AdmissionChanged, listed map[int]bool) {
 	n := report.node
@@ -314,7 +321,7 @@
 		st.finalAt = st.sim.now
 		st.finals = append(st.finals, fmt.Sprintf("%s %s", status.Target, status.Phase))
 		if status.Phase == blrollout.PhaseCompleted {
-			st.sim.checkCompletion()
+			st.sim.checkCompletion(status.Target)
 		}
 	}
 	st.status = status
@@ -350,9 +357,9 @@
 }
 
 // checkCompletion records what makes it too early for a completed status.
-func (sim *fleetSim) checkCompletion() {
+func (sim *fleetSim) checkCompletion(target string) {
 	for _, n := range sim.nodes {
-		if n.upstream.Version == newVersion || n.stopped {
+		if n.upstream.Version == target || n.stopped {
 			continue
 		}
 		if n.running > 0 {
--- a/core/blrollout/state.go
+++ b/core/blrollout/state.go
@@ -55,9 +55,9 @@
 	superseded bltable.Table[string, bool]
 	// answeredAt is when the version's first answer was reported, or zero.
 	answeredAt bltimer.Instant
-	// sawOthers is set once upstreams of another version were seen, and aloneSince is
-	// since when there are none, or zero.
-	sawOthers  bool
+	// sawOld is set once upstreams of a version that served before the order were seen,
+	// and aloneSince is since when there are none, or zero.
+	sawOld     bool
 	aloneSince bltimer.Instant
 	// held is what the latest admission holds of this service, and heldStep its step.
 	held     []blvalue.Incarnation
--- a/core/blrollout/steps.go
+++ b/core/blrollout/steps.go
@@ -133,11 +133,12 @@
 		continues(r.stored.writing.Record, r.order)
 }
 
-// withAlone records since when there are only upstreams of the version.
+// withAlone records since when no version that served before the order is left but the
+// target itself.
 func (r rollout) withAlone(f fleet, now bltimer.Instant) rollout {
-	r.sawOthers = r.sawOthers || len(f.others) > 0
+	r.sawOld = r.sawOld || len(f.old) > 0
 	switch {
-	case len(f.others) > 0 || len(f.target) == 0:
+	case len(f.old) > 0 || len(f.target) == 0:
 		r.aloneSince = 0
 	case r.aloneSince == 0:
 		r.aloneSince = now
@@ -145,10 +146,10 @@
 	return r
 }
 
-// alone reports whether there is nothing to compare the version with and no other version
-// that could serve. If there was, it may only be missing from the view for a moment.
+// alone reports whether there is nothing to compare the version with and no other one that
+// is known to serve well. If there was, it may only be missing from the view for a moment.
 func (s Rollouts[J]) alone(r rollout, now bltimer.Instant) bool {
-	return r.aloneSince != 0 && s.knowsFleet(now) && (!r.sawOthers || now.Sub(r.aloneSince) >= 2*s.heartbeat())
+	return r.aloneSince != 0 && s.knowsFleet(now) && (!r.sawOld || now.Sub(r.aloneSince) >= 2*s.heartbeat())
 }
 
 func (s Rollouts[J]) advanceCanaries(r rollout, f fleet, e evaluation, now bltimer.Instant) (rollout, []Effect) {
@@ -199,7 +200,8 @@
 	case s.working(f.target) <= 1:
 	case suspected:
 		r.aside = e.suspect
-	case r.aside == "" && count == 1 && len(f.target) >= severalUpstreams && e.answered >= rotationAnswers:
+	case r.aside == "" && count == 1 && len(f.target) >= severalUpstreams && e.answered >= rotationAnswers &&
+		r.budget.available() >= minAhead:
 		r.aside = firstKey(r.serving)
 	}
 	r = s.withServing(r, f, count, now)
