Roll-outs: no completed status for an order that is gone

It now reports a completed order only if the order is still there and it has verified that the others are idle.

--- a/core/blrollout/status.go
+++ b/core/blrollout/status.go
@@ -22,7 +22,7 @@
 	if !r.stored.loaded || r.stored.foreign || r.stored.rewrite || !r.recorded() {
 		return Status{}
 	}
-	if r.stored.record.Phase == PhaseCompleted && !r.verified && r.step != StepEnded {
+	if r.stored.record.Phase == PhaseCompleted && !r.verified {
 		return Status{}
 	}
 	return Status{Service: r.order.Service, Target: r.order.Target, Phase: r.stored.record.Phase}
