Protocol between nodes: versions, held entries, results and allowances

Heartbeats and their replies carried nothing of roll-outs between processes, so that the lead saw no upstream of a version and nodes got no allowance. The new fields follow the ones in use; a field that is absent means none, so nodes of the earlier protocol are understood.

--- a/io/blgrpc/convert.go
+++ b/io/blgrpc/convert.go
@@ -30,6 +30,7 @@
 	return &blproto.Upstream{
 		Name: string(u.Name), Incarnation: string(u.Incarnation), Service: string(u.Service),
 		Slots: uint32(u.Slots), ChecksFence: u.ChecksFence, Leaving: u.Leaving, KeepsGrants: u.KeepsGrants, Cold: u.Cold, Born: u.StartedAt,
+		Version: u.Version,
 	}
 }
 
@@ -38,6 +39,7 @@
 		Name: blvalue.UpstreamName(u.GetName()), Incarnation: blvalue.Incarnation(u.GetIncarnation()),
 		Service: blvalue.ServiceName(u.GetService()), Slots: int(u.GetSlots()),
 		ChecksFence: u.GetChecksFence(), Leaving: u.GetLeaving(), KeepsGrants: u.GetKeepsGrants(), Cold: u.GetCold(), StartedAt: u.GetBorn(),
+		Version: u.GetVersion(),
 	}
 }
 
@@ -70,6 +72,9 @@
 			Handovers: handoversToProto(held.Handovers),
 		})
 	}
+	for _, results := range h.Results {
+		request.Results = append(request.Results, resultsToProto(results))
+	}
 	return request
 }
 
@@ -96,6 +101,9 @@
 			Handovers: handoversFromProto(held.GetHandovers()),
 		})
 	}
+	for _, results := range r.GetResults() {
+		heartbeat.Results = append(heartbeat.Results, resultsFromProto(results))
+	}
 	return heartbeat
 }
 
@@ -112,6 +120,9 @@
 			HasSet: offer.HasSet, Partitions: offer.Set.Words(), Handovers: handoversToProto(offer.Handovers), Withheld: offer.Withheld,
 		})
 	}
+	for _, allowance := range r.Allowances {
+		reply.Allowances = append(reply.Allowances, allowanceToProto(allowance))
+	}
 	if r.Directory != nil {
 		reply.Directory = directoryToProto(*r.Directory)
 	}
@@ -133,6 +144,9 @@
 			Withheld: offer.GetWithheld(),
 		})
 	}
+	for _, allowance := range r.GetAllowances() {
+		reply.Allowances = append(reply.Allowances, allowanceFromProto(allowance))
+	}
 	if r.GetDirectory() != nil {
 		directory := directoryFromProto(r.GetDirectory())
 		reply.Directory = &directory
--- a/io/blgrpc/convert_directory.go
+++ b/io/blgrpc/convert_directory.go
@@ -12,7 +12,7 @@
 	}
 	for _, entry := range d.Entries {
 		directory.Entries = append(directory.Entries, &blproto.Entry{
-			Upstream: upstreamToProto(entry.Upstream), Node: hostToProto(entry.Node), Gone: entry.Gone,
+			Upstream: upstreamToProto(entry.Upstream), Node: hostToProto(entry.Node), Gone: entry.Gone, Held: entry.Held,
 		})
 	}
 	for _, run := range d.Owners {
@@ -46,7 +46,7 @@
 	}
 	for _, entry := range d.GetEntries() {
 		directory.Entries = append(directory.Entries, blassign.Entry{
-			Upstream: upstreamFromProto(entry.GetUpstream()), Node: hostFromProto(entry.GetNode()), Gone: entry.GetGone(),
+			Upstream: upstreamFromProto(entry.GetUpstream()), Node: hostFromProto(entry.GetNode()), Gone: entry.GetGone(), Held: entry.GetHeld(),
 		})
 	}
 	for _, run := range d.GetOwners() {
