--- a/core/blrollout/state.go
+++ b/core/blrollout/state.go
@@ -55,15 +55,18 @@
 	superseded bltable.Table[string, bool]
 	// answeredAt is when the version's first answer was reported, or zero.
 	answeredAt bltimer.Instant
-	// sawOthers is set once upstreams of another version were seen, and aloneSince is
-	// since when there are none, or zero.
-	sawOthers  bool
+	// sawOld is set once upstreams of a version that served before the order were seen,
+	// and aloneSince is since when there are none, or zero.
+	sawOld     bool
 	aloneSince bltimer.Instant
 	// held is what the latest admission holds of this service, and heldStep its step.
 	held     []blvalue.Incarnation
 	heldStep uint64
 	// confirmedAt is when all nodes had heldStep, or zero.
 	confirmedAt bltimer.Instant
+	// verified is set once this lead has seen that the other versions of a completed order
+	// are idle.
+	verified bool
 	// inherited is set when an earlier lead began the roll-out.
 	inherited bool
 	reason    string
@@ -95,7 +98,8 @@
 }
 
 func (r rollout) busy() bool {
-	return !r.stored.loaded || r.stored.writing != nil || r.stored.rewrite || r.running() || r.statusDue()
+	return !r.stored.loaded || r.stored.writing != nil || r.stored.rewrite || r.running() || r.statusDue() ||
+		r.step == StepCompleted && !r.verified
 }
 
 // running reports whether the order has no recorded end yet.
--- a/core/blrollout/steps.go
+++ b/core/blrollout/steps.go
@@ -22,6 +22,8 @@
 	StepHolding Step = "holding"
 	// StepCompleted means that the record says so.
 	StepCompleted Step = "completed"
+	// StepEnded means that the order is gone and its end recorded. Nothing is held.
+	StepEnded Step = "ended"
 	// StepWithdrawn means that the version gets no traffic. The record follows.
 	StepWithdrawn Step = "withdrawn"
 )
@@ -39,7 +41,7 @@
 	underLoadPercent = 20
 	// holdPercent is the age by which the other versions are held, and finishPercent the
 	// age by which the order is to be completed.
-	holdPercent   = 72
+	holdPercent   = 66
 	finishPercent = 90
 	// forcedPercent is the age at which a version is passed or not by the data there is.
 	// earliestForcedPercent bounds how far that is brought forward where heartbeats are
@@ -49,7 +51,7 @@
 	// maxStepsPerDuration and minStepsPerDuration bound the time between two steps of a
 	// release. Longer ones show more of the version under load.
 	maxStepsPerDuration = 16
-	minStepsPerDuration = 8
+	minStepsPerDuration = 10
 	// partialShare is one in how many upstreams are released first.
 	partialShare = 3
 	// rotationAnswers is the number of answers after which a single canary is replaced.
@@ -93,7 +95,7 @@
 // advanceSteps goes on with the steps of a roll-out.
 func (s Rollouts[J]) advanceSteps(r rollout, f fleet, now bltimer.Instant) (rollout, []Effect) {
 	r = r.withConfirmation(s.view.ConfirmedStep, now).withAlone(f, now)
-	if r.step == StepCompleted || r.step == StepWithdrawn || r.order.Target == "" || r.stored.foreign || r.completing() {
+	if r.isFinal() || r.order.Target == "" || r.stored.foreign || r.completing() {
 		return r, nil
 	}
 	if !r.ordered {
@@ -116,6 +118,11 @@
 	return s.advanceRelease(r, f, now)
 }
 
+// isFinal reports whether the step is one of an order that has ended for this lead.
+func (r rollout) isFinal() bool {
+	return r.step == StepCompleted || r.step == StepEnded || r.step == StepWithdrawn
+}
+
 // completing reports whether the record may say in the store that the order is completed
 // without this lead knowing.
 func (r rollout) completing() bool {
@@ -126,11 +133,12 @@
 		continues(r.stored.writing.Record, r.order)
 }
 
-// withAlone records since when there are only upstreams of the version.
+// withAlone records since when no version that served before the order is left but the
+// target itself.
 func (r rollout) withAlone(f fleet, now bltimer.Instant) rollout {
-	r.sawOthers = r.sawOthers || len(f.others) > 0
+	r.sawOld = r.sawOld || len(f.old) > 0
 	switch {
-	case len(f.others) > 0 || len(f.target) == 0:
+	case len(f.old) > 0 || len(f.target) == 0:
 		r.aloneSince = 0
 	case r.aloneSince == 0:
 		r.aloneSince = now
@@ -138,10 +146,10 @@
 	return r
 }
 
-// alone reports whether there is nothing to compare the version with and no other version
-// that could serve. If there was, it may only be missing from the view for a moment.
+// alone reports whether there is nothing to compare the version with and no other one that
+// is known to serve well. If there was, it may only be missing from the view for a moment.
 func (s Rollouts[J]) alone(r rollout, now bltimer.Instant) bool {
-	return r.aloneSince != 0 && s.knowsFleet(now) && (!r.sawOthers || now.Sub(r.aloneSince) >= 2*s.heartbeat())
+	return r.aloneSince != 0 && s.knowsFleet(now) && (!r.sawOld || now.Sub(r.aloneSince) >= 2*s.heartbeat())
 }
 
 func (s Rollouts[J]) advanceCanaries(r rollout, f fleet, e evaluation, now bltimer.Instant) (rollout, []Effect) {
@@ -182,16 +190,19 @@
 	return s.pass(r, f, step, "no evidence against the version", now)
 }
 
-// withCanaries chooses the canaries. One that looks bad alone is replaced once, so that
-// another one confirms the evidence or not. So is a single one, which must not decide.
+// withCanaries chooses the canaries. One that looks bad alone is replaced, so that another
+// one confirms the evidence or not. So is a single one, which must not decide.
 func (s Rollouts[J]) withCanaries(r rollout, f fleet, e evaluation, now bltimer.Instant) (rollout, []Effect) {
 	before := r.serving
 	count := s.canaryCount(f)
-	if r.aside == "" && s.working(f.target) > 1 {
+	_, suspected := r.serving.Get(e.suspect)
+	switch {
+	case s.working(f.target) <= 1:
+	case suspected:
 		r.aside = e.suspect
-		if r.aside == "" && count == 1 && len(f.target) >= severalUpstreams && e.answered >= rotationAnswers {
-			r.aside = firstKey(r.serving)
-		}
+	case r.aside == "" && count == 1 && len(f.target) >= severalUpstreams && e.answered >= rotationAnswers &&
+		r.budget.available() >= minAhead:
+		r.aside = firstKey(r.serving)
 	}
 	r = s.withServing(r, f, count, now)
 	if !sameKeys(before, r.serving) {
@@ -236,7 +247,7 @@
 			return r, nil
 		}
 		r = r.withStep(StepHolding, now)
-	case StepCanaries, StepHolding, StepCompleted, StepWithdrawn:
+	case StepCanaries, StepHolding, StepCompleted, StepEnded, StepWithdrawn:
 		return r, nil
 	}
 	return r, []Effect{s.decided(r, f, string(r.step), "")}
