Store: the record of a roll-out carries the number of other upstreams

The decision added the field; without it a new lead can't tell whether it has heard of all upstreams that its predecessor knew.

--- a/io/blstore/rollout_codec.go
+++ b/io/blstore/rollout_codec.go
@@ -21,6 +21,7 @@
 	Reserved   uint64          `json:"reserved"`
 	Reason     string          `json:"reason,omitempty"`
 	Superseded string          `json:"superseded,omitempty"`
+	Others     int             `json:"others,omitempty"`
 	Term       uint64          `json:"term"`
 	WriteID    string          `json:"write_id"`
 }
@@ -50,7 +51,7 @@
 	body, err := json.Marshal(rolloutBody{
 		Service: record.Order.Service, Target: record.Order.Target, DurationMS: record.Order.Duration.Milliseconds(),
 		Order: record.Order.Revision, Phase: record.Phase, Reserved: record.Reserved, Reason: record.Reason,
-		Superseded: record.Superseded, Term: record.Term, WriteID: record.WriteID,
+		Superseded: record.Superseded, Others: record.Others, Term: record.Term, WriteID: record.WriteID,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode roll-out: %w", err)
@@ -82,7 +83,7 @@
 		Order: blconfig.RolloutOrder{
 			Service: body.Service, Target: body.Target, Duration: time.Duration(body.DurationMS) * time.Millisecond, Revision: body.Order,
 		},
-		Phase: body.Phase, Reserved: body.Reserved, Reason: body.Reason, Superseded: body.Superseded, Term: body.Term, WriteID: body.WriteID,
+		Phase: body.Phase, Reserved: body.Reserved, Reason: body.Reason, Superseded: body.Superseded, Others: body.Others, Term: body.Term, WriteID: body.WriteID,
 	}, nil
 }
 
