Nodes report unchanged results of a roll-out again after 1.5 s

The lead completes a roll-out once each held upstream's node has reported, after all nodes knew of the hold, that nothing runs. Nodes left out unchanged results, and a held upstream's results don't change: the roll-out stayed at holding until the test's limit of 90 s. Unchanged results are now due again after 1.5 s, and after 5 s once the order is old.

--- a/core/blmember/results.go
+++ b/core/blmember/results.go
@@ -15,6 +15,10 @@
 	// settledInterval is the interval between reports of an upstream's results from then
 	// on, so that they cost hardly any traffic.
 	settledInterval = 5 * time.Second
+	// unchangedInterval is the interval between reports of unchanged results before that.
+	// Without them the lead would never learn that an upstream which it holds back, and
+	// which gets no request any more, has run none since.
+	unchangedInterval = 1500 * time.Millisecond
 )
 
 // ReportedResults are the results that the lead has acknowledged, by run of the upstream.
@@ -46,14 +50,21 @@
 	return changed, known
 }
 
-// due reports whether results have changed and are to be reported. That an upstream has no
-// request left is reported at once, since it may end a roll-out.
+// due reports whether results are to be reported, since they have changed or were reported
+// some time ago. That an upstream has no request left is reported at once, since it may end
+// a roll-out.
 func (r ResultsReport) due(reported, results blvalue.UpstreamResults) bool {
+	order, ok := r.Orders[results.Service]
+	settled, interval := false, unchangedInterval
+	if ok && results.OrderAge > settledFactor*order.Duration {
+		settled, interval = true, settledInterval
+	}
+	if results.OrderAge-reported.OrderAge >= interval {
+		return true
+	}
 	if results.SameCounts(reported) {
 		return false
 	}
-	order, ok := r.Orders[results.Service]
-	settled := ok && results.OrderAge > settledFactor*order.Duration
 	idle := results.Running == 0 && reported.Running > 0
-	return !settled || idle || results.Order != reported.Order || results.OrderAge-reported.OrderAge >= settledInterval
+	return !settled || idle || results.Order != reported.Order
 }
--- a/core/blmember/results_test.go
+++ b/core/blmember/results_test.go
@@ -52,6 +52,8 @@
 		{"the first", func(*node) {}, []blvalue.UpstreamResults{first}, 1},
 		{"unchanged but for the age", func(n *node) { n.report(3, first) },
 			[]blvalue.UpstreamResults{counted("run_1", 3, 1, 2*time.Second)}, 0},
+		{"unchanged for a while", func(n *node) { n.report(3, first) },
+			[]blvalue.UpstreamResults{counted("run_1", 3, 1, 3*time.Second)}, 1},
 		{"one of two changed", func(n *node) { n.report(3, first, counted("run_2", 8, 0, time.Second)) },
 			[]blvalue.UpstreamResults{counted("run_1", 4, 1, time.Second), counted("run_2", 8, 0, time.Second)}, 1},
 		{"the report was lost", func(n *node) { n.report(3, first); n.report(0, counted("run_1", 4, 1, time.Second)) },
@@ -63,6 +65,8 @@
 			[]blvalue.UpstreamResults{{Incarnation: "run_1", Service: "pot", Order: 6}}, 1},
 		{"long after the end, soon after the last", func(n *node) { n.report(3, counted("run_1", 3, 1, 30*time.Second)) },
 			[]blvalue.UpstreamResults{counted("run_1", 9, 2, 31*time.Second)}, 0},
+		{"long after the end, unchanged for some time", func(n *node) { n.report(3, counted("run_1", 3, 0, 30*time.Second)) },
+			[]blvalue.UpstreamResults{counted("run_1", 3, 0, 35*time.Second)}, 1},
 		{"long after the end, with the last request answered", func(n *node) { n.report(3, counted("run_1", 3, 1, 30*time.Second)) },
 			[]blvalue.UpstreamResults{counted("run_1", 3, 0, 31*time.Second)}, 1},
 		{"long after the end, some time after the last", func(n *node) {
