--- a/core/blrollout/steps.go
+++ b/core/blrollout/steps.go
@@ -47,7 +47,7 @@
 	// earliestForcedPercent bounds how far that is brought forward where heartbeats are
 	// slow, so that the order can be completed by its deadline.
 	forcedPercent         = 80
-	earliestForcedPercent = 65
+	earliestForcedPercent = 62
 	// maxStepsPerDuration and minStepsPerDuration bound the time between two steps of a
 	// release. Longer ones show more of the version under load.
 	maxStepsPerDuration = 16
@@ -180,7 +180,7 @@
 // completed in time otherwise, the others are held at once.
 func (s Rollouts[J]) decideNow(r rollout, f fleet, e evaluation, now bltimer.Instant) (rollout, []Effect) {
 	if e.doubtful {
-		return s.withdraw(r, f, "the results speak against the version, and there is no time for more", now)
+		return s.withdraw(r, f, e.reason+", and there was no time to see more", now)
 	}
 	step := StepReleased
 	times := s.schedule(r.order.Duration)
