Roll-outs: a partial view doesn't release a version

A new lead that had heard of upstreams of the target only took them for the whole fleet and allowed them any number of requests. It now waits as long as nodes that haven't reported may still send. TestPartialViewReleasesNothing failed before.

--- a/core/blrollout/admission.go
+++ b/core/blrollout/admission.go
@@ -93,7 +93,7 @@
 	switch r.step {
 	case StepCanaries, StepPartial:
 		_, ok := r.serving.Get(u.Upstream.Incarnation)
-		return ok || r.aloneSince != 0 && !r.sawOld
+		return ok || r.unrivaled
 	case StepReleased, StepHolding, StepCompleted, StepEnded:
 		return true
 	case StepWithdrawn:
@@ -137,7 +137,7 @@
 		case !s.serves(r, u):
 		case r.step == StepPartial || r.step == StepReleased:
 			allowance.Requests = passedRequests
-		case r.step != StepCanaries || r.aloneSince != 0 && !r.sawOld:
+		case r.step != StepCanaries || r.unrivaled:
 			allowance.Unlimited = true
 		default:
 			allowance.Requests, _ = r.budget.grants.Get(grantKey(u))
--- a/core/blrollout/record_test.go
+++ b/core/blrollout/record_test.go
@@ -291,3 +291,31 @@
 		t.Errorf("busy after the end: got true, want false")
 	}
 }
+
+// TestPartialViewReleasesNothing checks that a new lead that has heard of upstreams of the
+// version only doesn't take them for all there are.
+func TestPartialViewReleasesNothing(t *testing.T) {
+	d := newDuty(order("pot", 40))
+	d.load(blrollout.Record{Revision: 9, Order: order("pot", 40), Phase: blrollout.PhaseRunning, Reserved: 100, Term: term - 1, Others: 3})
+	view := blassign.RolloutView{Term: term}
+	for i := 3; i < 6; i++ {
+		view.Upstreams = append(view.Upstreams, blassign.RolloutUpstream{Upstream: upstream("pot", i), Node: node(i)})
+		d.report("pot", i, 40, 20)
+	}
+	for range 15 {
+		d.now = d.now.Add(100 * time.Millisecond)
+		d.send(blrollout.ViewSeen{View: view})
+		d.send(blrollout.Tick{})
+		for _, effect := range d.effects {
+			published, ok := effect.(blrollout.Publish)
+			if !ok {
+				continue
+			}
+			for _, allowance := range published.Admission.Allowances {
+				if allowance.Unlimited {
+					t.Fatalf("allowance: got %+v, want a limited one", allowance)
+				}
+			}
+		}
+	}
+}
--- a/core/blrollout/state.go
+++ b/core/blrollout/state.go
@@ -59,6 +59,8 @@
 	// and aloneSince is since when there are none, or zero.
 	sawOld     bool
 	aloneSince bltimer.Instant
+	// unrivaled is set while all upstreams are of the version, and were since the order.
+	unrivaled bool
 	// held is what the latest admission holds of this service, and heldStep its step.
 	held     []blvalue.Incarnation
 	heldStep uint64
--- a/core/blrollout/steps.go
+++ b/core/blrollout/steps.go
@@ -94,7 +94,7 @@
 
 // advanceSteps goes on with the steps of a roll-out.
 func (s Rollouts[J]) advanceSteps(r rollout, f fleet, now bltimer.Instant) (rollout, []Effect) {
-	r = r.withConfirmation(s.view.ConfirmedStep, now).withAlone(f, now)
+	r = s.withAlone(r.withConfirmation(s.view.ConfirmedStep, now), f, now)
 	if r.isFinal() || r.order.Target == "" || r.stored.foreign || r.completing() {
 		return r, nil
 	}
@@ -135,7 +135,7 @@
 
 // withAlone records since when no version that served before the order is left but the
 // target itself.
-func (r rollout) withAlone(f fleet, now bltimer.Instant) rollout {
+func (s Rollouts[J]) withAlone(r rollout, f fleet, now bltimer.Instant) rollout {
 	r.sawOld = r.sawOld || len(f.old) > 0
 	switch {
 	case len(f.old) > 0 || len(f.target) == 0:
@@ -143,13 +143,14 @@
 	case r.aloneSince == 0:
 		r.aloneSince = now
 	}
+	r.unrivaled = r.aloneSince != 0 && !r.sawOld && s.knowsFleet(now)
 	return r
 }
 
 // alone reports whether there is nothing to compare the version with and no other one that
 // is known to serve well. If there was, it may only be missing from the view for a moment.
 func (s Rollouts[J]) alone(r rollout, now bltimer.Instant) bool {
-	return r.aloneSince != 0 && s.knowsFleet(now) && (!r.sawOld || now.Sub(r.aloneSince) >= 2*s.heartbeat())
+	return r.unrivaled || r.aloneSince != 0 && r.sawOld && now.Sub(r.aloneSince) >= 2*s.heartbeat()
 }
 
 func (s Rollouts[J]) advanceCanaries(r rollout, f fleet, e evaluation, now bltimer.Instant) (rollout, []Effect) {
