--- a/core/blrollout/orders_test.go
+++ b/core/blrollout/orders_test.go
@@ -45,6 +45,13 @@
 		{"hardly any request", func(o *simOptions) { o.rate = 4 }, func(sim *fleetSim) {
 			sim.runUntil(orderAt + 14*time.Second)
 		}, "v2 completed", 13 * time.Second},
+		{"the version is gone after it has passed", func(*simOptions) {}, func(sim *fleetSim) {
+			sim.runUntil(orderAt + 8500*time.Millisecond)
+			for _, n := range sim.nodes[sim.old:] {
+				n.stopped = true
+			}
+			sim.runUntil(orderAt + 12*time.Second)
+		}, "v2 rolled_back", 9 * time.Second},
 		{"removed while it runs", func(*simOptions) {}, func(sim *fleetSim) {
 			sim.runUntil(orderAt + 3*time.Second)
 			sim.order.Target = ""
--- a/core/blrollout/steps.go
+++ b/core/blrollout/steps.go
@@ -232,6 +232,9 @@
 // advanceRelease releases the rest of the version, and then holds the others once the
 // version has the capacity or there is no more time.
 func (s Rollouts[J]) advanceRelease(r rollout, f fleet, now bltimer.Instant) (rollout, []Effect) {
+	if s.working(f.target) == 0 {
+		return s.withdraw(r, f, "no upstream of the version takes work any more", now)
+	}
 	times := s.schedule(r.order.Duration)
 	wait := times.step
 	if r.age(now) >= times.hold {
@@ -244,7 +247,7 @@
 	case StepPartial:
 		r = r.withStep(StepReleased, now)
 	case StepReleased:
-		if !s.hasCapacity(f) && r.age(now) < part(r.order.Duration, holdPercent) || s.working(f.target) == 0 {
+		if !s.hasCapacity(f) && r.age(now) < part(r.order.Duration, holdPercent) {
 			return r, nil
 		}
 		r = r.withStep(StepHolding, now)
