--- a/io/blsettings/process_test.go
+++ b/io/blsettings/process_test.go
@@ -27,6 +27,8 @@
 		{"host name in place of an IP address", "127.0.0.1:7400", "store.example:7400", "setting store: want an IP address and port"},
 		{"missing host", "host = \"host_a\"", "", "setting host: is missing"},
 		{"unspecified address", "127.0.0.1:8001", "0.0.0.0:8001", "setting node_listen"},
+		{"negative memory", "store =", "memory_mb = -1\nstore =", "setting memory_mb"},
+		{"negative descriptors", "store =", "max_descriptors = -1\nstore =", "setting max_descriptors"},
 		{"syntax", "region = ", "region = = ", "line 3"},
 	}
 	for _, c := range cases {
--- a/tools/blfleet/fleet.go
+++ b/tools/blfleet/fleet.go
@@ -28,6 +28,8 @@
 	Name      string
 	Domain    string
 	Upstreams []Upstream
+	// Settings are further lines of the settings of the node, in TOML.
+	Settings []string
 }
 
 // Options describe a fleet.
@@ -197,6 +199,7 @@
 		fmt.Sprintf("operator_token_file = %q", f.tokenFile()),
 		fmt.Sprintf("store = %q", store),
 	}
+	lines = append(lines, host.Spec.Settings...)
 	if f.options.Traces {
 		host.TraceFile = filepath.Join(f.options.Folder, host.Spec.Name+".spans")
 		lines = append(lines, fmt.Sprintf("trace_file = %q", host.TraceFile))
