--- /dev/null
+++ b/core/blmemory/limits.go
@@ -0,0 +1,87 @@
+package blmemory
+
+import "time"
+
+const (
+	// ConnectionBytes is the share of a connection: two buffers of 4 KB, its goroutines,
+	// and an ordinary request.
+	ConnectionBytes = 16<<10 + OrdinaryBytes
+	// OrdinaryBytes is what a request may cost in addition to its connection without a
+	// share of its own.
+	OrdinaryBytes = 12 << 10
+	// lineBytes and byteFactor estimate what a head costs. A line with a name of its own
+	// takes about 100 bytes in each of the three maps through which it is passed on, and
+	// its text is held up to three times.
+	lineBytes  = 320
+	byteFactor = 3
+)
+
+// HeadCost returns the estimated memory of a head, in bytes.
+func HeadCost(lines, bytes int) int64 {
+	return int64(lines)*lineBytes + int64(bytes)*byteFactor
+}
+
+const (
+	mebibyte = 1 << 20
+	// controlMB is the memory of a node without requests, in MiB: up to 28 were measured
+	// on small deployments.
+	controlMB = 32
+	// minBudgetMB is the budget of a process whose memory leaves less.
+	minBudgetMB = 8
+	// collectorFactor is how much more memory the process takes than is in use, since
+	// the collector of the Go runtime runs when the heap has doubled.
+	collectorFactor = 2
+	// DefaultMemoryMB is the memory of a process whose settings name none, in MiB.
+	DefaultMemoryMB = 1024
+	// DefaultDescriptors is the number of descriptors of a process whose settings name
+	// none and whose system doesn't tell either.
+	DefaultDescriptors = 4096
+)
+
+// Limits are the limits on all shares together.
+type Limits struct {
+	// Bytes limits all shares, and RequestBytes those other than of connections, so that
+	// small requests are served while large ones are refused.
+	Bytes, RequestBytes int64
+	// Connections limits the connections of each listener.
+	Connections [listenerCount]int
+	// SilentAfter is how long nothing has arrived on a connection that is closed for
+	// the sake of others, and LastResortAfter the same once its request has been
+	// passed on.
+	SilentAfter, LastResortAfter time.Duration
+}
+
+const (
+	// callersShare and nodesShare are the parts of the descriptors for the connections
+	// of callers and of nodes. The rest is for connections to upstreams, to other nodes
+	// and to the store.
+	callersShare = 2
+	nodesShare   = 4
+	// connectionsShare is the part of the budget that callers' connections may take.
+	connectionsShare = 2
+	// requestNumerator and requestDenominator are the part for requests.
+	requestNumerator, requestDenominator = 3, 4
+
+	silentAfter     = time.Second
+	lastResortAfter = 3 * time.Second
+)
+
+// NewLimits returns the limits of a process with the given memory, in MiB, and number of
+// descriptors. Zero is the default.
+func NewLimits(memoryMB, descriptors int) Limits {
+	if memoryMB == 0 {
+		memoryMB = DefaultMemoryMB
+	}
+	if descriptors == 0 {
+		descriptors = DefaultDescriptors
+	}
+	bytes := int64(max((memoryMB-controlMB)/collectorFactor, minBudgetMB)) * mebibyte
+	return Limits{
+		Bytes: bytes, RequestBytes: bytes * requestNumerator / requestDenominator,
+		Connections: [listenerCount]int{
+			ListenerCallers: max(min(descriptors/callersShare, int(bytes/connectionsShare/ConnectionBytes)), 1),
+			ListenerNodes:   max(descriptors/nodesShare, 1),
+		},
+		SilentAfter: silentAfter, LastResortAfter: lastResortAfter,
+	}
+}
