--- a/io/blmetric/metric.go
+++ b/io/blmetric/metric.go
@@ -51,6 +51,16 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_store_calls_total{kind=%q}`, kind)).Inc()
 }
 
+// ConnectionClosed counts a connection that was closed for the sake of others.
+func (s *Set) ConnectionClosed(reason string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_clients_closed_total{reason=%q}`, reason)).Inc()
+}
+
+// ShareRefused counts a share of the memory or of the connections that was refused.
+func (s *Set) ShareRefused(reason, kind string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_shares_refused_total{reason=%q,kind=%q}`, reason, kind)).Inc()
+}
+
 // Gauge registers a gauge whose value is read each time the metrics are
 // written.
 func (s *Set) Gauge(name string, read func() float64) {
