Nodes' listener: unfinished messages take shares of the memory

Each call had a window of 1 MB, and nothing bounded calls, unfinished messages or connections without a preface. The window of a call is now 64 KB, calls of a connection are limited by the budget, and a connection takes shares for what has arrived and no call has read. gRPC's statistics tell what calls have read.

--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -7,20 +7,24 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/bllead"
+	"bergamotlead/core/blmemory"
 	"bergamotlead/core/blquota"
 	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blbudget"
 	"bergamotlead/io/blgrpc/blproto"
 )
 
@@ -63,22 +67,51 @@
 	configs configEncoder
 	headers HeaderTable
 	server  *grpc.Server
+	// budget holds the shares of memory, or is nil, and connections those that have one,
+	// by the address of their client.
+	budget      *blbudget.Budget
+	connections *sync.Map
 }
 
 // maxMessageBytes is the maximum size of one message, which has to hold a
 // configuration document and its framing.
 const maxMessageBytes = 2 << 20
 
-// NewServer returns a server for node that is not yet running; Serve runs it.
+const (
+	// serverWindowBytes is the flow-control window of a call, the smallest that gRPC
+	// allows: it bounds what arrives of a body before it is passed on. For a larger
+	// message gRPC raises it while a call waits for that message.
+	serverWindowBytes = 64 << 10
+	// prefaceTimeout is how long a connection may take to send the preface of HTTP/2.
+	prefaceTimeout = 5 * time.Second
+)
+
+// NewServer returns a server for node that is not yet running; Serve runs it. Its
+// connections are limited by their windows alone.
 func NewServer(node Node, headers HeaderTable) *Server {
-	s := &Server{node: node, headers: headers, server: grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes))}
+	return NewLimitedServer(node, headers, nil)
+}
+
+// NewLimitedServer is NewServer with a budget for what the connections hold.
+func NewLimitedServer(node Node, headers HeaderTable, budget *blbudget.Budget) *Server {
+	s := &Server{node: node, headers: headers, budget: budget, connections: &sync.Map{}}
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.InitialWindowSize(serverWindowBytes), grpc.InitialConnWindowSize(windowBytes),
+		grpc.MaxConcurrentStreams(streamLimit(budget)), grpc.MaxHeaderListSize(maxHeaderListBytes), grpc.ConnectionTimeout(prefaceTimeout),
+	}
+	if budget != nil {
+		options = append(options, grpc.StatsHandler(connStats{connections: s.connections}))
+	}
+	s.server = grpc.NewServer(options...)
 	blproto.RegisterNodeServer(s.server, s)
 	return s
 }
 
 // Serve serves calls on listener until Drain or Stop is called.
 func (s *Server) Serve(listener net.Listener) error {
+	if s.budget != nil {
+		listener = budgetListener{Listener: listener, budget: s.budget, connections: s.connections}
+	}
 	if err := s.server.Serve(listener); err != nil {
 		return fmt.Errorf("serve nodes: %w", err)
 	}
@@ -201,18 +234,37 @@
 	if head == nil {
 		return status.Error(codes.InvalidArgument, "the first frame isn't the head of an order")
 	}
+	size := int64(proto.Size(head))
+	holder := holderOf(stream.Context())
+	if size > blmemory.OrdinaryBytes {
+		if !holder.Reserve(blmemory.KindHead, size) {
+			return sendRefusal(stream, bldeliver.Delivery{
+				Refusal: blvalue.NotRun(blvalue.ReasonOverload, "the node has no memory for the request"), Retryable: true,
+			})
+		}
+		defer holder.Release(blmemory.KindHead, size)
+	}
+	if !head.GetBodyWhole() {
+		defer claimRest(stream.Context())
+	}
 	order := s.headers.orderFromProto(head, orderBody(head, stream))
 	ctx, cancel := context.WithTimeout(stream.Context(), order.Timeout+answerTimeout)
 	defer cancel()
 	writer := &frameWriter{send: stream.Send, headers: s.headers}
 	delivery := s.node.Deliver(ctx, order, writer)
-	if delivery.Refusal == nil {
-		err = writer.finish(delivery.Load)
-	} else {
-		err = stream.Send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Refusal{Refusal: refusalToProto(delivery)}})
+	if delivery.Refusal != nil {
+		return sendRefusal(stream, delivery)
 	}
-	if err != nil {
+	if err := writer.finish(delivery.Load); err != nil {
 		return fmt.Errorf("send end of answer: %w", err)
 	}
 	return nil
 }
+
+func sendRefusal(stream grpc.BidiStreamingServer[blproto.DeliverRequest, blproto.DeliverReply], delivery bldeliver.Delivery) error {
+	err := stream.Send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Refusal{Refusal: refusalToProto(delivery)}})
+	if err != nil {
+		return fmt.Errorf("send refusal: %w", err)
+	}
+	return nil
+}
