Callers' listener: connections, heads and bodies take shares of the memory

Requests of legal size filled a process: a parsed head cost up to 1.2 MB, a buffered start 64 KB for as long as the connection lasted, and an unfinished body its slot. Connections, heads (estimated by lines and bytes while they arrive), buffered starts, bodies and responses in transfer now take shares of a budget that memory_mb gives, and connections are limited by max_descriptors. The head limit, header_timeout and idle_timeout of the configuration hold where set. The start of a streamed body is dropped once it has been sent, and a body has to arrive within the time of its request.

--- a/core/blconfig/plan.go
+++ b/core/blconfig/plan.go
@@ -49,7 +49,13 @@
 
 // Limits holds the limits on requests, queues, retries and hedging.
 type Limits struct {
-	BodyBytes      int64
+	BodyBytes int64
+	// HeadBytes limits the head of a request, HeaderTimeout the time in which it has to
+	// arrive, and IdleTimeout the time for which a connection may wait for one. Zero
+	// leaves the default.
+	HeadBytes      int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
 	QueueLength    int
 	RequestTimeout time.Duration
 	ShutdownGrace  time.Duration
--- a/io/blhttp/attempts.go
+++ b/io/blhttp/attempts.go
@@ -7,6 +7,7 @@
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blroute"
 	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blbudget"
 	"bergamotlead/io/bltrace"
 )
 
@@ -14,6 +15,7 @@
 type activeRequest struct {
 	handler   *Handler
 	call      Call
+	holder    *blbudget.Holder
 	writer    bldeliver.ResponseWriter
 	account   blvalue.AccountName
 	startedAt time.Time
@@ -90,6 +92,7 @@
 func (a *activeRequest) deliver(ctx context.Context, answer blroute.Answer, writer bldeliver.ResponseWriter) bldeliver.Delivery {
 	defer enter(&a.handler.stages.delivery)()
 	sentAt := time.Now()
+	a.holder.Passed()
 	delivery := a.handler.deliver(ctx, a.order(ctx, answer), writer)
 	_ = a.handler.route(blroute.AttemptCompleted{
 		Upstream: answer.Target.Upstream, Latency: time.Since(sentAt), Failed: upstreamFailed(delivery.Refusal), Load: delivery.Load,
--- a/io/blhttp/handler.go
+++ b/io/blhttp/handler.go
@@ -11,6 +11,7 @@
 
 	"bergamotlead/core/bladmit"
 	"bergamotlead/core/bldeliver"
+	"bergamotlead/core/blmemory"
 	"bergamotlead/core/blroute"
 	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blheader"
@@ -65,13 +66,21 @@
 		h.refuseMalformed(w, call.RequestID, err)
 		return
 	}
+	holder := blserver.HolderOf(r.Context())
+	if call.Body.stream != nil && !holder.Reserve(blmemory.KindBody, transferBytes) {
+		h.refuseBody(w, call.RequestID)
+		return
+	}
 	endLimit := limitWrites(w, call.Request.Timeout+writeGrace)
 	ctx, cancel := context.WithTimeout(r.Context(), call.Request.Timeout)
 	defer cancel()
 	ctx, release := h.ending.Limit(ctx)
 	defer release()
 	ctx, span := h.tracer.Start(ctx, "entry", r.Header.Get(blheader.TraceParent), call.RequestID)
-	a := &activeRequest{handler: h, call: call, writer: callerWriter{writer: w, protocol: h.protocol, requestID: call.RequestID}, startedAt: time.Now()}
+	a := &activeRequest{
+		handler: h, call: call, holder: holder, startedAt: time.Now(),
+		writer: callerWriter{writer: w, protocol: h.protocol, requestID: call.RequestID, holder: holder},
+	}
 	delivery, retryAfter := a.run(ctx)
 	span.With("service", string(call.Request.Service)).With("account", string(a.account)).End(delivery.Refusal)
 	h.complete(w, a, delivery, retryAfter)
@@ -88,6 +97,14 @@
 	h.protocol.Refuse(w, requestID, refusal, 0)
 }
 
+// refuseBody refuses a request for whose body there is no memory.
+func (h *Handler) refuseBody(w http.ResponseWriter, requestID string) {
+	refusal := blvalue.NotRun(blvalue.ReasonOverload, "the node has no memory for the body")
+	h.metrics.Refused("", refusal)
+	w.Header().Set("Connection", "close")
+	h.protocol.Refuse(w, requestID, refusal, time.Second)
+}
+
 // complete records the result and writes a refusal to the caller. If a response
 // was cut short after its header had been sent, the connection is aborted so
 // that the caller can't take the response for a complete one.
--- a/io/blhttp/hedge.go
+++ b/io/blhttp/hedge.go
@@ -101,6 +101,9 @@
 // startHedge starts an attempt at another upstream if the hedge budget allows
 // it. It returns nil otherwise.
 func (a *activeRequest) startHedge(ctx context.Context, r *race, answer blroute.Answer, done chan attemptResult) *hedgedAttempt {
+	if !a.call.Body.replayable() {
+		return nil
+	}
 	next, err := a.findTarget(ctx, answer, blroute.Find{Hedge: true})
 	if err != nil || next.Refusal != nil {
 		return nil
--- a/io/blhttp/request.go
+++ b/io/blhttp/request.go
@@ -2,13 +2,10 @@
 package blhttp
 
 import (
-	"bytes"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -21,9 +18,6 @@
 const (
 	// maxKeyBytes limits the key in a caller's URL.
 	maxKeyBytes = 512
-	// maxReplayBytes is the size up to which a request body is buffered, so that
-	// it can be sent again in another attempt.
-	maxReplayBytes = 64 << 10
 	// maxTimeout limits the timeout that a caller may request.
 	maxTimeout     = 5 * time.Minute
 	requestIDBytes = 12
@@ -80,7 +74,7 @@
 	if clientKey != "" && strings.Contains(r.URL.RequestURI(), clientKey) {
 		return Call{}, MalformedError{Reason: "the URL holds the client key"}
 	}
-	body, err := ReadBody(r, limits.BodyBytes)
+	body, err := ReadBody(r, limits, timeout)
 	if err != nil {
 		return Call{}, err
 	}
@@ -135,52 +129,3 @@
 	_, _ = rand.Read(raw[:])
 	return hex.EncodeToString(raw[:])
 }
-
-// Body is the body of a request. A small one is buffered completely, a larger
-// one is streamed.
-type Body struct {
-	buffered []byte
-	stream   io.Reader
-	length   int64
-}
-
-// replayable reports whether the body can be sent again.
-func (b Body) replayable() bool {
-	return b.stream == nil
-}
-
-// reader returns a reader of the whole body, or nil if the request has none.
-func (b Body) reader() io.Reader {
-	if b.length == 0 {
-		return nil
-	}
-	if b.stream == nil {
-		return bytes.NewReader(b.buffered)
-	}
-	return io.MultiReader(bytes.NewReader(b.buffered), b.stream)
-}
-
-// ReadBody buffers the start of the body of r, of which at most limit bytes can
-// be read.
-func ReadBody(r *http.Request, limit int64) (Body, error) {
-	if r.ContentLength > limit {
-		return Body{}, TooLargeError{Limit: limit}
-	}
-	if r.Body == nil || r.ContentLength == 0 {
-		return Body{}, nil
-	}
-	limited := http.MaxBytesReader(nil, r.Body, limit)
-	buffered := make([]byte, 0, min(max(r.ContentLength, bytes.MinRead), maxReplayBytes))
-	buffer := bytes.NewBuffer(buffered)
-	_, err := io.CopyN(buffer, limited, maxReplayBytes)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, io.EOF):
-		return Body{buffered: buffer.Bytes(), length: int64(buffer.Len())}, nil
-	case errors.As(err, &tooLarge):
-		return Body{}, TooLargeError{Limit: limit}
-	case err != nil:
-		return Body{}, MalformedError{Reason: "the body broke off"}
-	}
-	return Body{buffered: buffer.Bytes(), stream: limited, length: r.ContentLength}, nil
-}
--- a/io/blhttp/response_writer.go
+++ b/io/blhttp/response_writer.go
@@ -3,6 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+
+	"bergamotlead/core/blmemory"
+	"bergamotlead/io/blbudget"
 )
 
 // callerWriter writes an upstream's response to the caller.
@@ -10,6 +14,7 @@
 	writer    http.ResponseWriter
 	protocol  Protocol
 	requestID string
+	holder    *blbudget.Holder
 }
 
 // WriteHeader implements bldeliver.ResponseWriter.
@@ -19,6 +24,9 @@
 		target[name] = values
 	}
 	w.protocol.SetResponseHeader(target, w.requestID)
+	if !w.short() {
+		w.holder.Take(blmemory.KindResponse, transferBytes)
+	}
 	w.writer.WriteHeader(status)
 	return nil
 }
@@ -35,6 +43,15 @@
 	return count, nil
 }
 
+// short reports whether the response is buffered by the connection as a whole.
+func (w callerWriter) short() bool {
+	length, err := strconv.Atoi(w.writer.Header().Get("Content-Length"))
+	return err == nil && length <= ordinaryResponseBytes
+}
+
+// ordinaryResponseBytes is the size of a response that needs no share of its own.
+const ordinaryResponseBytes = 32 << 10
+
 // streaming reports whether the response has no known length. Each chunk of such
 // a response is flushed at once.
 func (w callerWriter) streaming() bool {
--- a/io/blnode/listeners.go
+++ b/io/blnode/listeners.go
@@ -8,9 +8,12 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sys/unix"
 
+	"bergamotlead/core/blmemory"
 	"bergamotlead/io/blhttp"
 	"bergamotlead/io/blserver"
+	"bergamotlead/io/blsettings"
 )
 
 const (
@@ -45,10 +48,14 @@
 	if err != nil {
 		return err
 	}
-	server := blserver.New(listener, &http.Server{
+	limits := blserver.Limits{}
+	if address == n.settings.CallerListen {
+		limits = blserver.Limits{Budget: n.budget, Head: n.headLimits}
+	}
+	server := blserver.NewLimited(listener, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	})
+	}, limits)
 	if address == n.settings.CallerListen {
 		n.callerServer = server
 		n.metrics.Gauge("bergamotlead_connections_cut", func() float64 { return float64(server.Counts().Cut) })
@@ -96,3 +103,23 @@
 	defaultMaxBodyBytes   = 1 << 20
 	defaultRequestTimeout = 5 * time.Second
 )
+
+// headLimits returns the limits of the configuration on heads and idle connections.
+func (n *Node) headLimits() blserver.HeadLimits {
+	limits := n.duties.admit.View().Config().Plan.Limits
+	return blserver.HeadLimits{Bytes: limits.HeadBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
+}
+
+// memoryLimits returns the limits on what clients may hold. Without the setting, the
+// number of descriptors is that of the system.
+func memoryLimits(settings blsettings.Process) blmemory.Limits {
+	descriptors := settings.MaxDescriptors
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && descriptors == 0 {
+		descriptors = int(min(limit.Cur, maxDescriptors))
+	}
+	return blmemory.NewLimits(settings.MemoryMB, descriptors)
+}
+
+// maxDescriptors limits the number of descriptors where the system has hardly a limit.
+const maxDescriptors = 1 << 20
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -15,6 +15,7 @@
 	"bergamotlead/core/blreconciler"
 	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blbudget"
 	"bergamotlead/io/blgrpc"
 	"bergamotlead/io/blhttp"
 	"bergamotlead/io/bllog"
@@ -45,6 +46,7 @@
 	workers    workers
 	deliverer  *blupstream.Deliverer
 	nodeServer *blgrpc.Server
+	budget     *blbudget.Budget
 	// callerServer is the one of httpServers that serves callers.
 	callerServer *blserver.Server
 	httpServers  []*blserver.Server
@@ -99,13 +101,14 @@
 		ending:     blserver.NewEnding(),
 	}
 	n.client = blgrpc.NewClient(platform.Config.Decode, blgrpc.NewHeaderTable(platform.HeaderNames...), n.connectionReplaced)
+	n.budget = blbudget.New(memoryLimits(settings), n.clock, n.metrics, logger)
 	n.timer = bltimer.New(n.clock)
 	n.newWorkers()
 	n.newDuties()
 	n.deliverer = blupstream.New(blupstream.Duties{
 		Deliver: n.duties.deliver.Put, Grant: n.duties.grant.Put, Admit: n.duties.admit.Put,
 	}, platform.Transport, platform.UpstreamProtocol, n.clock, tracer, n.upstreamFailed)
-	n.nodeServer = blgrpc.NewServer(n, blgrpc.NewHeaderTable(platform.HeaderNames...))
+	n.nodeServer = blgrpc.NewLimitedServer(n, blgrpc.NewHeaderTable(platform.HeaderNames...), n.budget)
 	n.addGauges()
 	return n, nil
 }
--- a/io/blprocess/process.go
+++ b/io/blprocess/process.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -43,6 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", p.path, err)
 	}
+	limitHeap(settings.MemoryMB)
 	output := bllog.NewWriter(os.Stdout)
 	output.Start()
 	defer output.Stop()
@@ -69,6 +71,21 @@
 	return err
 }
 
+// outsideHeapMB is the memory outside of what the Go runtime manages, in MiB: about 15
+// are the mapped program.
+const (
+	outsideHeapMB = 20
+	mebibyte      = 1 << 20
+)
+
+// limitHeap lets the collector run more often when the process comes near its memory. It
+// is a safeguard only: the budget of the node bounds what clients can hold.
+func limitHeap(memoryMB int) {
+	if memoryMB > 2*outsideHeapMB {
+		debug.SetMemoryLimit(int64(memoryMB-outsideHeapMB) * mebibyte)
+	}
+}
+
 // waitForStop returns nil on a stop signal, or the error with which the node failed.
 func (p *Process) waitForStop(node *blnode.Node, stopSignals, reloadSignals <-chan os.Signal) error {
 	for {
--- a/io/blserver/connection.go
+++ b/io/blserver/connection.go
@@ -6,6 +6,9 @@
 	"net"
 	"net/http"
 	"time"
+
+	"bergamotlead/core/blmemory"
+	"bergamotlead/io/blbudget"
 )
 
 // trackingListener wraps the connections that it accepts.
@@ -17,15 +20,21 @@
 
 // Accept implements net.Listener.
 func (l trackingListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err //nolint:wrapcheck // net/http reads the error
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err //nolint:wrapcheck // net/http reads the error
+		}
+		c := &connection{Conn: accepted, server: l.server}
+		if !l.server.limits.admit(c) {
+			_ = accepted.Close()
+			continue
+		}
+		l.server.mu.Lock()
+		l.server.connections[c] = struct{}{}
+		l.server.mu.Unlock()
+		return c, nil
 	}
-	c := &connection{Conn: accepted, server: l.server}
-	l.server.mu.Lock()
-	l.server.connections[c] = struct{}{}
-	l.server.mu.Unlock()
-	return c, nil
 }
 
 // connection is a caller's connection. Its fields are guarded by the mutex of the
@@ -46,6 +55,12 @@
 	// that net/http set last.
 	ended        bool
 	readDeadline time.Time
+	// refused is set once a response has ended the connection that net/http doesn't
+	// know of.
+	refused bool
+	// holder holds the shares of memory, of which headShare is for the current head.
+	holder    *blbudget.Holder
+	headShare int64
 }
 
 // endReading makes the blocked read of the connection fail, and all later ones. A read
@@ -67,11 +82,11 @@
 func (c *connection) SetReadDeadline(deadline time.Time) error {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.readDeadline = deadline
+	c.readDeadline = c.limited(deadline)
 	if c.ended {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(deadline) //nolint:wrapcheck // net/http reads the error
+	return c.Conn.SetReadDeadline(c.readDeadline) //nolint:wrapcheck // net/http reads the error
 }
 
 // Read implements net.Conn. While no request is handled it returns no bytes behind the
@@ -81,19 +96,33 @@
 		c.watch()
 	}
 	count, err := c.head.read(c.Conn, buffer, c.splitting)
-	if count > 0 {
-		c.server.mu.Lock()
-		if c.running {
-			c.ahead = c.ahead || len(buffer) == backgroundReadBytes
-		} else {
-			c.received, c.written = true, false
-			c.resumeReading()
+	if count > 0 && c.noteArrival(len(buffer)) {
+		if err := c.holdHead(); err != nil {
+			return 0, err
 		}
-		c.server.mu.Unlock()
 	}
 	return count, err //nolint:wrapcheck // net/http reads the error
 }
 
+// noteArrival notes that something was read, and reports whether it is a part of a head.
+func (c *connection) noteArrival(bufferBytes int) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.running {
+		c.holder.ArrivedMore()
+		c.ahead = c.ahead || bufferBytes == backgroundReadBytes
+		return false
+	}
+	first := !c.received
+	c.received, c.written = true, false
+	c.resumeReading()
+	if first {
+		c.limitHead()
+	}
+	c.holder.Arrived(blmemory.PhaseReading)
+	return true
+}
+
 // backgroundReadBytes is the size of the reads by which net/http watches a connection
 // while a request is handled whose body has been read.
 const backgroundReadBytes = 1
@@ -129,7 +158,7 @@
 func (c *connection) Write(buffer []byte) (int, error) {
 	c.server.mu.Lock()
 	c.written = true
-	silent := c.ended && c.received && !c.running
+	silent := c.refused || c.ended && c.received && !c.running
 	c.server.mu.Unlock()
 	if silent {
 		return 0, net.ErrClosed
@@ -151,6 +180,7 @@
 		c.awaitCaller()
 	}
 	err := c.Conn.Close()
+	c.holder.Close()
 	c.server.mu.Lock()
 	delete(c.server.connections, c)
 	c.server.mu.Unlock()
@@ -205,6 +235,12 @@
 	}
 }
 
+// endRequest returns the shares of a request whose handler has ended.
+func (c *connection) endRequest() {
+	c.headShare = 0
+	c.holder.EndRequest()
+}
+
 // stateChanged marks the end of a request: its response has been written.
 func stateChanged(c net.Conn, state http.ConnState) {
 	if c, ok := c.(*connection); ok && state == http.StateIdle {
--- a/io/blserver/head_reader.go
+++ b/io/blserver/head_reader.go
@@ -15,6 +15,10 @@
 	// matched is the number of bytes of headEnd that the bytes returned last end with.
 	matched  int
 	buffered atomic.Bool
+	// lines and bytes count what has been read of the current head, and complete is set
+	// once it has been read to its end.
+	lines, bytes int
+	complete     bool
 }
 
 // read fills the buffer from what was held back, or else from source. If splitting then
@@ -42,7 +46,14 @@
 // headLength returns the number of bytes up to the end of a head, or all of them if
 // none ends there.
 func (h *headReader) headLength(text []byte) int {
+	if h.complete {
+		h.lines, h.bytes, h.complete = 0, 0, false
+	}
 	for i, letter := range text {
+		h.bytes++
+		if letter == '\n' {
+			h.lines++
+		}
 		switch letter {
 		case headEnd[h.matched]:
 			h.matched++
@@ -52,7 +63,7 @@
 			h.matched = 0
 		}
 		if h.matched == len(headEnd) {
-			h.matched = 0
+			h.matched, h.complete = 0, true
 			return i + 1
 		}
 	}
--- a/io/blserver/response.go
+++ b/io/blserver/response.go
@@ -16,6 +16,13 @@
 		return
 	}
 	c.begin()
+	defer c.endRequest()
+	if !c.reserveHead(headCost(r)) {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	writer := &responseWriter{ResponseWriter: w, connection: c}
 	h.next.ServeHTTP(writer, r)
 	writer.beginResponse()
--- a/io/blserver/server.go
+++ b/io/blserver/server.go
@@ -32,6 +32,7 @@
 type Server struct {
 	http     *http.Server
 	listener net.Listener
+	limits   Limits
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
@@ -48,7 +49,12 @@
 // New returns a server for listener with the handler and limits of settings; Serve
 // runs it. The server sets the connection hooks of settings.
 func New(listener net.Listener, settings *http.Server) *Server {
-	s := &Server{http: settings, listener: listener, connections: map[*connection]struct{}{}, changed: make(chan struct{}, 1)}
+	return NewLimited(listener, settings, Limits{})
+}
+
+// NewLimited is New with limits on the connections.
+func NewLimited(listener net.Listener, settings *http.Server, limits Limits) *Server {
+	s := &Server{http: settings, listener: listener, limits: limits, connections: map[*connection]struct{}{}, changed: make(chan struct{}, 1)}
 	settings.Handler = trackingHandler{next: settings.Handler}
 	settings.ConnContext = withConnection
 	settings.ConnState = stateChanged
