Limits of connections: tests, and figures of the platform with fractions

The platform may give memory_mb and max_descriptors as fractions, so both settings take them. The time of a body ends once it has been read: net/http takes a read that fails while the request runs for the end of the connection. Unread responses of other nodes are bounded by a window of 64 KB for each call, as orders are.

--- a/io/blbudget/budget.go
+++ b/io/blbudget/budget.go
@@ -62,7 +62,7 @@
 // Open takes the share of a new connection. It returns nil if there is none. The holder
 // calls closeConnection when the connection has to be closed for the sake of others.
 func (b *Budget) Open(listener blmemory.Listener, address string, closeConnection func()) *Holder {
-	h := &Holder{budget: b, id: blmemory.HolderID(b.ids.Add(1)), closeConnection: closeConnection}
+	h := &Holder{budget: b, id: blmemory.HolderID(b.ids.Add(1)), address: address, closeConnection: closeConnection}
 	h.arrivedAt.Store(int64(b.clock.Now()))
 	if !b.decide(blmemory.Open{ID: h.id, Listener: listener, Address: address}, h) {
 		b.refused(blmemory.ReasonConnections, "connection", address)
--- a/io/blbudget/holder.go
+++ b/io/blbudget/holder.go
@@ -13,6 +13,7 @@
 type Holder struct {
 	budget          *Budget
 	id              blmemory.HolderID
+	address         string
 	closeConnection func()
 	// phase and arrivedAt are the activity of the connection, which the decision asks for
 	// when memory is short. An ordinary request changes nothing else.
@@ -35,7 +36,7 @@
 	if h.budget.decide(blmemory.Reserve{ID: h.id, Kind: kind, Bytes: bytes}, nil) {
 		return true
 	}
-	h.budget.refused(blmemory.ReasonMemory, kind.String(), "")
+	h.budget.refused(blmemory.ReasonMemory, kind.String(), h.address)
 	return false
 }
 
--- a/io/blgrpc/budget.go
+++ b/io/blgrpc/budget.go
@@ -18,7 +18,7 @@
 	// far smaller; those of a request are in its message.
 	maxHeaderListBytes = 16 << 10
 	// streamBytes is about what a call costs with a full window, in memory.
-	streamBytes = serverWindowBytes + 16<<10
+	streamBytes = callWindowBytes + 16<<10
 	// streamsShare is the part of the budget that the calls of one connection may take,
 	// within minStreams and maxStreams. Further calls wait at their sender.
 	streamsShare           = 4
@@ -186,7 +186,7 @@
 // claimRest claims what may have arrived of a body that no one reads any more.
 func claimRest(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*budgetConn); ok {
-		c.claim(serverWindowBytes)
+		c.claim(callWindowBytes)
 	}
 }
 
--- a/io/blgrpc/peer.go
+++ b/io/blgrpc/peer.go
@@ -17,13 +17,17 @@
 )
 
 const (
-	// windowBytes is the flow-control window of streams and connections.
-	windowBytes    = 1 << 20
-	connectTimeout = 500 * time.Millisecond
-	maxBackoff     = 500 * time.Millisecond
-	baseBackoff    = 50 * time.Millisecond
-	backoffFactor  = 1.6
-	backoffJitter  = 0.2
+	// windowBytes is the flow-control window of connections.
+	windowBytes = 1 << 20
+	// callWindowBytes is the flow-control window of a call, the smallest that gRPC
+	// allows: it bounds what arrives of a body before it is passed on. For a larger
+	// message gRPC raises it while a call waits for that message.
+	callWindowBytes = 64 << 10
+	connectTimeout  = 500 * time.Millisecond
+	maxBackoff      = 500 * time.Millisecond
+	baseBackoff     = 50 * time.Millisecond
+	backoffFactor   = 1.6
+	backoffJitter   = 0.2
 	// silenceLimit is how long nothing may arrive on a connection on which a call
 	// waits before the connection is probed.
 	silenceLimit = time.Second
@@ -55,7 +59,7 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		// Setting the window size keeps gRPC from estimating it with pings.
-		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialWindowSize(callWindowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithContextDialer(p.dial),
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -77,14 +77,8 @@
 // configuration document and its framing.
 const maxMessageBytes = 2 << 20
 
-const (
-	// serverWindowBytes is the flow-control window of a call, the smallest that gRPC
-	// allows: it bounds what arrives of a body before it is passed on. For a larger
-	// message gRPC raises it while a call waits for that message.
-	serverWindowBytes = 64 << 10
-	// prefaceTimeout is how long a connection may take to send the preface of HTTP/2.
-	prefaceTimeout = 5 * time.Second
-)
+// prefaceTimeout is how long a connection may take to send the preface of HTTP/2.
+const prefaceTimeout = 5 * time.Second
 
 // NewServer returns a server for node that is not yet running; Serve runs it. Its
 // connections are limited by their windows alone.
@@ -96,7 +90,7 @@
 func NewLimitedServer(node Node, headers HeaderTable, budget *blbudget.Budget) *Server {
 	s := &Server{node: node, headers: headers, budget: budget, connections: &sync.Map{}}
 	options := []grpc.ServerOption{
-		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.InitialWindowSize(serverWindowBytes), grpc.InitialConnWindowSize(windowBytes),
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.InitialWindowSize(callWindowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.MaxConcurrentStreams(streamLimit(budget)), grpc.MaxHeaderListSize(maxHeaderListBytes), grpc.ConnectionTimeout(prefaceTimeout),
 	}
 	if budget != nil {
--- a/io/blhttp/body.go
+++ b/io/blhttp/body.go
@@ -164,6 +164,7 @@
 	case !whole:
 		return Body{start: start, stream: limited, length: r.ContentLength}, nil
 	}
+	blserver.EndBodyLimit(r.Context())
 	if start.shared() {
 		start.holder.KeepStart(start.drop)
 	}
--- a/io/blhttp/handler.go
+++ b/io/blhttp/handler.go
@@ -71,6 +71,9 @@
 		h.refuseBody(w, call.RequestID)
 		return
 	}
+	if call.Body.stream != nil {
+		blserver.LimitBody(r.Context(), call.Request.Timeout+writeGrace)
+	}
 	endLimit := limitWrites(w, call.Request.Timeout+writeGrace)
 	ctx, cancel := context.WithTimeout(r.Context(), call.Request.Timeout)
 	defer cancel()
--- a/io/blnode/listeners.go
+++ b/io/blnode/listeners.go
@@ -113,12 +113,12 @@
 // memoryLimits returns the limits on what clients may hold. Without the setting, the
 // number of descriptors is that of the system.
 func memoryLimits(settings blsettings.Process) blmemory.Limits {
-	descriptors := settings.MaxDescriptors
+	descriptors := int(settings.MaxDescriptors)
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && descriptors == 0 {
 		descriptors = int(min(limit.Cur, maxDescriptors))
 	}
-	return blmemory.NewLimits(settings.MemoryMB, descriptors)
+	return blmemory.NewLimits(int(settings.MemoryMB), descriptors)
 }
 
 // maxDescriptors limits the number of descriptors where the system has hardly a limit.
--- a/io/blprocess/process.go
+++ b/io/blprocess/process.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", p.path, err)
 	}
-	limitHeap(settings.MemoryMB)
+	limitHeap(int(settings.MemoryMB))
 	output := bllog.NewWriter(os.Stdout)
 	output.Start()
 	defer output.Stop()
--- a/io/blserver/connection.go
+++ b/io/blserver/connection.go
@@ -235,8 +235,10 @@
 	}
 }
 
-// endRequest returns the shares of a request whose handler has ended.
+// endRequest returns the shares of a request whose handler has ended. What is read next
+// is another head, also if the end of the last one wasn't found.
 func (c *connection) endRequest() {
+	c.head.complete = true
 	c.headShare = 0
 	c.holder.EndRequest()
 }
--- a/io/blsettings/process.go
+++ b/io/blsettings/process.go
@@ -46,10 +46,10 @@
 	// unknown. Hosts with more capacity are preferred as lead.
 	Capacity float64 `toml:"capacity"`
 	// MemoryMB is the memory that the process may use, in MiB, or zero for the default.
-	MemoryMB int `toml:"memory_mb"`
+	MemoryMB float64 `toml:"memory_mb"`
 	// MaxDescriptors is the number of file descriptors that the process may use, or zero
 	// for the default.
-	MaxDescriptors int `toml:"max_descriptors"`
+	MaxDescriptors float64 `toml:"max_descriptors"`
 	// Platform is set when the node runs on the users' platform.
 	Platform *Platform `toml:"platform"`
 	// Store is the address of the platform's store.
@@ -191,7 +191,7 @@
 			errs = append(errs, SettingError{Name: name, Description: "is missing"})
 		}
 	}
-	for name, value := range map[string]int{"memory_mb": p.MemoryMB, "max_descriptors": p.MaxDescriptors} {
+	for name, value := range map[string]float64{"memory_mb": p.MemoryMB, "max_descriptors": p.MaxDescriptors} {
 		if value < 0 {
 			errs = append(errs, SettingError{Name: name, Description: "want no negative number"})
 		}
--- a/io/blsettings/process_test.go
+++ b/io/blsettings/process_test.go
@@ -51,6 +51,9 @@
 // because a figure of the platform isn't a whole number.
 func TestPlatformFiguresMayBeFractions(t *testing.T) {
 	platform := `
+memory_mb = 184.5
+max_descriptors = 4100.0
+
 [platform]
 service = "pot"
 failure_domains = ["a"]
