Memory: callers don't close connections between nodes

A connection between nodes carries many requests, and one whose messages find no room is closed. An eighth of the budget is for such messages alone, so that what callers hold doesn't lead to that.

--- a/core/blmemory/limits.go
+++ b/core/blmemory/limits.go
@@ -43,6 +43,10 @@
 	// Bytes limits all shares, and RequestBytes those other than of connections, so that
 	// small requests are served while large ones are refused.
 	Bytes, RequestBytes int64
+	// MessageBytes is the part of RequestBytes that only messages of nodes may take. A
+	// connection between nodes carries many requests, so it isn't closed because of what
+	// callers hold.
+	MessageBytes int64
 	// Connections limits the connections of each listener.
 	Connections [listenerCount]int
 	// SilentAfter is how long nothing has arrived on a connection that is closed for
@@ -61,6 +65,8 @@
 	connectionsShare = 2
 	// requestNumerator and requestDenominator are the part for requests.
 	requestNumerator, requestDenominator = 3, 4
+	// messageShare is the part for messages of nodes.
+	messageShare = 8
 
 	silentAfter     = time.Second
 	lastResortAfter = 3 * time.Second
@@ -77,7 +83,7 @@
 	}
 	bytes := int64(max((memoryMB-controlMB)/collectorFactor, minBudgetMB)) * mebibyte
 	return Limits{
-		Bytes: bytes, RequestBytes: bytes * requestNumerator / requestDenominator,
+		Bytes: bytes, RequestBytes: bytes * requestNumerator / requestDenominator, MessageBytes: bytes / messageShare,
 		Connections: [listenerCount]int{
 			ListenerCallers: max(min(descriptors/callersShare, int(bytes/connectionsShare/ConnectionBytes)), 1),
 			ListenerNodes:   max(descriptors/nodesShare, 1),
--- a/core/blmemory/state.go
+++ b/core/blmemory/state.go
@@ -63,6 +63,9 @@
 // fits reports whether there is room for a further share.
 func (s State) fits(kind Kind, bytes int64) bool {
 	total := s.total() + bytes
+	if kind != KindMessage {
+		total += max(s.limits.MessageBytes-s.used[KindMessage], 0)
+	}
 	if kind == KindConnection {
 		return total <= s.limits.Bytes
 	}
