Other listeners: connections by descriptors, and refused heads are counted

Connections to the operators', upstreams' and readiness listeners took descriptors without a limit. They get a sixteenth of them. Heads beyond the limits are counted and logged as the other refusals, and the connections of each listener are a metric. Tests of io/ pass.

--- a/core/blmemory/limits.go
+++ b/core/blmemory/limits.go
@@ -56,11 +56,12 @@
 }
 
 const (
-	// callersShare and nodesShare are the parts of the descriptors for the connections
-	// of callers and of nodes. The rest is for connections to upstreams, to other nodes
-	// and to the store.
+	// callersShare, nodesShare and othersShare are the parts of the descriptors for the
+	// connections to the listeners. The rest is for connections to upstreams, to other
+	// nodes and to the store.
 	callersShare = 2
 	nodesShare   = 4
+	othersShare  = 16
 	// connectionsShare is the part of the budget that callers' connections may take.
 	connectionsShare = 2
 	// requestNumerator and requestDenominator are the part for requests.
@@ -87,6 +88,7 @@
 		Connections: [listenerCount]int{
 			ListenerCallers: max(min(descriptors/callersShare, int(bytes/connectionsShare/ConnectionBytes)), 1),
 			ListenerNodes:   max(descriptors/nodesShare, 1),
+			ListenerOthers:  max(descriptors/othersShare, 1),
 		},
 		SilentAfter: silentAfter, LastResortAfter: lastResortAfter,
 	}
--- a/core/blmemory/messages.go
+++ b/core/blmemory/messages.go
@@ -14,6 +14,8 @@
 const (
 	ListenerCallers Listener = iota
 	ListenerNodes
+	// ListenerOthers are those of operators, of local upstreams and of readiness probes.
+	ListenerOthers
 	listenerCount
 )
 
@@ -69,6 +71,8 @@
 	ReasonConnections Reason = "connections"
 	// ReasonLastResort closes a connection whose request has been passed on.
 	ReasonLastResort Reason = "memory_last_resort"
+	// ReasonHeadLimit refuses a head with too many bytes or lines.
+	ReasonHeadLimit Reason = "head_limit"
 )
 
 // Message is a message to the decision.
--- a/io/blbudget/budget.go
+++ b/io/blbudget/budget.go
@@ -49,6 +49,13 @@
 			return float64(b.View().Used(kind))
 		})
 	}
+	for listener, name := range map[blmemory.Listener]string{
+		blmemory.ListenerCallers: "callers", blmemory.ListenerNodes: "nodes", blmemory.ListenerOthers: "others",
+	} {
+		b.metrics.Gauge(`bergamotlead_connections{listener="`+name+`"}`, func() float64 {
+			return float64(b.View().Connections(listener))
+		})
+	}
 	b.metrics.Gauge("bergamotlead_memory_budget_bytes", func() float64 { return float64(b.View().Limits().Bytes) })
 }
 
--- a/io/blbudget/holder.go
+++ b/io/blbudget/holder.go
@@ -40,6 +40,13 @@
 	return false
 }
 
+// Refused counts and logs a request that is refused for another reason than memory.
+func (h *Holder) Refused(reason blmemory.Reason, kind blmemory.Kind) {
+	if h != nil {
+		h.budget.refused(reason, kind.String(), h.address)
+	}
+}
+
 // Take takes a share that can't be refused. Others have to make room for it.
 func (h *Holder) Take(kind blmemory.Kind, bytes int64) {
 	if h == nil || bytes <= 0 {
--- a/io/blnode/listeners.go
+++ b/io/blnode/listeners.go
@@ -48,9 +48,9 @@
 	if err != nil {
 		return err
 	}
-	limits := blserver.Limits{}
+	limits := blserver.Limits{Budget: n.budget, Listener: blmemory.ListenerOthers}
 	if address == n.settings.CallerListen {
-		limits = blserver.Limits{Budget: n.budget, Head: n.headLimits}
+		limits.Listener, limits.Head = blmemory.ListenerCallers, n.headLimits
 	}
 	server := blserver.NewLimited(listener, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/io/blserver/limits.go
+++ b/io/blserver/limits.go
@@ -34,7 +34,8 @@
 // Limits are the limits on the connections of a server.
 type Limits struct {
 	// Budget holds the shares of memory, or is nil where there is none.
-	Budget *blbudget.Budget
+	Budget   *blbudget.Budget
+	Listener blmemory.Listener
 	// Head returns the limits on heads, or is nil.
 	Head func() HeadLimits
 }
@@ -52,7 +53,7 @@
 		return true
 	}
 	address, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-	c.holder = l.Budget.Open(blmemory.ListenerCallers, address, func() { _ = c.Conn.Close() })
+	c.holder = l.Budget.Open(l.Listener, address, func() { _ = c.Conn.Close() })
 	return c.holder != nil
 }
 
@@ -66,6 +67,7 @@
 	lines, bytes := c.head.lines, c.head.bytes
 	limit := c.server.limits.head().Bytes
 	if lines > MaxHeadLines || limit > 0 && bytes > limit+headSlopBytes {
+		c.holder.Refused(blmemory.ReasonHeadLimit, blmemory.KindHead)
 		return c.refuse(http.StatusRequestHeaderFieldsTooLarge)
 	}
 	if !c.reserveHead(blmemory.HeadCost(lines, bytes)) {
