Memory: callers' connections may take three quarters of the budget

With half of it, a host of 184 MB and 4,100 descriptors accepted 1,425 callers' connections, fewer than its descriptors allow (2,050). An idle connection takes less than the 28 KB of its share (8 were measured).

--- a/core/blmemory/limits.go
+++ b/core/blmemory/limits.go
@@ -62,10 +62,9 @@
 	callersShare = 2
 	nodesShare   = 4
 	othersShare  = 16
-	// connectionsShare is the part of the budget that callers' connections may take.
-	connectionsShare = 2
-	// requestNumerator and requestDenominator are the part for requests.
-	requestNumerator, requestDenominator = 3, 4
+	// usedNumerator and usedDenominator are the part of the budget that callers'
+	// connections may take, and the part that requests may.
+	usedNumerator, usedDenominator = 3, 4
 	// messageShare is the part for messages of nodes.
 	messageShare = 8
 
@@ -84,9 +83,9 @@
 	}
 	bytes := int64(max((memoryMB-controlMB)/collectorFactor, minBudgetMB)) * mebibyte
 	return Limits{
-		Bytes: bytes, RequestBytes: bytes * requestNumerator / requestDenominator, MessageBytes: bytes / messageShare,
+		Bytes: bytes, RequestBytes: bytes * usedNumerator / usedDenominator, MessageBytes: bytes / messageShare,
 		Connections: [listenerCount]int{
-			ListenerCallers: max(min(descriptors/callersShare, int(bytes/connectionsShare/ConnectionBytes)), 1),
+			ListenerCallers: max(min(descriptors/callersShare, int(bytes*usedNumerator/usedDenominator/ConnectionBytes)), 1),
 			ListenerNodes:   max(descriptors/nodesShare, 1),
 			ListenerOthers:  max(descriptors/othersShare, 1),
 		},
--- a/io/blgrpc/budget.go
+++ b/io/blgrpc/budget.go
@@ -59,7 +59,9 @@
 		}
 		monitored, err := newMonitoredConn(accepted)
 		if err != nil {
-			return nil, err
+			// An error would end the server.
+			_ = accepted.Close()
+			continue
 		}
 		remote := accepted.RemoteAddr().String()
 		c := &budgetConn{monitoredConn: monitored, connections: l.connections, remote: remote}
