The node beside an upstream reads how fast it works at the moment

Upstreams share hosts with other workloads and report when work takes longer, but nothing read the report. bldeliver.WorkPace takes from the reports when a slow period began and from the measured latencies how much longer work takes in it, so that false or missing reports change nothing. The estimates of waiting and of service time use it until the period is over.

--- a/core/bldeliver/estimate.go
+++ b/core/bldeliver/estimate.go
@@ -44,7 +44,7 @@
 // requests ahead of it in the queue, and more urgent ones that arrive in the
 // meantime, have been answered.
 func (u UpstreamState) estimatedWait(a Acquire, now bltimer.Instant) time.Duration {
-	load := u.Load()
+	load := u.Load(now)
 	load.Waiting = 0
 	for _, other := range u.queue {
 		if !u.goesBefore(a, other, now) {
@@ -52,6 +52,7 @@
 		}
 	}
 	wait := time.Duration(float64(load.QueueDelay()) / (1 - u.offeredLoad.UrgentShare(a.Rank, load.Limit)))
+	wait = u.pace.Stretched(wait, now)
 	if u.cold(now) && u.pacer.enabled() {
 		perRequest := time.Duration(float64(time.Second) / u.pacer.perSecond)
 		wait = max(wait, perRequest*time.Duration(load.Waiting+1))
--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -71,6 +71,8 @@
 	Ticket  Ticket
 	Result  Result
 	Latency time.Duration
+	// Report is what the upstream's response says of its load.
+	Report blvalue.UpstreamReport
 }
 
 // UpstreamsSeen carries the announcements of all local upstreams.
--- a/core/bldeliver/overload_test.go
+++ b/core/bldeliver/overload_test.go
@@ -115,6 +115,11 @@
 
 // simulateDelivery runs the arrivals through the decisions of the delivery duty.
 func simulateDelivery(events loadEvents) served {
+	return simulateDeliveryOn(sharedHost{}, events)
+}
+
+// simulateDeliveryOn does the same for an upstream on a host that other workloads slow down.
+func simulateDeliveryOn(host sharedHost, events loadEvents) served {
 	state, _ := bldeliver.Decide(bldeliver.New(), bldeliver.ConfigChanged{Accepted: blconfig.Accepted{
 		Revision: 1, Plan: blconfig.Plan{Limits: blconfig.Limits{QueueLength: 64}},
 	}}, 0)
@@ -138,7 +143,7 @@
 				continue
 			}
 			r.started = now
-			heap.Push(&queue, loadEvent{at: now + r.work, ends: r})
+			heap.Push(&queue, loadEvent{at: host.end(now, r.work), ends: r})
 		}
 	}
 	decide := func(message bldeliver.Message, now time.Duration) {
@@ -160,7 +165,9 @@
 			if e.at-e.ends.arrived <= class.goal {
 				result.inGoal[e.ends.class]++
 			}
-			decide(bldeliver.Release{Ticket: e.ends.ticket, Result: bldeliver.ResultAnswered, Latency: e.at - e.ends.started}, e.at)
+			decide(bldeliver.Release{
+				Ticket: e.ends.ticket, Result: bldeliver.ResultAnswered, Latency: e.at - e.ends.started, Report: host.report(e.at),
+			}, e.at)
 			continue
 		}
 		class := pattern()[e.class]
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -121,7 +121,7 @@
 		refusal := refuse(m, blvalue.ReasonOverload, "the upstream can't answer in time")
 		upstream, refusal.Answer.RetryAfter = upstream.withReturn(m, wait, now)
 		s.upstreams = s.upstreams.With(m.Upstream, upstream)
-		refusal.Answer.Load = upstream.Load()
+		refusal.Answer.Load = upstream.Load(now)
 		return s, []Effect{refusal}
 	}
 	upstream.queue = append(upstream.queue[:len(upstream.queue):len(upstream.queue)], m)
@@ -142,7 +142,7 @@
 		s.inFlight = s.inFlight.With(chosen.Ticket, inFlightRequest{upstream: name, account: chosen.Account, class: chosen.Class})
 		effects = append(effects, Effect{
 			Reply: chosen.Reply, Answer: AcquireAnswer{
-				Address: upstream.announcement.Address, Incarnation: upstream.Incarnation(), Load: upstream.Load(),
+				Address: upstream.announcement.Address, Incarnation: upstream.Incarnation(), Load: upstream.Load(now),
 			},
 		})
 	}
@@ -161,8 +161,10 @@
 		return s, nil
 	}
 	upstream = upstream.withRunning(request.account, -1)
+	upstream.pace = upstream.pace.WithReport(m.Report, now)
 	switch m.Result {
 	case ResultAnswered:
+		upstream.pace = upstream.pace.WithLatency(m.Report, m.Latency, upstream.classLatency(request.class))
 		upstream.limiter = upstream.limiter.WithAnswer(m.Latency)
 		upstream = upstream.withClassLatency(request.class, m.Latency)
 	case ResultShed:
@@ -201,7 +203,7 @@
 		for _, waiting := range tooLate {
 			refusal := refuse(waiting, blvalue.ReasonOverload, "the upstream can no longer answer in time")
 			remaining, refusal.Answer.RetryAfter = remaining.withReturn(waiting, upstream.limiter.AverageLatency(), now)
-			refusal.Answer.Load = upstream.Load()
+			refusal.Answer.Load = upstream.Load(now)
 			effects = append(effects, refusal)
 		}
 		remaining, expired := remaining.withoutExpired(now)
--- a/core/bldeliver/upstream.go
+++ b/core/bldeliver/upstream.go
@@ -15,6 +15,7 @@
 type UpstreamState struct {
 	announcement blmember.Announcement
 	limiter      Limiter
+	pace         WorkPace
 	pacer        Pacer
 	running      int
 	queue        []Acquire
@@ -51,8 +52,10 @@
 func (u UpstreamState) Waiting() int { return len(u.queue) }
 
 // Load returns the upstream's current load.
-func (u UpstreamState) Load() blvalue.Load {
-	return blvalue.Load{Running: u.running, Waiting: len(u.queue), Limit: u.Limit(), ServiceTime: u.limiter.AverageLatency()}
+func (u UpstreamState) Load(now bltimer.Instant) blvalue.Load {
+	return blvalue.Load{
+		Running: u.running, Waiting: len(u.queue), Limit: u.Limit(), ServiceTime: u.limiter.AverageLatency(), WorkPercent: u.pace.WorkPercent(now),
+	}
 }
 
 // classLatency returns the average latency of the class, or that of all classes
@@ -96,6 +99,9 @@
 	if restarted || a.Cold && !u.announcement.Cold {
 		u.limiter = u.limiter.WithColdStart()
 	}
+	if restarted {
+		u.pace = WorkPace{}
+	}
 	u.announcement = a
 	return u
 }
@@ -163,7 +169,7 @@
 // meetsGoal reports whether the request would meet its latency goal if it started
 // at now. A request without a goal always does.
 func (u UpstreamState) meetsGoal(a Acquire, now bltimer.Instant) bool {
-	return a.Goal == 0 || !a.Goal.Before(now.Add(u.classLatency(a.Class)))
+	return a.Goal == 0 || !a.Goal.Before(now.Add(u.pace.Stretched(u.classLatency(a.Class), now)))
 }
 
 func (u UpstreamState) without(position int) UpstreamState {
--- a/core/blvalue/load.go
+++ b/core/blvalue/load.go
@@ -13,6 +13,25 @@
 	Limit int
 	// ServiceTime is the current mean service time of a request at the upstream.
 	ServiceTime time.Duration
+	// WorkPercent is how long work takes at the moment, in percent of the average, or
+	// zero if it takes no longer.
+	WorkPercent int
+}
+
+// UpstreamReport is what an upstream says of its load in a response. It may be late or
+// wrong. The zero value means that the upstream reports nothing.
+type UpstreamReport struct {
+	Running int
+	Waiting int
+	Slots   int
+	// WorkPercent is how long work takes on the upstream's host at the moment, in percent
+	// of the usual time.
+	WorkPercent int
+}
+
+// Known reports whether the upstream reported its load.
+func (r UpstreamReport) Known() bool {
+	return r.WorkPercent > 0
 }
 
 // Known reports whether the load was observed, that is, has a limit.
--- a/io/blupstream/attempt.go
+++ b/io/blupstream/attempt.go
@@ -30,6 +30,8 @@
 	// bodyFailed is set when the caller's body was cut short or exceeded the
 	// limit, which is no failure of the upstream.
 	bodyFailed atomic.Bool
+	// report is what the response says of the upstream's load.
+	report blvalue.UpstreamReport
 }
 
 func refused(refusal *blvalue.Refusal) bldeliver.Delivery {
@@ -97,7 +99,7 @@
 
 func (a *attempt) releaseSlot(result bldeliver.Result, latency time.Duration) {
 	blduty.PutBlocking[bldeliver.Message](a.deliverer.duties.Deliver, bldeliver.Release{
-		Ticket: a.ticket, Result: result, Latency: latency,
+		Ticket: a.ticket, Result: result, Latency: latency, Report: a.report,
 	})
 }
 
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -39,6 +39,7 @@
 		return a.noResponse(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	a.report = a.deliverer.protocol.Report(response.Header)
 	if rejection := a.deliverer.protocol.Rejection(response); rejection != RejectionNone {
 		discard(response.Body, func() { _ = response.Body.Close() })
 		refusal, result := rejection.refusal()
--- a/io/blupstream/protocol.go
+++ b/io/blupstream/protocol.go
@@ -37,6 +37,8 @@
 	// Rejection returns whether and why the upstream rejected the request
 	// without running it.
 	Rejection(response *http.Response) Rejection
+	// Report returns what the header of a response says of the upstream's load.
+	Report(header http.Header) blvalue.UpstreamReport
 	// FilterResponse returns the header fields of a response to forward to the
 	// caller.
 	FilterResponse(header http.Header) map[string][]string
@@ -70,6 +72,10 @@
 	return RejectionShed
 }
 
+// Report implements Protocol. Upstreams that speak the native protocol report their load in
+// announcements only.
+func (NativeProtocol) Report(http.Header) blvalue.UpstreamReport { return blvalue.UpstreamReport{} }
+
 // FilterResponse implements Protocol.
 func (NativeProtocol) FilterResponse(header http.Header) map[string][]string {
 	return blheader.FilterResponse(header)
