--- a/core/bldeliver/call_order.go
+++ b/core/bldeliver/call_order.go
@@ -154,6 +154,6 @@
 	upstream = upstream.without(position)
 	refusal := refuse(dropped, blvalue.ReasonOverload, "a call of an upstream takes the place in the queue").at(LimitCalls)
 	upstream, refusal.Answer.RetryAfter = upstream.withReturn(dropped, wait, now)
-	refusal.Answer.Load = upstream.Load()
+	refusal.Answer.Load = upstream.Load(now)
 	return upstream, []Effect{refusal}
 }
--- a/core/bldeliver/estimate.go
+++ b/core/bldeliver/estimate.go
@@ -47,7 +47,7 @@
 	if a.call {
 		return u.callWait(a, now)
 	}
-	load := u.Load()
+	load := u.Load(now)
 	load.Waiting = 0
 	for _, other := range u.queue {
 		if !u.goesBefore(a, other, now) {
@@ -58,6 +58,7 @@
 	if u.offeredLoad.Has(callRank) {
 		wait = min(wait, u.reservedWait(a, now))
 	}
+	wait = u.pace.Stretched(wait, now)
 	if u.cold(now) && u.pacer.enabled() {
 		perRequest := time.Duration(float64(time.Second) / u.pacer.perSecond)
 		wait = max(wait, perRequest*time.Duration(load.Waiting+1))
--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -81,6 +81,8 @@
 	// Lost when the request was sent and its answer was lost, broken or too late.
 	ServerError bool
 	Lost        bool
+	// Report is what the upstream's response says of its load.
+	Report blvalue.UpstreamReport
 }
 
 // UpstreamsSeen carries the announcements of all local upstreams.
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -132,14 +132,14 @@
 		return s, []Effect{refuse(m, blvalue.ReasonLeaving, "the upstream is leaving")}
 	}
 	if s.left(upstream, now) <= uint64(len(upstream.queue)) {
-		return s, []Effect{refuseHeldBack(m, upstream)}
+		return s, []Effect{refuseHeldBack(m, upstream, now)}
 	}
 	upstream.offeredLoad = upstream.offeredLoad.WithWork(m.Rank, upstream.classLatency(m.Class), now)
 	if wait := upstream.estimatedWait(m, now); upstream.tooLate(m, wait, now) {
 		refusal := refuse(m, blvalue.ReasonOverload, "the upstream can't answer in time").at(LimitWait)
 		upstream, refusal.Answer.RetryAfter = upstream.withReturn(m, wait, now)
 		s.upstreams = s.upstreams.With(m.Upstream, upstream)
-		refusal.Answer.Load = upstream.Load()
+		refusal.Answer.Load = upstream.Load(now)
 		return s, []Effect{refusal}
 	}
 	upstream, dropped := s.withRoom(upstream, m, now)
@@ -149,9 +149,9 @@
 }
 
 // refuseHeldBack refuses a request that no allowance covers.
-func refuseHeldBack(a Acquire, upstream UpstreamState) Effect {
+func refuseHeldBack(a Acquire, upstream UpstreamState, now bltimer.Instant) Effect {
 	refusal := refuse(a, blvalue.ReasonHeldBack, "a roll-out allows the upstream no more requests")
-	refusal.Answer.Load = upstream.Load()
+	refusal.Answer.Load = upstream.Load(now)
 	return refusal
 }
 
@@ -162,7 +162,7 @@
 	}
 	effects := make([]Effect, 0, len(upstream.queue))
 	for _, waiting := range upstream.queue {
-		effects = append(effects, refuseHeldBack(waiting, upstream))
+		effects = append(effects, refuseHeldBack(waiting, upstream, now))
 	}
 	upstream.queue = nil
 	return upstream, effects
@@ -189,7 +189,7 @@
 		s.inFlight = s.inFlight.With(chosen.Ticket, request)
 		effects = append(effects, Effect{
 			Reply: chosen.Reply, Answer: AcquireAnswer{
-				Address: upstream.announcement.Address, Incarnation: upstream.Incarnation(), Load: upstream.Load(),
+				Address: upstream.announcement.Address, Incarnation: upstream.Incarnation(), Load: upstream.Load(now),
 			},
 		})
 	}
@@ -209,8 +209,10 @@
 		return s, nil
 	}
 	upstream = upstream.withRunning(request.account, -1).withWorkEnded(request)
+	upstream.pace = upstream.pace.WithReport(m.Report, now)
 	switch m.Result {
 	case ResultAnswered:
+		upstream.pace = upstream.pace.WithLatency(m.Report, m.Latency, upstream.classLatency(request.class))
 		upstream.limiter = upstream.limiter.WithAnswer(m.Latency)
 		upstream = upstream.withClassLatency(request.class, m.Latency)
 	case ResultShed:
@@ -249,7 +251,7 @@
 		for _, waiting := range tooLate {
 			refusal := refuse(waiting, blvalue.ReasonOverload, "the upstream can no longer answer in time").at(LimitWait)
 			remaining, refusal.Answer.RetryAfter = remaining.withReturn(waiting, upstream.limiter.AverageLatency(), now)
-			refusal.Answer.Load = upstream.Load()
+			refusal.Answer.Load = upstream.Load(now)
 			effects = append(effects, refusal)
 		}
 		remaining, expired := remaining.withoutExpired(now)
--- a/io/blupstream/attempt.go
+++ b/io/blupstream/attempt.go
@@ -32,6 +32,8 @@
 	// bodyFailed is set when the caller's body was cut short or exceeded the
 	// limit, which is no failure of the upstream.
 	bodyFailed atomic.Bool
+	// report is what the response says of the upstream's load.
+	report blvalue.UpstreamReport
 }
 
 func refused(refusal *blvalue.Refusal) bldeliver.Delivery {
@@ -114,7 +116,7 @@
 }
 
 func (a *attempt) releaseSlot(release bldeliver.Release) {
-	release.Ticket = a.ticket
+	release.Ticket, release.Report = a.ticket, a.report
 	blduty.PutBlocking[bldeliver.Message](a.deliverer.duties.Deliver, release)
 }
 
