An answer without a valid status is no answer

An upstream in trouble answered with the status 000. net/http parses it as 0, the pool took all below 200 for an interim response, and the body of that answer was read as the response: the caller got it as an answer to its request. 101 and 600 to 999 were passed on as well. Such an answer now ends the request as unknown (502 on the users' platform) and its connection; the path between nodes refuses it too. A status text beyond ASCII changes nothing; it isn't passed on.

--- a/core/blvalue/request.go
+++ b/core/blvalue/request.go
@@ -26,6 +26,17 @@
 	return r
 }
 
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// IsFinalStatus reports whether a response with the status ends its request. Responses of
+// faulty upstreams may have any other number, such as 000.
+func IsFinalStatus(status int) bool {
+	return status >= minFinalStatus && status <= maxFinalStatus
+}
+
 // Outcome tells a caller whether a request that was not fully answered may have
 // been executed.
 type Outcome string
--- a/io/blgrpc/deliver.go
+++ b/io/blgrpc/deliver.go
@@ -126,6 +126,9 @@
 		}
 		switch part := frame.GetPart().(type) {
 		case *blproto.DeliverReply_Head:
+			if code := int(part.Head.GetStatus()); !blvalue.IsFinalStatus(code) {
+				return bldeliver.Delivery{Refusal: invalidAnswer(code)}
+			}
 			started = true
 			if part.Head.GetWhole() {
 				return c.passSingleFrame(part.Head, writer)
@@ -162,6 +165,12 @@
 	return bldeliver.Delivery{Started: true, Load: loadFromProto(head.GetLoad())}
 }
 
+// invalidAnswer returns the refusal of an order whose answer has no valid status. The
+// request may have run.
+func invalidAnswer(status int) *blvalue.Refusal {
+	return blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, fmt.Sprintf("the owner's node answered with the invalid status %03d", status))
+}
+
 func callerDisconnected(started bool) bldeliver.Delivery {
 	return bldeliver.Delivery{
 		Refusal: &blvalue.Refusal{
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -39,6 +39,9 @@
 		return a.noResponse(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !blvalue.IsFinalStatus(response.StatusCode) {
+		return refused(invalidStatus(response.StatusCode)), bldeliver.ResultFailed
+	}
 	if rejection := a.deliverer.protocol.Rejection(response); rejection != RejectionNone {
 		discard(response.Body, func() { _ = response.Body.Close() })
 		refusal, result := rejection.refusal()
--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -11,6 +11,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"bergamotlead/core/blvalue"
 )
 
 const (
@@ -129,9 +131,12 @@
 			return nil, fmt.Errorf("read response: %w", err)
 		}
 		c.limit.N = math.MaxInt64
-		if response.StatusCode < http.StatusOK {
+		if isInterim(response.StatusCode) {
 			continue
 		}
+		if !blvalue.IsFinalStatus(response.StatusCode) {
+			return nil, InvalidStatusError{Status: response.StatusCode}
+		}
 		if !p.mismatched(c, request, response) {
 			return response, nil
 		}
