--- a/io/blstore/codec.go
+++ b/io/blstore/codec.go
@@ -168,7 +168,10 @@
 }
 
 func encodeAbsent(holders []blassign.AbsentHolder) []absentBody {
-	var encoded []absentBody
+	if len(holders) == 0 {
+		return nil
+	}
+	encoded := make([]absentBody, 0, len(holders))
 	for _, holder := range holders {
 		var bitmap []byte
 		for _, word := range holder.Set.Words() {
@@ -180,7 +183,10 @@
 }
 
 func decodeAbsent(encoded []absentBody) []blassign.AbsentHolder {
-	var holders []blassign.AbsentHolder
+	if len(encoded) == 0 {
+		return nil
+	}
+	holders := make([]blassign.AbsentHolder, 0, len(encoded))
 	for _, body := range encoded {
 		var words []uint64
 		for bitmap := body.Partitions; len(bitmap) >= wordBytes; bitmap = bitmap[wordBytes:] {
