Roll-outs: an order for the version that all upstreams run is completed at once

The lead took the upstreams of the target for all there are only once the freshness of nodes had expired since the start of its term. That is a minute on the platform. Until then it held all but one of the upstreams, so that the service was nearly dark, and the order wasn't completed. A lead to which all nodes had reported before the order came now knows that there are no others. A lead that finds such an order completed in the record repairs the status without that wait as well.

The case of TestOrders with the platform's freshness had no end within 2 s before and is completed within 1 s now.

--- a/core/blrollout/completion.go
+++ b/core/blrollout/completion.go
@@ -44,7 +44,7 @@
 		}
 	}
 	timing := s.config.Plan.Timing
-	return known >= r.stored.record.Others && (known > 0 || s.knowsFleet(now)) ||
+	return known >= r.stored.record.Others && (known > 0 || r.stored.record.Phase == PhaseCompleted || s.knowsRivals(r, now)) ||
 		now.Sub(s.termAt) >= timing.Freshness+timing.ClockMargin+s.config.Plan.Limits.RequestTimeout
 }
 
--- a/core/blrollout/fleet.go
+++ b/core/blrollout/fleet.go
@@ -148,6 +148,14 @@
 	return now.Sub(s.termAt) >= max(2*s.heartbeat()+reportDelay, timing.Freshness+timing.ClockMargin)
 }
 
+// knowsRivals reports whether an upstream of another version would be in the view. That is
+// so where the order came to a lead that all nodes had reported to: waiting for their
+// freshness to expire would take longer than the order has time.
+func (s Rollouts[J]) knowsRivals(r rollout, now bltimer.Instant) bool {
+	seenBefore := r.stored.loaded && !r.inherited && r.knownAt.Sub(s.termAt) >= 2*s.heartbeat()+reportDelay
+	return seenBefore || s.knowsFleet(now)
+}
+
 // sameKeys reports whether both tables have the same keys.
 func sameKeys[V any](a, b bltable.Table[blvalue.Incarnation, V]) bool {
 	if a.Len() != b.Len() {
--- a/core/blrollout/fleet_sim_test.go
+++ b/core/blrollout/fleet_sim_test.go
@@ -20,9 +20,11 @@
 	// that its node passes to it per second meanwhile.
 	coldTime = 3 * time.Second
 	coldRate = 4
-	// freshness is how long a node without an answer of a lead goes on sending.
-	freshness = 2500 * time.Millisecond
-	attempts  = 3
+	// shortFreshness is how long a node without an answer of a lead goes on sending, where
+	// the options set nothing, and platformFreshness how long it does on the platform.
+	shortFreshness    = 2500 * time.Millisecond
+	platformFreshness = time.Minute
+	attempts          = 3
 	// orderAt is when the operator writes the order, to an established lead.
 	orderAt                = 5 * time.Second
 	oldVersion, newVersion = "v1", "v2"
@@ -44,6 +46,7 @@
 	others     behaviour
 	classes    []simClass
 	startAfter time.Duration
+	freshness  time.Duration
 	seed       uint64
 }
 
@@ -101,14 +104,14 @@
 
 func (n *simNode) cold(now time.Duration) bool { return now < n.startedAt+coldTime }
 
-func (n *simNode) fresh(now time.Duration) bool { return now < n.answeredAt+freshness }
+func (n *simNode) fresh(now time.Duration) bool { return now < n.answeredAt+n.sim.freshness }
 
 func (n *simNode) restart(now time.Duration) {
 	n.run++
 	n.host.Incarnation = blvalue.Incarnation(fmt.Sprintf("n%02d.%d", n.index, n.run))
 	n.sent, n.running, n.classes = 0, 0, map[string]*blvalue.ClassResults{}
 	n.allowance, n.allowedUntil, n.orderSeenAt = blvalue.Allowance{}, 0, now
-	n.term, n.step, n.listed, n.held, n.answeredAt = 0, 0, nil, nil, -freshness
+	n.term, n.step, n.listed, n.held, n.answeredAt = 0, 0, nil, nil, -n.sim.freshness
 }
 
 // fleetSim runs nodes with upstreams, leads and a store in simulated time.
@@ -153,6 +156,9 @@
 	if o.version == nil {
 		o.version = healthy
 	}
+	if o.freshness == 0 {
+		o.freshness = shortFreshness
+	}
 	sim := &fleetSim{simOptions: o, random: rand.New(rand.NewPCG(o.seed, 17))}
 	sim.store.sim = sim
 	for i := range o.old + o.added {
@@ -166,7 +172,7 @@
 	if i >= sim.old {
 		version, answers, started = newVersion, sim.version, orderAt+sim.startAfter+time.Duration(sim.random.IntN(200))*time.Millisecond
 	}
-	n := &simNode{sim: sim, index: i, startedAt: started, behaviour: answers, answeredAt: -freshness}
+	n := &simNode{sim: sim, index: i, startedAt: started, behaviour: answers, answeredAt: -sim.freshness}
 	n.upstream = blvalue.Upstream{
 		Name: blvalue.UpstreamName(fmt.Sprintf("u%02d", i)), Incarnation: blvalue.Incarnation(fmt.Sprintf("u%02d_run", i)),
 		Service: service, Version: version, Slots: 6,
@@ -181,7 +187,7 @@
 	plan := blconfig.Plan{
 		Services: map[blvalue.ServiceName]blconfig.Service{service: {Name: service}},
 		Domains:  map[blvalue.DomainName]blconfig.DomainState{"d0": "in", "d1": "in", "d2": "in", "d3": "in"},
-		Timing:   blconfig.Timing{Heartbeat: sim.heartbeat, Freshness: freshness, ClockMargin: 50 * time.Millisecond},
+		Timing:   blconfig.Timing{Heartbeat: sim.heartbeat, Freshness: sim.freshness, ClockMargin: 50 * time.Millisecond},
 		Limits:   blconfig.Limits{RequestTimeout: 6 * time.Second},
 		Exposure: blconfig.Exposure{Share: 0.1, Reserve: 50, RollbackTime: 5 * time.Second},
 		Rollouts: map[blvalue.ServiceName]blconfig.RolloutOrder{},
--- a/core/blrollout/lead_sim_test.go
+++ b/core/blrollout/lead_sim_test.go
@@ -203,7 +203,7 @@
 	if l.sim.mutation.confirmsAtOnce {
 		return l.admission.Step
 	}
-	if l.sim.now < l.since+freshness+simTick {
+	if l.sim.now < l.since+l.sim.freshness+simTick {
 		for _, n := range l.sim.nodes {
 			if !l.knows[n.index] && !n.stopped && n.fresh(l.sim.now) {
 				return 0
@@ -212,7 +212,7 @@
 	}
 	step := l.admission.Step
 	for index, at := range l.beatAt {
-		if l.sim.now < at+freshness+simTick {
+		if l.sim.now < at+l.sim.freshness+simTick {
 			step = min(step, l.steps[index])
 		}
 	}
--- a/core/blrollout/model_test.go
+++ b/core/blrollout/model_test.go
@@ -76,7 +76,7 @@
 		// A node that misses what was decided is the most likely to break the rules.
 		s.decisions = len(sim.decided)
 		if s.random.IntN(3) == 0 {
-			n.cutUntil = sim.now + freshness
+			n.cutUntil = sim.now + sim.freshness
 		}
 	}
 	if s.random.Int64N(int64(s.interval/simTick)) != 0 {
--- a/core/blrollout/orders_test.go
+++ b/core/blrollout/orders_test.go
@@ -36,6 +36,11 @@
 		{"everybody runs the version", func(o *simOptions) { o.old, o.startAfter = 0, -time.Minute }, func(sim *fleetSim) {
 			sim.runUntil(orderAt + 2*time.Second)
 		}, "v2 completed", time.Second},
+		{"everybody runs the version, with the platform's freshness", func(o *simOptions) {
+			o.old, o.startAfter, o.freshness = 0, -time.Minute, platformFreshness
+		}, func(sim *fleetSim) {
+			sim.runUntil(orderAt + 2*time.Second)
+		}, "v2 completed", time.Second},
 		{"the version never answers", func(o *simOptions) { o.startAfter = time.Hour }, func(sim *fleetSim) {
 			sim.runUntil(orderAt + 13*time.Second)
 		}, "v2 rolled_back", 13 * time.Second},
