Roll-outs: a lead without the record leaves the target's upstreams as they are

After a roll-out all upstreams run the target, and the order stays in the store. A new lead that couldn't read the record within two heartbeats took the order for one that begins. It held all upstreams and replaced their allowances without a limit by ones of nothing, so that nothing served until the store answered or the freshness of nodes had expired, a minute on the platform. Until the record is read, nodes now keep to what the earlier lead told.

TestUnknownRecordHoldsNothingBack failed before: it got all three upstreams held. Tests of the package pass, 21 s.

--- a/core/blrollout/admission.go
+++ b/core/blrollout/admission.go
@@ -74,7 +74,7 @@
 	}
 	var held []blvalue.Incarnation
 	for _, u := range f.target {
-		if !s.serves(r, u) {
+		if !s.serves(r, u) && !r.unknown() {
 			held = append(held, u.Upstream.Incarnation)
 		}
 	}
@@ -88,6 +88,13 @@
 	return held
 }
 
+// unknown reports whether this lead can't tell how far the roll-out has got, since it has
+// not read the record yet. For upstreams of the version nodes keep to what the earlier lead
+// told: the order may be completed, so that no other upstream is left to serve.
+func (r rollout) unknown() bool {
+	return !r.stored.loaded && r.stored.record.Order.Target == "" && r.step == StepCanaries
+}
+
 // serves reports whether an upstream of the version may get requests.
 func (s Rollouts[J]) serves(r rollout, u blassign.RolloutUpstream) bool {
 	switch r.step {
@@ -134,6 +141,8 @@
 			Incarnation: u.Upstream.Incarnation, Node: u.Node.Incarnation, Order: r.order.Revision, TTL: s.allowanceTTL(),
 		}
 		switch {
+		case !s.serves(r, u) && r.unknown():
+			continue
 		case !s.serves(r, u):
 		case r.step == StepPartial || r.step == StepReleased:
 			allowance.Requests = passedRequests
