Roll-outs: upstreams that join after the end of an order aren't held

A completed order stays in the store, and held every upstream of another version for as long as one of the target was left. The platform may replace upstreams without an order, and then ever fewer of the target would have served alone. Once the end is verified, only the upstreams that were held then stay held.

TestUpstreamsThatJoinAfterTheEnd failed before: the one that joined was held. Tests of the package pass, 25 s.

--- a/core/blrollout/admission.go
+++ b/core/blrollout/admission.go
@@ -109,13 +109,15 @@
 }
 
 // holdsOther reports whether an upstream of another version gets no requests. A completed
-// order holds none where no upstream of its version is left to serve.
+// order holds none where no upstream of its version is left to serve. Once the end is
+// verified, it holds none that joins later: the platform may replace upstreams without an
+// order.
 func (s Rollouts[J]) holdsOther(r rollout, f fleet, u blassign.RolloutUpstream) bool {
 	switch r.step {
 	case StepHolding:
 		return true
 	case StepCompleted:
-		return s.working(f.target) > 0
+		return s.working(f.target) > 0 && (!r.verified || slices.Contains(r.held, u.Upstream.Incarnation))
 	case StepEnded:
 		return false
 	case StepCanaries, StepPartial, StepReleased, StepWithdrawn:
