Roll-outs: an ended order is known by its revision and exact duration

The record kept the duration in milliseconds, and an ended order is told from a new one by its duration. After the rollback of an order of 12.3456s the next lead therefore began it anew, and it could reach both ends. The record now keeps nanoseconds, and the order's revision suffices.

Tests of io/blstore and TestOrders, TestModel* of core/blrollout pass.

--- a/core/blrollout/orders.go
+++ b/core/blrollout/orders.go
@@ -86,13 +86,14 @@
 
 // sameRollout reports whether order b continues the roll-out of order a. That is so for
 // the same target while it runs, and after a restore of the store, which gives orders
-// other revisions. Once it has ended, only a repetition without a change continues it.
+// other revisions. Once it has ended, only the order itself and a repetition without a
+// change continue it.
 func sameRollout(a, b blconfig.RolloutOrder, ended bool) bool {
 	if a.Target != b.Target {
 		return false
 	}
 	restored := blplatform.RevisionEra(a.Revision) != blplatform.RevisionEra(b.Revision)
-	return !ended || restored || a.Duration == b.Duration
+	return !ended || restored || a.Revision == b.Revision || a.Duration == b.Duration
 }
 
 // continues reports whether a record is that of an order.
--- a/io/blstore/rollout_codec.go
+++ b/io/blstore/rollout_codec.go
@@ -12,9 +12,10 @@
 )
 
 type rolloutBody struct {
-	Service    blvalue.ServiceName `json:"service"`
-	Target     string              `json:"target"`
-	DurationMS int64               `json:"duration_ms"`
+	Service blvalue.ServiceName `json:"service"`
+	Target  string              `json:"target"`
+	// DurationNS is exact, since an ended order is known by its duration.
+	DurationNS int64 `json:"duration_ns"`
 	// Order is the store's revision of the order.
 	Order      uint64          `json:"order"`
 	Phase      blrollout.Phase `json:"phase"`
@@ -49,7 +50,7 @@
 // EncodeRollout encodes the record of a roll-out as JSON.
 func EncodeRollout(record blrollout.Record) ([]byte, error) {
 	body, err := json.Marshal(rolloutBody{
-		Service: record.Order.Service, Target: record.Order.Target, DurationMS: record.Order.Duration.Milliseconds(),
+		Service: record.Order.Service, Target: record.Order.Target, DurationNS: record.Order.Duration.Nanoseconds(),
 		Order: record.Order.Revision, Phase: record.Phase, Reserved: record.Reserved, Reason: record.Reason,
 		Superseded: record.Superseded, Others: record.Others, Term: record.Term, WriteID: record.WriteID,
 	})
@@ -81,7 +82,7 @@
 	return blrollout.Record{
 		Revision: entry.Revision,
 		Order: blconfig.RolloutOrder{
-			Service: body.Service, Target: body.Target, Duration: time.Duration(body.DurationMS) * time.Millisecond, Revision: body.Order,
+			Service: body.Service, Target: body.Target, Duration: time.Duration(body.DurationNS), Revision: body.Order,
 		},
 		Phase: body.Phase, Reserved: body.Reserved, Reason: body.Reason, Superseded: body.Superseded, Others: body.Others, Term: body.Term, WriteID: body.WriteID,
 	}, nil
--- a/io/blstore/rollout_codec_test.go
+++ b/io/blstore/rollout_codec_test.go
@@ -13,7 +13,7 @@
 func TestRolloutRecordIsReadAsWritten(t *testing.T) {
 	for _, phase := range []blrollout.Phase{blrollout.PhaseRunning, blrollout.PhaseCompleted, blrollout.PhaseRolledBack} {
 		want := blrollout.Record{
-			Revision: 31, Order: blconfig.RolloutOrder{Service: "pot", Target: "v2", Duration: 12500 * time.Millisecond, Revision: 30},
+			Revision: 31, Order: blconfig.RolloutOrder{Service: "pot", Target: "v2", Duration: 12500*time.Millisecond + 7, Revision: 30},
 			Phase: phase, Reserved: 1400, Reason: "no evidence", Superseded: "v0", Others: 5, Term: 9, WriteID: "a.9.1",
 		}
 		value, err := blstore.EncodeRollout(want)
