Roll-outs: an order of another duration starts with new results

An order for the same target with another duration is a new one once the earlier has ended. Nodes went on with the age and the results of the earlier one, so that a version tried again 20 s after its rollback was rolled back 80 ms after the order, without an answer. Nodes now begin anew. While an order runs, another duration also makes them wait for new allowances.

TestOrderOfAnotherDuration and the case of TestOrders failed before. Four cases of the delivery tests wrote an order again and left its duration out, which the platform rejects; they now repeat the duration, and check the same.

--- a/core/bldeliver/rollout.go
+++ b/core/bldeliver/rollout.go
@@ -23,8 +23,8 @@
 type countedOrder struct {
 	blconfig.RolloutOrder
 
-	// first is the revision at which the counts began. Later revisions with the same
-	// target go on with them.
+	// first is the revision at which the counts began. Later revisions with the same target
+	// and duration go on with them.
 	first     uint64
 	learnedAt bltimer.Instant
 }
@@ -72,7 +72,8 @@
 }
 
 // withOrders returns the roll-outs under a new configuration. A service whose order is
-// gone or has another target starts without results.
+// gone, or has another target or duration, starts without results: another duration makes
+// it a new order if the earlier one has ended.
 func (r Rollouts) withOrders(plan blconfig.Plan, now bltimer.Instant) Rollouts {
 	for service := range r.orders.All() {
 		if _, ok := plan.RolloutOf(service); !ok {
@@ -85,7 +86,7 @@
 			continue
 		}
 		counted, known := r.orders.Get(service)
-		if !known || counted.Target != order.Target {
+		if !known || counted.Target != order.Target || counted.Duration != order.Duration {
 			r = r.withoutOrder(service)
 			counted = countedOrder{first: order.Revision, learnedAt: now}
 		}
--- a/core/bldeliver/rollout_test.go
+++ b/core/bldeliver/rollout_test.go
@@ -121,13 +121,13 @@
 			n.configure(orderNew)
 			n.allow(1, 4)
 			n.configure(blconfig.RolloutOrder{Target: "newer", Revision: 6})
-			n.configure(blconfig.RolloutOrder{Target: "new", Revision: 7})
+			n.configure(blconfig.RolloutOrder{Target: "new", Revision: 7, Duration: orderNew.Duration})
 		}, 0},
 		{"the order was written again with the same target", func(n *rolloutNode) {
 			n.configure(orderNew)
 			n.allow(1, 4)
 			n.serve(1)
-			n.configure(blconfig.RolloutOrder{Target: "new", Revision: 6})
+			n.configure(blconfig.RolloutOrder{Target: "new", Revision: 6, Duration: orderNew.Duration})
 		}, 3},
 		{"the allowance arrives before the order", func(n *rolloutNode) { n.allow(1, 4); n.configure(orderNew) }, 4},
 		{"the upstream restarted under its id", func(n *rolloutNode) { n.configure(orderNew); n.allow(1, 4); n.run("run_2", false) }, 0},
@@ -173,7 +173,7 @@
 		}, 10},
 		{"the node knows first that the order was written again", func(n *rolloutNode) {
 			n.configure(orderNew)
-			n.configure(blconfig.RolloutOrder{Target: "new", Revision: 6})
+			n.configure(blconfig.RolloutOrder{Target: "new", Revision: 6, Duration: orderNew.Duration})
 			n.allow(1, 4)
 		}, 4},
 		{"the order was removed", func(n *rolloutNode) { n.configure(orderNew); n.configure(blconfig.RolloutOrder{}) }, 10},
@@ -350,12 +350,32 @@
 	n := newRolloutNode()
 	n.configure(orderNew)
 	n.now = n.now.Add(3 * time.Second)
-	n.configure(blconfig.RolloutOrder{Target: "new", Revision: 6})
+	n.configure(blconfig.RolloutOrder{Target: "new", Revision: 6, Duration: orderNew.Duration})
 	if got, want := n.state.Results(n.now)[0].OrderAge, 3*time.Second; got != want {
 		t.Errorf("age: got %s, want %s", got, want)
 	}
 }
 
+// TestOrderOfAnotherDuration guards against an order that is tried again after a rollback and
+// is judged by the age and the results of the one before.
+func TestOrderOfAnotherDuration(t *testing.T) {
+	n := newRolloutNode()
+	n.configure(orderNew)
+	n.allow(1, 4)
+	if got, want := n.serve(4), 4; got != want {
+		t.Fatalf("served: got %d, want %d", got, want)
+	}
+	n.now = n.now.Add(3 * time.Second)
+	n.configure(blconfig.RolloutOrder{Target: "new", Revision: 6, Duration: orderNew.Duration + time.Second})
+	results := n.state.Results(n.now)[0]
+	if results.OrderAge != 0 || results.Sent != 0 {
+		t.Errorf("results: got %+v, want none, of an order of age zero", results)
+	}
+	if got, want := n.serve(1), 0; got != want {
+		t.Errorf("served under the earlier allowance: got %d, want %d", got, want)
+	}
+}
+
 // TestHeldUpstream guards against requests from nodes with an earlier directory that reach
 // an upstream which the lead takes for idle, and against keys that lose their owner early.
 func TestHeldUpstream(t *testing.T) {
--- a/core/blrollout/fleet_sim_test.go
+++ b/core/blrollout/fleet_sim_test.go
@@ -83,14 +83,15 @@
 	behaviour behaviour
 	stopped   bool
 
-	orderSeenAt  time.Duration
-	orderRev     uint64
-	sent         uint64
-	running      int
-	classes      map[string]*blvalue.ClassResults
-	allowance    blvalue.Allowance
-	allowedUntil time.Duration
-	lastColdAt   time.Duration
+	orderSeenAt   time.Duration
+	orderRev      uint64
+	orderDuration time.Duration
+	sent          uint64
+	running       int
+	classes       map[string]*blvalue.ClassResults
+	allowance     blvalue.Allowance
+	allowedUntil  time.Duration
+	lastColdAt    time.Duration
 
 	// listed and held are the nodes whose upstreams the directory lists, and the upstreams
 	// held in it. It is that of the lead of term, by step.
@@ -211,12 +212,13 @@
 	}
 }
 
-// seeOrder makes a node count from zero when it learns of the first order.
+// seeOrder makes a node count from zero when it learns of the first order or one of another
+// duration.
 func (sim *fleetSim) seeOrder(n *simNode) {
-	if n.orderRev == 0 && sim.order.Target != "" {
+	if (n.orderRev == 0 || n.orderDuration != sim.order.Duration) && sim.order.Target != "" {
 		n.orderSeenAt, n.sent, n.classes = max(sim.now, n.startedAt), 0, map[string]*blvalue.ClassResults{}
 	}
-	n.orderRev = sim.order.Revision
+	n.orderRev, n.orderDuration = sim.order.Revision, sim.order.Duration
 }
 
 func (sim *fleetSim) configChanged() {
--- a/core/blrollout/orders_test.go
+++ b/core/blrollout/orders_test.go
@@ -81,6 +81,19 @@
 			sim.writeOrder(newVersion)
 			sim.runUntil(orderAt + 24*time.Second)
 		}, "v2 rolled_back", 10 * time.Second},
+		{"tried again with more time after a rollback", func(o *simOptions) {
+			o.version = func(n *simNode, class string, now time.Duration) (float64, float64) {
+				if now < 20*time.Second {
+					return 0.5, 1
+				}
+				return healthy(n, class, now)
+			}
+		}, func(sim *fleetSim) {
+			sim.runUntil(orderAt + 20*time.Second)
+			sim.duration = 14 * time.Second
+			sim.writeOrder(newVersion)
+			sim.runUntil(orderAt + 34*time.Second)
+		}, "v2 rolled_back, v2 completed", 34 * time.Second},
 		{"superseded by the old version", func(*simOptions) {}, func(sim *fleetSim) {
 			sim.runUntil(orderAt + 3*time.Second)
 			sim.writeOrder(oldVersion)
