Roll-outs: a lost host of the target doesn't hold up the completion

A host beside an upstream of the target that was held when the host was lost had to confirm each later step until its freshness had expired, a minute on the platform, because the entry of the upstream that is gone still said held. So did the host of a killed lead, if its upstream was held in the directory that the next lead had. A good version couldn't be completed in its duration. Such an upstream needs no confirmation: its node sends it nothing without an allowance. Only upstreams that the latest admission names are waited for now.

Both new cases of TestConfirmedStep got step 0 before. Tests of core/blassign pass.

--- a/core/blassign/admission.go
+++ b/core/blassign/admission.go
@@ -205,9 +205,15 @@
 }
 
 // runsWithoutGrant reports whether the upstream is held and of a service whose requests
-// need no grant.
+// need no grant. Once the roll-out duty has decided, only those count that it names: an
+// upstream of the target version that it no longer knows is refused requests by its node,
+// which has no allowance, and would hold up the completion for as long as a node is fresh.
 func (s State[P]) runsWithoutGrant(upstream blvalue.Upstream) bool {
-	return s.isHeld(upstream) && s.config.Plan.Services[upstream.Service].Kind != blconfig.ServiceExclusive
+	held, _ := s.admission.held.Get(upstream.Incarnation)
+	if !s.admission.seen {
+		held = s.isHeld(upstream)
+	}
+	return held && s.config.Plan.Services[upstream.Service].Kind != blconfig.ServiceExclusive
 }
 
 // unreportedMayRun reports whether a node that only the earlier lead knew may still send
--- a/core/blassign/rollout_test.go
+++ b/core/blassign/rollout_test.go
@@ -432,6 +432,23 @@
 			lead(h)
 			silent(h, time.Second, 0, 1, 2)
 		}, 0},
+		{"a node beside a held upstream of the target was lost before a later step", func(h *rolloutHarness) {
+			share(h)
+			silent(h, 1900*time.Millisecond, 0, 1, 2)
+			h.admit([]int{0, 1}, []int{2})
+			report(h, 0, 1, 2)
+			report(h, 0, 1, 2)
+		}, 2},
+		{"a new lead knows no node beside a held upstream of the target", func(h *rolloutHarness) {
+			share(h)
+			silent(h, 200*time.Millisecond, 0, 1, 2, 3)
+			lead(h)
+			h.admit([]int{0, 1}, []int{2})
+			for range 10 {
+				h.now = h.now.Add(100 * time.Millisecond)
+				report(h, 0, 1, 2)
+			}
+		}, 3},
 		{"a new lead hasn't heard of a node beside an admitted upstream", func(h *rolloutHarness) {
 			share(h)
 			silent(h, 200*time.Millisecond, 0, 1, 2, 3)
