Roll-outs: a new lead knows by the record that there is no other version

A lead that took over while an order ran for the version that all upstreams run, or back to the old version, held all of them but one until the freshness of nodes had expired, a minute on the platform. It now relies on the record, if it has heard of as many other upstreams as that says. The number is recorded only by a lead that nodes had time to report to; before, a lead that had just begun recorded what it had heard of by then.

Both cases of TestOrders failed before. Tests of core/blrollout and core/blassign pass.

--- a/core/blrollout/completion.go
+++ b/core/blrollout/completion.go
@@ -37,14 +37,9 @@
 // any more: this lead knows as many as the writer of the record did, or the longest request
 // has ended that was sent before its term.
 func (s Rollouts[J]) knowsOthers(r rollout, f fleet, now bltimer.Instant) bool {
-	known := 0
-	for _, u := range f.others {
-		if u.Upstream.Incarnation != "" {
-			known++
-		}
-	}
+	known := knownRuns(f.others)
 	timing := s.config.Plan.Timing
-	return known >= r.stored.record.Others && (known > 0 || r.stored.record.Phase == PhaseCompleted || s.knowsRivals(r, now)) ||
+	return known >= r.stored.record.Others && (known > 0 || r.stored.record.Phase == PhaseCompleted || s.knowsRivals(r, f, now)) ||
 		now.Sub(s.termAt) >= timing.Freshness+timing.ClockMargin+s.config.Plan.Limits.RequestTimeout
 }
 
--- a/core/blrollout/fleet.go
+++ b/core/blrollout/fleet.go
@@ -149,11 +149,35 @@
 }
 
 // knowsRivals reports whether an upstream of another version would be in the view. That is
-// so where the order came to a lead that all nodes had reported to: waiting for their
-// freshness to expire would take longer than the order has time.
-func (s Rollouts[J]) knowsRivals(r rollout, now bltimer.Instant) bool {
-	seenBefore := r.stored.loaded && !r.inherited && r.knownAt.Sub(s.termAt) >= 2*s.heartbeat()+reportDelay
-	return seenBefore || s.knowsFleet(now)
+// so where the order came to a lead that all nodes had reported to, or that has since heard
+// of as many as the record has: waiting for the freshness of nodes to expire would take
+// longer than the order has time.
+func (s Rollouts[J]) knowsRivals(r rollout, f fleet, now bltimer.Instant) bool {
+	switch {
+	case s.knowsFleet(now):
+		return true
+	case !r.stored.loaded || !s.heardNodes(now):
+		return false
+	case !r.recorded() || !r.inherited && s.heardNodes(r.knownAt):
+		return true
+	}
+	return knownRuns(f.others) >= r.stored.record.Others
+}
+
+// heardNodes reports whether all nodes that reach this lead had time to report.
+func (s Rollouts[J]) heardNodes(now bltimer.Instant) bool {
+	return now.Sub(s.termAt) >= 2*s.heartbeat()+reportDelay
+}
+
+// knownRuns counts the upstreams of which more than the name is known.
+func knownRuns(list []blassign.RolloutUpstream) int {
+	known := 0
+	for _, u := range list {
+		if u.Upstream.Incarnation != "" {
+			known++
+		}
+	}
+	return known
 }
 
 // sameKeys reports whether both tables have the same keys.
--- a/core/blrollout/orders_test.go
+++ b/core/blrollout/orders_test.go
@@ -99,6 +99,20 @@
 			sim.writeOrder(oldVersion)
 			sim.runUntil(orderAt + 20*time.Second)
 		}, "v1 completed", 8 * time.Second},
+		{"superseded by the old version, and the lead is killed", func(o *simOptions) { o.freshness = platformFreshness }, func(sim *fleetSim) {
+			sim.runUntil(orderAt + 3*time.Second)
+			sim.writeOrder(oldVersion)
+			sim.runUntil(orderAt + 4*time.Second)
+			sim.elect()
+			sim.runUntil(orderAt + 20*time.Second)
+		}, "v1 completed", 7 * time.Second},
+		{"everybody runs the version, and the lead is killed", func(o *simOptions) {
+			o.old, o.startAfter, o.freshness = 0, -time.Minute, platformFreshness
+		}, func(sim *fleetSim) {
+			sim.runUntil(orderAt + 40*time.Millisecond)
+			sim.elect()
+			sim.runUntil(orderAt + 14*time.Second)
+		}, "v2 completed", 4 * time.Second},
 		{"the store is restored while it runs", func(*simOptions) {}, func(sim *fleetSim) {
 			copied := sim.store.copy()
 			sim.runUntil(orderAt + 4*time.Second)
--- a/core/blrollout/outage_test.go
+++ b/core/blrollout/outage_test.go
@@ -23,7 +23,7 @@
 	}
 	for range 30 {
 		d.now = d.now.Add(100 * time.Millisecond)
-		var effects []blrollout.Effect
+		effects := make([]blrollout.Effect, 0, 3)
 		for _, m := range []blrollout.Message{
 			blrollout.ViewSeen{View: view}, blrollout.Tick{}, blrollout.RecordLoaded{Term: term, Service: "pot", Failed: true},
 		} {
--- a/core/blrollout/record.go
+++ b/core/blrollout/record.go
@@ -128,7 +128,7 @@
 		return s, r, nil
 	}
 	s.writes++
-	record.Term, record.Others = s.authority.Term, len(f.others)
+	record.Term, record.Others = s.authority.Term, s.othersToRecord(f, now)
 	record.WriteID = fmt.Sprintf("%d.%d", s.authority.Term, s.writes)
 	write := WriteRecord{Service: r.order.Service, Base: r.stored.record.Revision, Record: record}
 	r.stored.writing, r.stored.triedAt = &write, now
@@ -136,6 +136,18 @@
 	return s, r, []Effect{write}
 }
 
+// unknownOthers is recorded as the number of other upstreams by a lead that nodes haven't had
+// time to report to. It is more than any fleet has, so that no lead takes the ones it knows
+// for all.
+const unknownOthers = 1 << 30
+
+func (s Rollouts[J]) othersToRecord(f fleet, now bltimer.Instant) int {
+	if !s.heardNodes(now) {
+		return unknownOthers
+	}
+	return len(f.others)
+}
+
 // dueRecord returns the record that the store should hold, and whether it has to be
 // written.
 func (s Rollouts[J]) dueRecord(r rollout, f fleet, now bltimer.Instant) (Record, bool) {
@@ -157,6 +169,7 @@
 	case s.mayComplete(r, f, now):
 		record.Phase, record.Reason, due = PhaseCompleted, r.reason, true
 	default:
+		due = due || record.Others == unknownOthers && s.heardNodes(now)
 		if reserved, raise := s.dueReserve(r, record, f, now); raise {
 			record.Reserved, due = reserved, true
 		}
--- a/core/blrollout/steps.go
+++ b/core/blrollout/steps.go
@@ -143,7 +143,7 @@
 	case r.aloneSince == 0:
 		r.aloneSince = now
 	}
-	r.unrivaled = r.aloneSince != 0 && !r.sawOld && s.knowsRivals(r, now)
+	r.unrivaled = r.aloneSince != 0 && !r.sawOld && s.knowsRivals(r, f, now)
 	return r
 }
 
