--- a/core/blrollout/outage_test.go
+++ b/core/blrollout/outage_test.go
@@ -19,7 +19,7 @@
 	view := blassign.RolloutView{Term: term}
 	for i := 3; i < 6; i++ {
 		view.Upstreams = append(view.Upstreams, blassign.RolloutUpstream{Upstream: upstream("pot", i), Node: node(i)})
-		d.report("pot", i, 40, 20)
+		d.report(i, 20)
 	}
 	for range 30 {
 		d.now = d.now.Add(100 * time.Millisecond)
--- a/core/blrollout/record_test.go
+++ b/core/blrollout/record_test.go
@@ -81,11 +81,11 @@
 	return blvalue.Host{Name: blvalue.HostName(id), Incarnation: blvalue.Incarnation(id + "_run"), Domain: "d0"}
 }
 
-// report sends what the node of an upstream has counted.
-func (d *duty) report(name blvalue.ServiceName, i int, revision, sent uint64) {
-	u := upstream(name, i)
+// report sends what the node of an upstream of pot has counted under order 40.
+func (d *duty) report(i int, sent uint64) {
+	u := upstream("pot", i)
 	d.send(blrollout.ResultsSeen{Reported: blassign.ResultsReported{Term: term, Node: node(i), Results: []blvalue.UpstreamResults{{
-		Upstream: u.Name, Incarnation: u.Incarnation, Service: name, Version: u.Version, Order: revision, Sent: sent,
+		Upstream: u.Name, Incarnation: u.Incarnation, Service: u.Service, Version: u.Version, Order: 40, Sent: sent,
 		OrderAge: time.Second,
 	}}}})
 }
@@ -192,7 +192,7 @@
 	d := newDuty(order("pot", 40))
 	d.load(blrollout.Record{Revision: 9, Order: order("pot", 40), Phase: blrollout.PhaseRunning, Reserved: 100, Term: term - 1, Others: 3})
 	for i := range 6 {
-		d.report("pot", i, 40, 20)
+		d.report(i, 20)
 	}
 	d.wait(2 * time.Second)
 	if got := d.allowed("pot"); got != 0 {
@@ -200,7 +200,7 @@
 	}
 	// 0.08 of 2,060 requests and 25 are 89 more than the predecessor reserved.
 	for i := range 3 {
-		d.report("pot", i, 40, 2000/3+1)
+		d.report(i, 2000/3+1)
 	}
 	d.tick()
 	write, ok := d.write()
@@ -300,7 +300,7 @@
 	view := blassign.RolloutView{Term: term}
 	for i := 3; i < 6; i++ {
 		view.Upstreams = append(view.Upstreams, blassign.RolloutUpstream{Upstream: upstream("pot", i), Node: node(i)})
-		d.report("pot", i, 40, 20)
+		d.report(i, 20)
 	}
 	for range 15 {
 		d.now = d.now.Add(100 * time.Millisecond)
