--- a/core/blrollout/orders_test.go
+++ b/core/blrollout/orders_test.go
@@ -36,6 +36,11 @@
 		{"everybody runs the version", func(o *simOptions) { o.old, o.startAfter = 0, -time.Minute }, func(sim *fleetSim) {
 			sim.runUntil(orderAt + 2*time.Second)
 		}, "v2 completed", time.Second},
+		{"everybody runs the version, with the platform's freshness", func(o *simOptions) {
+			o.old, o.startAfter, o.freshness = 0, -time.Minute, platformFreshness
+		}, func(sim *fleetSim) {
+			sim.runUntil(orderAt + 2*time.Second)
+		}, "v2 completed", time.Second},
 		{"the version never answers", func(o *simOptions) { o.startAfter = time.Hour }, func(sim *fleetSim) {
 			sim.runUntil(orderAt + 13*time.Second)
 		}, "v2 rolled_back", 13 * time.Second},
@@ -76,11 +81,38 @@
 			sim.writeOrder(newVersion)
 			sim.runUntil(orderAt + 24*time.Second)
 		}, "v2 rolled_back", 10 * time.Second},
+		{"tried again with more time after a rollback", func(o *simOptions) {
+			o.version = func(n *simNode, class string, now time.Duration) (float64, float64) {
+				if now < 20*time.Second {
+					return 0.5, 1
+				}
+				return healthy(n, class, now)
+			}
+		}, func(sim *fleetSim) {
+			sim.runUntil(orderAt + 20*time.Second)
+			sim.duration = 14 * time.Second
+			sim.writeOrder(newVersion)
+			sim.runUntil(orderAt + 34*time.Second)
+		}, "v2 rolled_back, v2 completed", 34 * time.Second},
 		{"superseded by the old version", func(*simOptions) {}, func(sim *fleetSim) {
 			sim.runUntil(orderAt + 3*time.Second)
 			sim.writeOrder(oldVersion)
 			sim.runUntil(orderAt + 20*time.Second)
 		}, "v1 completed", 8 * time.Second},
+		{"superseded by the old version, and the lead is killed", func(o *simOptions) { o.freshness = platformFreshness }, func(sim *fleetSim) {
+			sim.runUntil(orderAt + 3*time.Second)
+			sim.writeOrder(oldVersion)
+			sim.runUntil(orderAt + 4*time.Second)
+			sim.elect()
+			sim.runUntil(orderAt + 20*time.Second)
+		}, "v1 completed", 7 * time.Second},
+		{"everybody runs the version, and the lead is killed", func(o *simOptions) {
+			o.old, o.startAfter, o.freshness = 0, -time.Minute, platformFreshness
+		}, func(sim *fleetSim) {
+			sim.runUntil(orderAt + 40*time.Millisecond)
+			sim.elect()
+			sim.runUntil(orderAt + 14*time.Second)
+		}, "v2 completed", 4 * time.Second},
 		{"the store is restored while it runs", func(*simOptions) {}, func(sim *fleetSim) {
 			copied := sim.store.copy()
 			sim.runUntil(orderAt + 4*time.Second)
