--- a/core/bldeliver/announced.go
+++ b/core/bldeliver/announced.go
@@ -81,7 +81,6 @@
 		return s, nil
 	}
 	s.config = m.Accepted
-	s.urgencies = NewUrgencies(s.config.Plan.Routes, s.calls)
 	s.rollouts = s.rollouts.withOrders(m.Accepted.Plan, now)
 	var effects []Effect
 	for name, upstream := range s.upstreams.All() {
--- a/core/bldeliver/calls.go
+++ b/core/bldeliver/calls.go
@@ -190,10 +190,7 @@
 	}
 	var change *CallsChanged
 	s.calls, change = s.calls.WithRequest(m.Class, m.Origin, now)
-	if change != nil {
-		s.urgencies = NewUrgencies(s.config.Plan.Routes, s.calls)
-	}
-	if s.calls.Contains(m.Class) && s.urgencies.CallsFirst(m.Origin, m.Service) {
+	if s.calls.Contains(m.Class) {
 		m = m.asCall()
 	}
 	s, effects := s.acquire(m, now)
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -27,7 +27,6 @@
 	upstreams bltable.Table[blvalue.UpstreamName, UpstreamState]
 	inFlight  bltable.Table[Ticket, inFlightRequest]
 	calls     CallClasses
-	urgencies Urgencies
 	rollouts  Rollouts
 	// domain is the failure domain of this node.
 	domain blvalue.DomainName
