--- a/core/bldeliver/estimate.go
+++ b/core/bldeliver/estimate.go
@@ -32,9 +32,9 @@
 }
 
 // minLatency returns the minimum time in which the request can be expected to be
-// answered, or zero if it is a caller's request without a latency goal.
+// answered, or zero if it has no latency goal.
 func (u UpstreamState) minLatency(a Acquire) time.Duration {
-	if a.Goal == 0 && !a.call {
+	if a.Goal == 0 {
 		return 0
 	}
 	return u.classLatency(a.Class) / minLatencyDivisor
@@ -44,10 +44,7 @@
 // requests ahead of it in the queue, and more urgent ones that arrive in the
 // meantime, have been answered.
 func (u UpstreamState) estimatedWait(a Acquire, now bltimer.Instant) time.Duration {
-	if a.call {
-		return u.callWait(a, now)
-	}
-	load := u.Load(now)
+	load := u.Load()
 	load.Waiting = 0
 	for _, other := range u.queue {
 		if !u.goesBefore(a, other, now) {
@@ -55,9 +52,6 @@
 		}
 	}
 	wait := time.Duration(float64(load.QueueDelay()) / (1 - u.offeredLoad.UrgentShare(a.Rank, load.Limit)))
-	if u.offeredLoad.Has(callRank) {
-		wait = min(wait, u.reservedWait(a, now))
-	}
 	wait = u.pace.Stretched(wait, now)
 	if u.cold(now) && u.pacer.enabled() {
 		perRequest := time.Duration(float64(time.Second) / u.pacer.perSecond)
@@ -68,17 +62,16 @@
 
 // tooLate reports whether a request with the given estimated wait should be
 // refused immediately: it can't be answered before its deadline, or it would miss
-// its latency goal after waiting for too much of the time left. A call is refused only
-// for its deadline.
+// its latency goal after waiting for too much of the time left.
 func (u UpstreamState) tooLate(a Acquire, wait time.Duration, now bltimer.Instant) bool {
-	if a.Goal == 0 && !a.call || wait == 0 {
+	if a.Goal == 0 || wait == 0 {
 		return false
 	}
 	start := now.Add(wait)
 	if !start.Add(u.minLatency(a)).Before(a.Deadline) {
 		return true
 	}
-	return !a.call && !u.meetsGoal(a, start) && wait > a.Deadline.Sub(now)/lateWaitDivisor
+	return !u.meetsGoal(a, start) && wait > a.Deadline.Sub(now)/lateWaitDivisor
 }
 
 // withoutTooLate returns the upstream without the queued requests that later
--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -32,13 +32,8 @@
 	Deadline bltimer.Instant
 	// Goal is the time by which an answer meets the latency goal, or zero if
 	// there is none.
-	Goal bltimer.Instant
-	// Origin is the service of the host at which the request entered, or empty if
-	// unknown.
-	Origin blvalue.ServiceName
-	Reply  blring.Reply[AcquireAnswer]
-	// call is set if an upstream made the request while it ran another one.
-	call bool
+	Goal  bltimer.Instant
+	Reply blring.Reply[AcquireAnswer]
 }
 
 // AcquireAnswer answers Acquire.
@@ -124,36 +119,8 @@
 func (ConfigChanged) deliverMessage() {}
 func (Tick) deliverMessage()          {}
 
-// Effect is an output of the delivery duty: the answer to an Acquire message, or a change
-// of the recognised calls.
+// Effect is an output of the delivery duty: the answer to an Acquire message.
 type Effect struct {
 	Reply  blring.Reply[AcquireAnswer]
 	Answer AcquireAnswer
-	// Class is the class of the request, and Limit the limit for which it was refused.
-	// Both are empty if it was admitted.
-	Class string
-	Limit Limit
-	// Calls is set if the effect is no answer but a change of the recognised calls.
-	Calls *CallsChanged
-}
-
-// Limit names the limit for which a request is refused.
-type Limit string
-
-// The limits.
-const (
-	// LimitState means that the upstream or the node takes no requests, or not this one.
-	LimitState Limit = "state"
-	// LimitQueue means that the queue is full.
-	LimitQueue Limit = "queue"
-	// LimitWait means that the wait is too long for the latency goal or the deadline.
-	LimitWait Limit = "wait"
-	// LimitCalls means that a call of an upstream took the place in the queue.
-	LimitCalls Limit = "calls"
-)
-
-// at returns the refusal with the limit that caused it.
-func (e Effect) at(limit Limit) Effect {
-	e.Limit = limit
-	return e
 }
--- a/core/bldeliver/offered_load.go
+++ b/core/bldeliver/offered_load.go
@@ -58,14 +58,3 @@
 	share := work.Seconds() / loadWindow.Seconds() / float64(max(slots, 1))
 	return min(share, maxUrgentShare)
 }
-
-// Current reports whether the measurement is of the latest two windows.
-func (o OfferedLoad) Current(now bltimer.Instant) bool {
-	return now.Sub(o.windowStart) < 2*loadWindow
-}
-
-// Has reports whether work of the rank arrived in the previous window.
-func (o OfferedLoad) Has(rank int) bool {
-	_, ok := o.previous.Get(rank)
-	return ok
-}
--- a/core/bldeliver/pace.go
+++ b/core/bldeliver/pace.go
@@ -106,12 +106,3 @@
 	}
 	return left + usual - time.Duration(float64(left)/slowdown)
 }
-
-// WorkPercent returns how long work takes at a time, in percent of the average, or zero if
-// it takes no longer.
-func (w WorkPace) WorkPercent(at bltimer.Instant) int {
-	if slowdown := w.slowdown(); w.slowLeft(at) > 0 && slowdown > 1 {
-		return int(slowdown * percent)
-	}
-	return 0
-}
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -12,7 +12,6 @@
 	upstream blvalue.UpstreamName
 	account  blvalue.AccountName
 	class    string
-	call     bool
 	// incarnation is the run of the upstream. Order is the revision of the roll-out order
 	// at which the counts began that the request belongs to, or zero.
 	incarnation blvalue.Incarnation
@@ -26,7 +25,6 @@
 	config    blconfig.Accepted
 	upstreams bltable.Table[blvalue.UpstreamName, UpstreamState]
 	inFlight  bltable.Table[Ticket, inFlightRequest]
-	calls     CallClasses
 	rollouts  Rollouts
 	// domain is the failure domain of this node.
 	domain blvalue.DomainName
@@ -72,7 +70,7 @@
 func Decide(s State, message Message, now bltimer.Instant) (State, []Effect) {
 	switch m := message.(type) {
 	case Acquire:
-		return s.arrive(m, now)
+		return s.acquire(m, now)
 	case Release:
 		return s.release(m, now)
 	case UpstreamsSeen:
@@ -93,7 +91,7 @@
 }
 
 func refuse(a Acquire, reason blvalue.RefusalReason, detail string) Effect {
-	return Effect{Reply: a.Reply, Answer: AcquireAnswer{Refusal: blvalue.NotRun(reason, detail)}, Class: a.Class, Limit: LimitState}
+	return Effect{Reply: a.Reply, Answer: AcquireAnswer{Refusal: blvalue.NotRun(reason, detail)}}
 }
 
 // close refuses the waiting requests.
@@ -124,33 +122,31 @@
 	if upstream.announcement.Upstream.Service != m.Service {
 		return s, []Effect{refuse(m, blvalue.ReasonNotOwner, "the upstream is of another service")}
 	}
-	if s.full(upstream, m) {
-		return s, []Effect{refuse(m, blvalue.ReasonOverload, "too many requests wait for the upstream").at(LimitQueue)}
+	if len(upstream.queue) >= s.config.Plan.Limits.QueueLength {
+		return s, []Effect{refuse(m, blvalue.ReasonOverload, "too many requests wait for the upstream")}
 	}
 	if upstream.closed(now) {
 		return s, []Effect{refuse(m, blvalue.ReasonLeaving, "the upstream is leaving")}
 	}
 	if s.left(upstream, now) <= uint64(len(upstream.queue)) {
-		return s, []Effect{refuseHeldBack(m, upstream, now)}
+		return s, []Effect{refuseHeldBack(m, upstream)}
 	}
 	upstream.offeredLoad = upstream.offeredLoad.WithWork(m.Rank, upstream.classLatency(m.Class), now)
 	if wait := upstream.estimatedWait(m, now); upstream.tooLate(m, wait, now) {
-		refusal := refuse(m, blvalue.ReasonOverload, "the upstream can't answer in time").at(LimitWait)
+		refusal := refuse(m, blvalue.ReasonOverload, "the upstream can't answer in time")
 		upstream, refusal.Answer.RetryAfter = upstream.withReturn(m, wait, now)
 		s.upstreams = s.upstreams.With(m.Upstream, upstream)
-		refusal.Answer.Load = upstream.Load(now)
+		refusal.Answer.Load = upstream.Load()
 		return s, []Effect{refusal}
 	}
-	upstream, dropped := s.withRoom(upstream, m, now)
 	upstream.queue = append(upstream.queue[:len(upstream.queue):len(upstream.queue)], m)
-	s, admitted := s.admitNext(m.Upstream, upstream, now)
-	return s, append(dropped, admitted...)
+	return s.admitNext(m.Upstream, upstream, now)
 }
 
 // refuseHeldBack refuses a request that no allowance covers.
-func refuseHeldBack(a Acquire, upstream UpstreamState, now bltimer.Instant) Effect {
+func refuseHeldBack(a Acquire, upstream UpstreamState) Effect {
 	refusal := refuse(a, blvalue.ReasonHeldBack, "a roll-out allows the upstream no more requests")
-	refusal.Answer.Load = upstream.Load(now)
+	refusal.Answer.Load = upstream.Load()
 	return refusal
 }
 
@@ -161,7 +157,7 @@
 	}
 	effects := make([]Effect, 0, len(upstream.queue))
 	for _, waiting := range upstream.queue {
-		effects = append(effects, refuseHeldBack(waiting, upstream, now))
+		effects = append(effects, refuseHeldBack(waiting, upstream))
 	}
 	upstream.queue = nil
 	return upstream, effects
@@ -179,16 +175,16 @@
 			break
 		}
 		chosen := upstream.queue[position]
-		upstream = upstream.without(position).withRunning(chosen.Account, 1).withWorkAdmitted(chosen)
+		upstream = upstream.without(position).withRunning(chosen.Account, 1)
 		upstream.pacer = upstream.pacer.WithSent(now)
 		request := inFlightRequest{
-			upstream: name, account: chosen.Account, class: chosen.Class, call: chosen.call, incarnation: upstream.Incarnation(), cold: upstream.cold(now),
+			upstream: name, account: chosen.Account, class: chosen.Class, incarnation: upstream.Incarnation(), cold: upstream.cold(now),
 		}
 		s.rollouts, request.order = s.rollouts.withSent(upstream.announcement.Upstream)
 		s.inFlight = s.inFlight.With(chosen.Ticket, request)
 		effects = append(effects, Effect{
 			Reply: chosen.Reply, Answer: AcquireAnswer{
-				Address: upstream.announcement.Address, Incarnation: upstream.Incarnation(), Load: upstream.Load(now),
+				Address: upstream.announcement.Address, Incarnation: upstream.Incarnation(), Load: upstream.Load(),
 			},
 		})
 	}
@@ -207,7 +203,7 @@
 	if !ok {
 		return s, nil
 	}
-	upstream = upstream.withRunning(request.account, -1).withWorkEnded(request)
+	upstream = upstream.withRunning(request.account, -1)
 	upstream.pace = upstream.pace.WithReport(m.Report, now)
 	switch m.Result {
 	case ResultAnswered:
@@ -248,17 +244,17 @@
 		}
 		remaining, tooLate := upstream.withoutTooLate(now)
 		for _, waiting := range tooLate {
-			refusal := refuse(waiting, blvalue.ReasonOverload, "the upstream can no longer answer in time").at(LimitWait)
+			refusal := refuse(waiting, blvalue.ReasonOverload, "the upstream can no longer answer in time")
 			remaining, refusal.Answer.RetryAfter = remaining.withReturn(waiting, upstream.limiter.AverageLatency(), now)
-			refusal.Answer.Load = upstream.Load(now)
+			refusal.Answer.Load = upstream.Load()
 			effects = append(effects, refusal)
 		}
 		remaining, expired := remaining.withoutExpired(now)
 		for _, waiting := range expired {
-			effects = append(effects, refuse(waiting, blvalue.ReasonTimeout, "no slot came free in time").at(LimitWait))
+			effects = append(effects, refuse(waiting, blvalue.ReasonTimeout, "no slot came free in time"))
 		}
 		uncovered := len(remaining.queue) > 0 && s.left(remaining, now) == 0
-		if len(expired)+len(tooLate) > 0 || remaining.pacer.enabled() || uncovered || remaining.running < remaining.Limit() {
+		if len(expired)+len(tooLate) > 0 || remaining.pacer.enabled() || uncovered {
 			var admitted []Effect
 			s, admitted = s.admitNext(name, remaining, now)
 			effects = append(effects, admitted...)
--- a/core/bldeliver/upstream.go
+++ b/core/bldeliver/upstream.go
@@ -27,11 +27,6 @@
 	offeredLoad OfferedLoad
 	// returns plans when refused requests come back.
 	returns blbackoff.Schedule
-	// callerDebt is the work, in seconds, by which callers' requests fell behind their
-	// share of the slots. It is negative while they are ahead.
-	callerDebt float64
-	// runningCalls is the number of calls among the running requests.
-	runningCalls int
 	// closesAt is when this node stops sending requests to a leaving upstream, or
 	// zero for never.
 	closesAt bltimer.Instant
@@ -57,10 +52,8 @@
 func (u UpstreamState) Waiting() int { return len(u.queue) }
 
 // Load returns the upstream's current load.
-func (u UpstreamState) Load(now bltimer.Instant) blvalue.Load {
-	return blvalue.Load{
-		Running: u.running, Waiting: len(u.queue), Limit: u.Limit(), ServiceTime: u.limiter.AverageLatency(), WorkPercent: u.pace.WorkPercent(now),
-	}
+func (u UpstreamState) Load() blvalue.Load {
+	return blvalue.Load{Running: u.running, Waiting: len(u.queue), Limit: u.Limit(), ServiceTime: u.limiter.AverageLatency()}
 }
 
 // classLatency returns the average latency of the class, or that of all classes
@@ -146,29 +139,17 @@
 	}
 	best := 0
 	for i := range u.queue {
-		if before, decided := callBefore(u.queue[i], u.queue[best], u.callersFirst()); decided {
-			if before {
-				best = i
-			}
-			continue
-		}
 		if u.goesBefore(u.queue[i], u.queue[best], now) {
 			best = i
 		}
 	}
-	if !u.queue[best].call && u.keptForCalls(now) {
-		return -1
-	}
 	return best
 }
 
-// goesBefore orders waiting requests: first calls, then those that can still meet their
+// goesBefore orders waiting requests: first those that can still meet their
 // latency goal, then by lower rank, then by account with the fewest running
 // requests, then by earliest deadline.
 func (u UpstreamState) goesBefore(a, b Acquire, now bltimer.Instant) bool {
-	if before, decided := callBefore(a, b, false); decided {
-		return before
-	}
 	if meetsA, meetsB := u.meetsGoal(a, now), u.meetsGoal(b, now); meetsA != meetsB {
 		return meetsA
 	}
--- a/core/blvalue/load.go
+++ b/core/blvalue/load.go
@@ -13,9 +13,6 @@
 	Limit int
 	// ServiceTime is the current mean service time of a request at the upstream.
 	ServiceTime time.Duration
-	// WorkPercent is how long work takes at the moment, in percent of the average, or
-	// zero if it takes no longer.
-	WorkPercent int
 }
 
 // UpstreamReport is what an upstream says of its load in a response. It may be late or
--- a/io/blmetric/metric.go
+++ b/io/blmetric/metric.go
@@ -41,12 +41,6 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_retries_total{reason=%q}`, reason)).Inc()
 }
 
-// SlotRefused counts a request that got no slot at a local upstream, by its class and the
-// limit for which it was refused. A class is the name of a configured route.
-func (s *Set) SlotRefused(class, limit string) {
-	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_slot_refusals_total{class=%q,limit=%q}`, class, limit)).Inc()
-}
-
 // UpstreamFailed counts a response of an upstream with a status of 500 or above.
 func (s *Set) UpstreamFailed(status int) {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_upstream_failures_total{status="%d"}`, status)).Inc()
--- a/io/blnode/duty_effects.go
+++ b/io/blnode/duty_effects.go
@@ -191,12 +191,5 @@
 }
 
 func (n *Node) performDeliver(effect bldeliver.Effect) {
-	if effect.Calls != nil {
-		n.stateLog.logCalls(*effect.Calls)
-		return
-	}
-	if effect.Answer.Refusal != nil {
-		n.metrics.SlotRefused(effect.Class, string(effect.Limit))
-	}
 	effect.Reply.Put(effect.Answer)
 }
--- a/io/blnode/state_log.go
+++ b/io/blnode/state_log.go
@@ -9,7 +9,6 @@
 
 	"bergamotlead/core/blassign"
 	"bergamotlead/core/blconfig"
-	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blgrant"
 	"bergamotlead/core/blmember"
 	"bergamotlead/core/blplatform"
@@ -95,16 +94,6 @@
 	}
 }
 
-// logCalls logs that a class of requests is recognised as calls of upstreams, or no
-// longer.
-func (l *stateLog) logCalls(change bldeliver.CallsChanged) {
-	if change.Calls {
-		l.logger.Info("calls recognised", "route", change.Class, "from", string(change.Origin), "requests", change.Run)
-		return
-	}
-	l.logger.Info("calls no longer recognised", "route", change.Class, "from", string(change.Origin))
-}
-
 // logSuspension logs that the host was suspended, given the sum of all suspensions.
 func (l *stateLog) logSuspension(suspended time.Duration) {
 	state := suspended.String()
--- a/io/blnode/status.go
+++ b/io/blnode/status.go
@@ -101,9 +101,6 @@
 	n.metrics.Gauge("bergamotlead_requests_running", func() float64 {
 		return float64(n.duties.deliver.View().Running())
 	})
-	n.metrics.Gauge("bergamotlead_call_classes", func() float64 {
-		return float64(len(n.duties.deliver.View().Calls().Recognised()))
-	})
 	n.metrics.Gauge("bergamotlead_partitions_granted", func() float64 {
 		total := 0
 		for _, grant := range n.duties.grant.View().Grants() {
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -194,7 +194,7 @@
 func (n *Node) upstreamLoads() []blassign.UpstreamLoad {
 	var loads []blassign.UpstreamLoad
 	for _, upstream := range n.duties.deliver.View().Upstreams().All() {
-		loads = append(loads, blassign.UpstreamLoad{Incarnation: upstream.Incarnation(), Load: upstream.Load(n.clock.Now())})
+		loads = append(loads, blassign.UpstreamLoad{Incarnation: upstream.Incarnation(), Load: upstream.Load()})
 	}
 	return loads
 }
--- a/io/blupstream/attempt.go
+++ b/io/blupstream/attempt.go
@@ -93,7 +93,7 @@
 	}
 	err := a.deliverer.duties.Deliver(bldeliver.Acquire{
 		Ticket: a.ticket, Upstream: a.order.Target.Upstream, Service: a.order.Target.Service, Account: a.order.Account, Rank: a.order.Rank, Class: a.order.Class,
-		Deadline: a.deadline, Goal: goal, Origin: a.deliverer.protocol.Origin(a.order.Header), Reply: reply,
+		Deadline: a.deadline, Goal: goal, Reply: reply,
 	})
 	if err != nil {
 		return bldeliver.AcquireAnswer{Refusal: blvalue.NotRun(blvalue.ReasonOverload, err.Error())}
--- a/io/blupstream/protocol.go
+++ b/io/blupstream/protocol.go
@@ -34,9 +34,6 @@
 	Prepare(
 		request *http.Request, order bldeliver.Order, permit blgrant.Permit, incarnation blvalue.Incarnation, left time.Duration,
 	)
-	// Origin returns the service of the host at which an order entered, given the header
-	// fields that the entry node sent, or empty if the protocol doesn't name it.
-	Origin(header map[string][]string) blvalue.ServiceName
 	// Rejection returns whether and why the upstream rejected the request
 	// without running it.
 	Rejection(response *http.Response) Rejection
@@ -64,9 +61,6 @@
 	}
 }
 
-// Origin implements Protocol. The native protocol names no service.
-func (NativeProtocol) Origin(map[string][]string) blvalue.ServiceName { return "" }
-
 // Rejection implements Protocol.
 func (NativeProtocol) Rejection(response *http.Response) Rejection {
 	switch response.Header.Get(blheader.NotRun) {
