Roll-outs: the completion is logged as well

The lead logged each step and a rollback, but not that the record says completed. TestEndsAreLogged found 0 lines for a good version before.

--- a/core/blrollout/completion.go
+++ b/core/blrollout/completion.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"bergamotlead/core/blassign"
+	"bergamotlead/core/blplatform"
 	"bergamotlead/core/bltimer"
 )
 
@@ -25,6 +26,17 @@
 	return r.step == StepHolding && r.ordered && s.othersIdle(r, f, now)
 }
 
+// completedBy returns the decision, for the log, if a write of the record has completed an
+// order.
+func (s Rollouts[J]) completedBy(m RecordWritten) []Effect {
+	r, ok := s.services.Get(m.Service)
+	written := ok && m.Outcome == blplatform.Written && m.Term == s.authority.Term && m.WriteID == r.stored.record.WriteID
+	if !written || r.stored.record.Phase != PhaseCompleted {
+		return nil
+	}
+	return []Effect{s.decided(r, s.fleetOf(r), string(PhaseCompleted), r.reason)}
+}
+
 // withVerification verifies that the other versions of a completed order are idle. A lead
 // that finds the order completed in the record may have passed on requests to them before
 // it read that.
--- a/core/blrollout/decide.go
+++ b/core/blrollout/decide.go
@@ -29,6 +29,9 @@
 		s = s.recordLoaded(m)
 	case RecordWritten:
 		s = s.recordWritten(m, now)
+		completed := s.completedBy(m)
+		s, effects := s.advance(now)
+		return s, append(completed, effects...)
 	case StatusWritten:
 		s = s.statusWritten(m)
 	}
