--- a/review/_kit2/host.go
+++ b/review/_kit2/host.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -28,14 +30,26 @@
 	log    *os.File
 }
 
-// freeAddress returns a loopback address with a port that is free at the moment.
+// firstPort to lastPort are below the ports that the system gives to outgoing connections.
+const firstPort, lastPort = 20000, 32000
+
+// nextPort is the port that is tried next.
+var nextPort = firstPort + rand.IntN(lastPort-firstPort)
+
+// freeAddress returns a loopback address with a port that is free at the moment, another one
+// each time.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		if nextPort++; nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err != nil {
+			continue
+		}
+		return l.Addr().String(), l.Close()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 func (w *world) newHost(name, zone, service string, sharded bool) (*host, error) {
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -14,7 +14,7 @@
 		os.Exit(2)
 	}
 	play, ok := map[string]func(w *world, trouble bool) error{
-		"crowd-of-bodies": crowdOfBodies, "pieces": piecesKeepOthersOut, "paths": pathsAreKept, "routes": routesByPath, "final-answers": finalAnswers,
+		"crowd-of-bodies": crowdOfBodies, "pieces": piecesKeepOthersOut, "paths": pathsAreKept, "routes": routesByPath, "wake": wakeWithoutNode, "final-answers": finalAnswers,
 	}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/_kit2/server.go
+++ b/review/_kit2/server.go
@@ -14,7 +14,11 @@
 	"time"
 )
 
-const keyCount = 65536
+const (
+	keyCount = 65536
+	// rangeKeys is the number of keys that the product grants at once.
+	rangeKeys = 32
+)
 
 // server is an application server that holds keys.
 type server struct {
@@ -26,19 +30,21 @@
 
 	listener net.Listener
 
-	mu       sync.Mutex
-	state    string
-	seq      int
-	stopped  bool
-	fence    [keyCount]uint64
-	until    [keyCount]time.Time
-	highest  [keyCount]uint64
-	running  map[int]int
-	idle     *sync.Cond
-	slots    int
-	busy     int
-	workTime time.Duration
-	counts   map[string]int
+	mu      sync.Mutex
+	state   string
+	seq     int
+	stopped bool
+	// suspendedAt is when the server began to stand still, or zero.
+	suspendedAt time.Time
+	fence       [keyCount]uint64
+	until       [keyCount]time.Time
+	highest     [keyCount]uint64
+	running     map[int]int
+	idle        *sync.Cond
+	slots       int
+	busy        int
+	workTime    time.Duration
+	counts      map[string]int
 }
 
 func newServer(w *world, h *host, id string) (*server, error) {
@@ -71,6 +77,9 @@
 
 func (s *server) beatLoop() {
 	for !s.isStopped() {
+		s.mu.Lock()
+		s.awake()
+		s.mu.Unlock()
 		s.beat()
 		time.Sleep(870 * time.Millisecond)
 	}
@@ -166,13 +175,14 @@
 }
 
 func (s *server) grant(o order) reply {
-	arrived := time.Now()
 	hold, err := time.ParseDuration(o.HoldTime)
 	if err != nil {
 		return reply{status: http.StatusBadRequest}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.awake()
+	arrived := time.Now()
 	s.counts["grants"]++
 	if !s.take(o, arrived.Add(hold)) {
 		return reply{status: http.StatusConflict}
@@ -199,6 +209,7 @@
 func (s *server) release(o order) reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.awake()
 	s.counts["releases"]++
 	for k := o.From; k <= o.Target; k++ {
 		s.fence[k], s.until[k] = 0, time.Time{}
