Paths reach upstreams and routes as their clients encoded them

Callers saw: POST /chip/a%2Fb|c was run as POST /chip/a/b%7Cc. A path with a character that RFC 3986 wants encoded, and that browsers send as it is, was run as another resource, in requests that aren't idempotent too. Beside it, /view%2Fa was routed by the prefix /view/, and a key of the native protocol with such a character was split at an encoded slash.

Cause: the path was parsed into its decoded form, and used or encoded anew from that: in the request to the upstream, in the path by which the route is selected, and in the native path.

Fix: the target goes to the upstream as an opaque one, byte by byte. The path for routes keeps an encoded slash encoded. A target in absolute form, refused before, is reduced to its path and query.

--- a/io/blhttp/request.go
+++ b/io/blhttp/request.go
@@ -36,6 +36,36 @@
 	Body   Body
 }
 
+// RequestTarget returns the path and query of a request as its client sent them. An encoding
+// of the parsed URL may name another resource: it is made from the decoded path, in which an
+// encoded slash is a slash, if the client sent a character that it should have encoded.
+func RequestTarget(r *http.Request) string {
+	target := r.RequestURI
+	if strings.HasPrefix(target, "/") || target == "*" {
+		return target
+	}
+	_, rest, absolute := strings.Cut(target, "://")
+	if !absolute {
+		return r.URL.RequestURI()
+	}
+	start := strings.IndexAny(rest, "/?")
+	switch {
+	case start < 0:
+		return "/"
+	case rest[start] == '?':
+		return "/" + rest[start:]
+	}
+	return rest[start:]
+}
+
+// EscapedPath returns the path of a URL as its client encoded it.
+func EscapedPath(u *url.URL) string {
+	if u.RawPath != "" {
+		return u.RawPath
+	}
+	return u.EscapedPath()
+}
+
 // NativeProtocol is the project's own protocol for callers, in which a URL has the
 // form /service/key, optionally followed by more path segments.
 type NativeProtocol struct{}
@@ -71,7 +101,8 @@
 		return Call{}, err
 	}
 	clientKey := blheader.ClientKey(r.Header[blheader.Authorization])
-	if clientKey != "" && strings.Contains(r.URL.RequestURI(), clientKey) {
+	target := RequestTarget(r)
+	if clientKey != "" && strings.Contains(target, clientKey) {
 		return Call{}, MalformedError{Reason: "the URL holds the client key"}
 	}
 	body, err := ReadBody(r, limits, timeout)
@@ -82,13 +113,13 @@
 		Request: blvalue.Request{
 			Service: service, Key: key, Method: r.Method, KeyDigest: KeyDigest(clientKey), Timeout: timeout,
 		},
-		Path: path, URI: r.URL.RequestURI(), RequestID: newRequestID(),
+		Path: path, URI: target, RequestID: newRequestID(),
 		Header: blheader.FilterRequest(r.Header, clientKey), Body: body,
 	}, nil
 }
 
 func splitPath(u *url.URL) (blvalue.ServiceName, blvalue.Key, string, error) {
-	parts := strings.SplitN(strings.TrimPrefix(u.EscapedPath(), "/"), "/", 3)
+	parts := strings.SplitN(strings.TrimPrefix(EscapedPath(u), "/"), "/", 3)
 	if len(parts) < 2 || parts[0] == "" || parts[1] == "" {
 		return "", "", "", MalformedError{Reason: "want the path /service/key"}
 	}
--- a/io/blhttp/request_test.go
+++ b/io/blhttp/request_test.go
@@ -1,6 +1,7 @@
 package blhttp
 
 import (
+	"bufio"
 	"bytes"
 	"net/http"
 	"net/url"
@@ -66,3 +67,22 @@
 		})
 	}
 }
+
+// TestReadKeepsEncoding guards against a key that is split, or a target that is sent on, in
+// another encoding than the client's.
+func TestReadKeepsEncoding(t *testing.T) {
+	request, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET /pot/a%2Fb|c/total?x=|d HTTP/1.1\r\nHost: pots\r\n\r\n")))
+	if err != nil {
+		t.Fatalf("ReadRequest: got %v, want nil", err)
+	}
+	got, err := NativeProtocol{}.Read(request, Limits{Timeout: time.Second})
+	if err != nil {
+		t.Fatalf("Read: got %v, want nil", err)
+	}
+	if want := "/pot/a%2Fb|c/total?x=|d"; got.URI != want {
+		t.Errorf("URI: got %q, want %q", got.URI, want)
+	}
+	if got.Request.Key != "a/b|c" || got.Path != "total" {
+		t.Errorf("key and path: got %q, %q, want %q, %q", got.Request.Key, got.Path, "a/b|c", "total")
+	}
+}
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -86,10 +86,13 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
 	})
-	request, err := http.NewRequestWithContext(ctx, a.order.Request.Method, "http://"+slot.Address+a.order.URI, nil)
+	request, err := http.NewRequestWithContext(ctx, a.order.Request.Method, "http://"+slot.Address, nil)
 	if err != nil {
 		return nil, err //nolint:wrapcheck // the text is sent to the caller
 	}
+	if err := setTarget(request.URL, a.order.URI); err != nil {
+		return nil, err
+	}
 	request.Body = http.NoBody
 	if a.order.Body != nil {
 		request.Body = singleUseBody{reader: a.order.Body, failed: &a.bodyFailed}
