OPTIONS * is answered by the node's own handler

Callers saw: 200 without any server's answer for OPTIONS *, from the HTTP library itself, without a look at the key or the configuration.

Fix: the library's handler is turned off, so that the request is refused as any other without a route.

--- a/io/blnode/listeners.go
+++ b/io/blnode/listeners.go
@@ -54,7 +54,8 @@
 	}
 	server := blserver.NewLimited(listener, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     n.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}, limits)
 	if address == n.settings.CallerListen {
 		n.callerServer = server
