Bytes that sockets hold unread are bounded and part of the budget

Callers saw: lost connections and refusals, since a crowd with unfinished bodies took a process over the memory of its host within seconds: bytes that were received and not read count as memory there.

Cause: the system enlarges the receive buffer of a connection on which it has seen fast reads, up to megabytes, and nothing counted what waits in it. The limit of the heap left no room for it either.

Fix: listeners set their receive buffer, so that the socket of a caller holds at most 16 KB unread and that of a node 64 KB. This is a part of the share of a connection, at half its size, since the collector adds nothing to it. The limit of the heap is lowered by what the sockets of callers may hold. The receive buffer of connections to upstreams, which nobody counted either, went from 256 to 32 KB.

The tests of crowds now sample what is resident and what the sockets of the process hold unread while the crowd is there, and their ordinary request is of another client account, on a new connection. Nothing was taken out of them.

--- a/core/blmemory/limits.go
+++ b/core/blmemory/limits.go
@@ -3,9 +3,19 @@
 import "time"
 
 const (
-	// ConnectionBytes is the share of a connection: two buffers of 4 KB, its goroutines,
-	// and an ordinary request.
-	ConnectionBytes = 16<<10 + OrdinaryBytes
+	// ConnectionBytes is the share of a connection of a caller: two buffers of 4 KB, its
+	// goroutines, an ordinary request, and what its socket may hold unread. The collector
+	// doesn't add to the latter, so it counts less than the rest.
+	ConnectionBytes = ownBytes + CallerUnreadBytes/collectorFactor
+	// NodeConnectionBytes is the share of a connection of another node.
+	NodeConnectionBytes = ownBytes + NodeUnreadBytes/collectorFactor
+	ownBytes            = 16<<10 + OrdinaryBytes
+	// CallerUnreadBytes is what the socket of a caller's connection may hold that has been
+	// received and not been read.
+	CallerUnreadBytes = 16 << 10
+	// NodeUnreadBytes is the same for a connection of another node, and the window of a
+	// call between nodes.
+	NodeUnreadBytes = 64 << 10
 	// OrdinaryBytes is what a request may cost in addition to its connection without a
 	// share of its own.
 	OrdinaryBytes = 12 << 10
@@ -21,6 +31,22 @@
 	return int64(lines)*lineBytes + int64(bytes)*byteFactor
 }
 
+// UnreadBytes returns what the socket of a connection to a listener may hold unread.
+func UnreadBytes(listener Listener) int {
+	if listener == ListenerNodes {
+		return NodeUnreadBytes
+	}
+	return CallerUnreadBytes
+}
+
+// connectionBytes returns the share of a connection to a listener.
+func connectionBytes(listener Listener) int64 {
+	if listener == ListenerNodes {
+		return NodeConnectionBytes
+	}
+	return ConnectionBytes
+}
+
 const (
 	mebibyte = 1 << 20
 	// controlMB is the memory of a node without requests, in MiB: up to 28 were measured
@@ -68,6 +94,10 @@
 	// messageShare is the part for messages of nodes.
 	messageShare = 8
 
+	// outsideHeapMB is the memory outside of what the Go runtime manages, in MiB: about 15
+	// are the mapped program.
+	outsideHeapMB = 20
+
 	silentAfter     = time.Second
 	lastResortAfter = 3 * time.Second
 )
@@ -92,3 +122,15 @@
 		SilentAfter: silentAfter, LastResortAfter: lastResortAfter,
 	}
 }
+
+// HeapLimit returns the memory, in bytes, from which on the collector should run more
+// often, or zero if the process has too little memory for such a limit. It leaves what
+// isn't managed by the Go runtime and what the sockets of callers may hold unread.
+func (l Limits) HeapLimit(memoryMB int) int64 {
+	unread := int64(l.Connections[ListenerCallers]+l.Connections[ListenerOthers]) * CallerUnreadBytes
+	limit := int64(memoryMB-outsideHeapMB)*mebibyte - unread
+	if limit < outsideHeapMB*mebibyte {
+		return 0
+	}
+	return limit
+}
--- a/core/blmemory/state.go
+++ b/core/blmemory/state.go
@@ -77,7 +77,7 @@
 func (s State) Fits(message Message) bool {
 	switch m := message.(type) {
 	case Open:
-		return s.connections[m.Listener] < s.limits.Connections[m.Listener] && s.fits(KindConnection, ConnectionBytes)
+		return s.connections[m.Listener] < s.limits.Connections[m.Listener] && s.fits(KindConnection, connectionBytes(m.Listener))
 	case Reserve:
 		return s.fits(m.Kind, m.Bytes)
 	}
@@ -105,7 +105,7 @@
 		s, effects = next, append(effects, effect)
 	}
 	h := holder{id: m.ID, listener: m.Listener, address: m.Address, arrivedAt: now}
-	return s.with(h.withShare(KindConnection, ConnectionBytes)), append(effects, Answer{Granted: true})
+	return s.with(h.withShare(KindConnection, connectionBytes(m.Listener))), append(effects, Answer{Granted: true})
 }
 
 func (s State) reserve(m Reserve, now bltimer.Instant) (State, []Effect) {
--- a/io/blnode/listeners.go
+++ b/io/blnode/listeners.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -22,14 +24,29 @@
 	maxHeaderBytes    = 64 << 10
 )
 
-func (n *Node) listen(ctx context.Context, address string) (net.Listener, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+// listen opens a listener whose connections hold a bounded number of bytes unread. The
+// system doubles the size of a buffer that is set, for what it keeps beside the bytes.
+func (n *Node) listen(ctx context.Context, address string, kind blmemory.Listener) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(socket uintptr) {
+			err = unix.SetsockoptInt(int(socket), unix.SOL_SOCKET, unix.SO_RCVBUF, blmemory.UnreadBytes(kind)/doubledBySystem)
+		})
+		if err := errors.Join(controlErr, err); err != nil {
+			return fmt.Errorf("set receive buffer: %w", err)
+		}
+		return nil
+	}}
+	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	return listener, nil
 }
 
+// doubledBySystem is the factor by which the system enlarges a receive buffer.
+const doubledBySystem = 2
+
 func (n *Node) serveNodes(listener net.Listener) {
 	if err := n.nodeServer.Serve(listener); err != nil {
 		n.reportFailure(err)
@@ -44,14 +61,14 @@
 }
 
 func (n *Node) serve(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := n.listen(ctx, address)
-	if err != nil {
-		return err
-	}
 	limits := blserver.Limits{Budget: n.budget, Listener: blmemory.ListenerOthers}
 	if address == n.settings.CallerListen {
 		limits.Listener, limits.Head = blmemory.ListenerCallers, n.headLimits
 	}
+	listener, err := n.listen(ctx, address, limits.Listener)
+	if err != nil {
+		return err
+	}
 	server := blserver.NewLimited(listener, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
@@ -111,9 +128,9 @@
 	return blserver.HeadLimits{Bytes: limits.HeadBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
 
-// memoryLimits returns the limits on what clients may hold. Without the setting, the
+// MemoryLimits returns the limits on what clients may hold. Without the setting, the
 // number of descriptors is that of the system.
-func memoryLimits(settings blsettings.Process) blmemory.Limits {
+func MemoryLimits(settings blsettings.Process) blmemory.Limits {
 	descriptors := int(settings.MaxDescriptors)
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && descriptors == 0 {
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"bergamotlead/core/blmemory"
 	"bergamotlead/core/blplatform"
 	"bergamotlead/core/blreconciler"
 	"bergamotlead/core/bltimer"
@@ -101,7 +102,7 @@
 		ending:     blserver.NewEnding(),
 	}
 	n.client = blgrpc.NewClient(platform.Config.Decode, blgrpc.NewHeaderTable(platform.HeaderNames...), n.connectionReplaced)
-	n.budget = blbudget.New(memoryLimits(settings), n.clock, n.metrics, logger)
+	n.budget = blbudget.New(MemoryLimits(settings), n.clock, n.metrics, logger)
 	n.timer = bltimer.New(n.clock)
 	n.newWorkers()
 	n.newDuties()
@@ -126,7 +127,7 @@
 
 // Start opens the listeners and starts the duties and workers.
 func (n *Node) Start(ctx context.Context) error {
-	listener, err := n.listen(ctx, n.settings.NodeListen)
+	listener, err := n.listen(ctx, n.settings.NodeListen, blmemory.ListenerNodes)
 	if err != nil {
 		return err
 	}
--- a/io/blprocess/process.go
+++ b/io/blprocess/process.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", p.path, err)
 	}
-	limitHeap(int(settings.MemoryMB))
+	limitHeap(settings)
 	output := bllog.NewWriter(os.Stdout)
 	output.Start()
 	defer output.Stop()
@@ -71,18 +71,11 @@
 	return err
 }
 
-// outsideHeapMB is the memory outside of what the Go runtime manages, in MiB: about 15
-// are the mapped program.
-const (
-	outsideHeapMB = 20
-	mebibyte      = 1 << 20
-)
-
 // limitHeap lets the collector run more often when the process comes near its memory. It
 // is a safeguard only: the budget of the node bounds what clients can hold.
-func limitHeap(memoryMB int) {
-	if memoryMB > 2*outsideHeapMB {
-		debug.SetMemoryLimit(int64(memoryMB-outsideHeapMB) * mebibyte)
+func limitHeap(settings blsettings.Process) {
+	if limit := blnode.MemoryLimits(settings).HeapLimit(int(settings.MemoryMB)); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 }
 
--- a/io/blupstream/connection.go
+++ b/io/blupstream/connection.go
@@ -82,9 +82,10 @@
 	}
 }
 
-// receiveBufferBytes bounds what the system holds of a response that isn't read yet. It
-// would hold many megabytes for a connection on which it has seen fast reads.
-const receiveBufferBytes = 256 << 10
+// receiveBufferBytes bounds what the system holds of a response that is not read yet; the
+// system doubles it. Without it the system would hold many megabytes for a connection on
+// which it has seen fast reads.
+const receiveBufferBytes = 32 << 10
 
 // dialBounded returns a function that connects to an upstream, with a bounded receive
 // buffer.
--- a/tests/clients_test.go
+++ b/tests/clients_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/http2/hpack"
 
 	"bergamotlead/io/blgrpc/blproto"
+	"bergamotlead/tools/blfleet"
 )
 
 const (
@@ -225,6 +226,10 @@
 // node to which they are passed on, or the one that passes them on.
 func TestUploadsBetweenNodesStayWithinTheHosts(t *testing.T) {
 	f := deployLimitedHosts(t, 2, crowdDescriptors)
+	watches := map[*blfleet.Host]*memoryWatch{}
+	for _, host := range f.Hosts {
+		watches[host] = watchMemory(host.Node.PID())
+	}
 	run := f.startCrowd(crowd{name: "uploads", clients: 320, send: sendWholeBody}, f.Hosts[0])
 	run.awaitSent(t)
 	status, sent := f.awaitOrdinary(f.Hosts[0])
@@ -237,6 +242,7 @@
 		if after.peakMB > crowdMemoryMB {
 			t.Errorf("memory of %s: got %d MB, want at most %d MB", host.Spec.Name, after.peakMB, crowdMemoryMB)
 		}
+		watches[host].end(t, host.Spec.Name)
 	}
 	run.end()
 	if status != http.StatusOK {
@@ -251,6 +257,7 @@
 	f := deployLimited(t, crowdDescriptors)
 	host := f.Hosts[0]
 	f.setUpstreamFaults(host.Upstreams[0], map[string]any{"answer_bytes": 16 << 20})
+	memory := watchMemory(host.Node.PID())
 	run := f.startCrowd(crowd{name: "unread", clients: callers, send: func(c crowdClient) error {
 		return c.write(c.startLines() + "Content-Length: 1\r\n\r\n1")
 	}}, host)
@@ -261,6 +268,7 @@
 		t.Fatalf("process: got exit code %d, want it alive", host.Node.ExitCode())
 	}
 	after := usageOf(t, host.Node.PID())
+	memory.end(t, host.Spec.Name)
 	run.end()
 	t.Logf("at most %d MB, at most %d descriptors, ordinary request: %d after %d attempts", after.peakMB, descriptors, status, sent)
 	if after.peakMB > crowdMemoryMB {
--- a/tests/crowd_test.go
+++ b/tests/crowd_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,6 +31,8 @@
 	// crowdHold is how long a client keeps its connection open after it has sent all.
 	crowdHold = 3 * time.Second
 	pollWait  = 50 * time.Millisecond
+	// ordinaryAccount sends the ordinary requests beside a crowd, whose account is another.
+	ordinaryAccount = "thies_kiosk"
 )
 
 // crowd is a number of clients that behave in the same way. It stays connected until the
@@ -40,6 +44,9 @@
 	descriptors int
 	// nodes is set for clients of the nodes' listener.
 	nodes bool
+	// returns is set for clients that connect again whenever their connection ends, until
+	// the test ends.
+	returns bool
 	// send sends what one client sends before it falls silent.
 	send func(c crowdClient) error
 }
@@ -50,6 +57,8 @@
 
 	number int
 	key    string
+	// stop is closed when the crowd ends.
+	stop <-chan struct{}
 }
 
 // startLines returns the start of the head of a request.
@@ -80,6 +89,10 @@
 // runClient connects and sends until the connection is still open after all was sent, at
 // most crowdAttempts times.
 func (r *crowdRun) runClient(number int) {
+	if r.crowd.returns {
+		r.runReturningClient(number)
+		return
+	}
 	for attempt := range crowdAttempts {
 		connection, open := r.connectAndSend(number)
 		if open || attempt == crowdAttempts-1 {
@@ -96,6 +109,41 @@
 	}
 }
 
+// runReturningClient connects and sends again and again.
+func (r *crowdRun) runReturningClient(number int) {
+	for first := true; ; first = false {
+		connection, _ := r.connectAndSend(number)
+		if first {
+			r.sent.Done()
+		}
+		if connection != nil {
+			r.awaitEnd(connection)
+		}
+		r.closed.Add(1)
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(pollWait):
+		}
+	}
+}
+
+// awaitEnd reads until the connection ends or the crowd does.
+func (r *crowdRun) awaitEnd(connection net.Conn) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = connection.SetReadDeadline(time.Time{})
+		_, _ = io.Copy(io.Discard, connection)
+	}()
+	select {
+	case <-ended:
+	case <-r.stop:
+	}
+	_ = connection.Close()
+	<-ended
+}
+
 // connectAndSend reports whether the connection is open some time after all was sent.
 func (r *crowdRun) connectAndSend(number int) (net.Conn, bool) {
 	address := r.host.CallerAddress
@@ -107,7 +155,7 @@
 		return nil, false
 	}
 	_ = connection.SetWriteDeadline(time.Now().Add(crowdWriteTimeout))
-	client := crowdClient{Conn: connection, number: number, key: r.fleet.ClientKeys[account]}
+	client := crowdClient{Conn: connection, number: number, key: r.fleet.ClientKeys[account], stop: r.stop}
 	_ = r.crowd.send(client)
 	_ = connection.SetReadDeadline(time.Now().Add(crowdHold))
 	buffer := make([]byte, 1<<10)
@@ -154,22 +202,42 @@
 	}
 }
 
-// awaitOrdinary sends an ordinary request until it is served, and returns the status of
-// the last one and how many were sent.
+// awaitOrdinary sends an ordinary request of another client account than the crowd's, each
+// on a new connection, until it is served. It returns the status of the last one and how
+// many were sent.
 func (f *fleet) awaitOrdinary(host *blfleet.Host) (status, sent int) {
+	return f.awaitOrdinaryTo(host, "ordinary")
+}
+
+// awaitOrdinaryTo is awaitOrdinary with a request for a key.
+func (f *fleet) awaitOrdinaryTo(host *blfleet.Host, key string) (status, sent int) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: startWait}
 	for deadline := time.Now().Add(startWait); time.Now().Before(deadline); time.Sleep(pollWait) {
 		sent++
-		response, err := f.Call(host, http.MethodPost, "/pot/ordinary/contributions", f.ClientKeys[account], "1")
-		if err != nil {
-			continue
-		}
-		if status = response.Status; status == http.StatusOK {
+		if status = f.contribute(client, host, key); status == http.StatusOK {
 			break
 		}
 	}
 	return status, sent
 }
 
+// contribute sends a small request, and returns the status of its answer or zero.
+func (f *fleet) contribute(client *http.Client, host *blfleet.Host, key string) int {
+	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost,
+		"http://"+host.CallerAddress+"/pot/"+key+"/contributions", strings.NewReader("1"))
+	if err != nil {
+		f.t.Errorf("build request: %v", err)
+		return 0
+	}
+	request.Header.Set("Authorization", "Bearer "+f.ClientKeys[ordinaryAccount])
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
 // deployLimited starts one host with the memory and descriptors of the tests.
 func deployLimited(t *testing.T, descriptors int) *fleet {
 	t.Helper()
@@ -196,12 +264,14 @@
 	f := deployLimited(t, c.descriptors)
 	host := f.Hosts[0]
 	before := usageOf(t, host.Node.PID())
+	memory := watchMemory(host.Node.PID())
 	run := f.startCrowd(c, host)
 	descriptors := run.awaitSent(t)
 	status, sent := f.awaitOrdinary(host)
 	if host.Node.EndsWithin(0) {
 		t.Fatalf("process: got exit code %d, want it alive", host.Node.ExitCode())
 	}
+	memory.end(t, host.Spec.Name)
 	descriptors = max(descriptors, openDescriptors(t, host.Node.PID()))
 	after := usageOf(t, host.Node.PID())
 	run.end()
