Final answers don't wait for the body of their request

Callers saw: an upload that stopped got no answer at the timeout of its route. It came when the time ended that the client itself had stated, ten minutes if it said so, though the node had made its 504 in time. An upload that stopped within its first 64 KB got 400 then, without a look at the route.

Cause: the HTTP library reads what is left of a body before it writes the head of a response, and waits for whoever reads it: the goroutine that passes the body on was blocked in a read whose limit was the client's own time. The start of a body was read with that limit alone.

Fix: blserver knows whether the body of a request has been read to its end. An answer that begins before announces the end of the connection, which the library writes at once; when the request has ended, the reads of the body fail. The connection then waits half a second for its client, so that an answer isn't lost by a reset. A short body that has arrived and that nobody read is discarded, and its connection kept. Until a request is passed on, its body may stall no longer than its route lets a caller wait, counted from the last byte; it is then refused as one that hasn't run. A body that goes on arriving has the client's own time, as before. All of this holds for every HTTP listener of the node.

--- a/core/blconfig/plan.go
+++ b/core/blconfig/plan.go
@@ -120,6 +120,13 @@
 	return Route{}, false
 }
 
+// RouteTimeout returns how long the route of a request lets its caller wait, or zero if it
+// doesn't limit that or there is no route.
+func (p Plan) RouteTimeout(request blvalue.Request, path string) time.Duration {
+	route, _ := p.Find(request, path)
+	return route.Timeout
+}
+
 // NewPlan returns the plan of a document that passed Check.
 func NewPlan(d Document) Plan {
 	plan := Plan{
--- a/io/blhttp/body.go
+++ b/io/blhttp/body.go
@@ -5,8 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
-	"time"
 
 	"bergamotlead/core/blmemory"
 	"bergamotlead/io/blbudget"
@@ -145,15 +145,16 @@
 }
 
 // ReadBody buffers the start of the body of r, of which at most limits.BodyBytes can be
-// read within the timeout of the request. Less of it is buffered when memory is short.
-func ReadBody(r *http.Request, limits Limits, timeout time.Duration) (Body, error) {
+// read within the timeout of the call. Until the start has arrived, it may stall no longer
+// than the route lets a caller wait. Less of it is buffered when memory is short.
+func ReadBody(r *http.Request, limits Limits, call Call) (Body, error) {
 	if r.ContentLength > limits.BodyBytes {
 		return Body{}, TooLargeError{Limit: limits.BodyBytes}
 	}
 	if r.Body == nil || r.ContentLength == 0 {
 		return Body{}, nil
 	}
-	blserver.LimitBody(r.Context(), timeout+writeGrace)
+	blserver.LimitBody(r.Context(), call.Request.Timeout+writeGrace, limits.stall(call))
 	limited := http.MaxBytesReader(nil, r.Body, limits.BodyBytes)
 	start := &bodyStart{holder: blserver.HolderOf(r.Context())}
 	whole, err := start.fill(limited, r.ContentLength)
@@ -161,6 +162,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return Body{}, TooLargeError{Limit: limits.BodyBytes}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return Body{}, StalledError{}
 	case err != nil:
 		return Body{}, MalformedError{Reason: "the body broke off"}
 	case !whole:
--- a/io/blhttp/body_test.go
+++ b/io/blhttp/body_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 
 	"bergamotlead/core/blmemory"
 	"bergamotlead/core/bltimer"
+	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blbudget"
 	"bergamotlead/io/blmetric"
 	"bergamotlead/io/blserver"
@@ -37,7 +39,7 @@
 	server := blserver.NewLimited(listener, &http.Server{
 		ReadHeaderTimeout: time.Second,
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-			handle(ReadBody(r, Limits{BodyBytes: 8 << 20}, timeout))
+			handle(ReadBody(r, Limits{BodyBytes: 8 << 20}, Call{Request: blvalue.Request{Timeout: timeout}}))
 		}),
 	}, blserver.Limits{Budget: budget})
 	go func() { _ = server.Serve() }()
@@ -168,3 +170,35 @@
 		t.Error("stalled body: got no end, want an error")
 	}
 }
+
+// TestStalledStartEnds guards against a client that stops sending before its request can be
+// passed on, and says that it waits long: the route's timeout ends that.
+func TestStalledStartEnds(t *testing.T) {
+	const routeTimeout = 50 * time.Millisecond
+	ended := make(chan error, 1)
+	limits := Limits{BodyBytes: 8 << 20, RouteTimeout: func(blvalue.Request, string) time.Duration { return routeTimeout }}
+	listener := httptest.NewUnstartedServer(nil).Listener
+	server := blserver.New(listener, &http.Server{
+		ReadHeaderTimeout: time.Second,
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, err := ReadBody(r, limits, Call{Request: blvalue.Request{Timeout: time.Hour}})
+			ended <- err
+		}),
+	})
+	go func() { _ = server.Serve() }()
+	defer func() { _ = listener.Close() }()
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatalf("connect: %v", err)
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = io.WriteString(connection, "POST /a HTTP/1.1\r\nHost: site\r\nContent-Length: 300000\r\n\r\n7")
+	select {
+	case err := <-ended:
+		if !errors.Is(err, StalledError{}) {
+			t.Errorf("stalled start: got %v, want a StalledError", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("stalled start: got no end, want an error")
+	}
+}
--- a/io/blhttp/handler.go
+++ b/io/blhttp/handler.go
@@ -29,6 +29,17 @@
 type Limits struct {
 	BodyBytes int64
 	Timeout   time.Duration
+	// RouteTimeout returns how long the route of a request lets its caller wait, or zero
+	// if it doesn't limit that. It may be nil.
+	RouteTimeout func(request blvalue.Request, path string) time.Duration
+}
+
+// stall returns how long the body of a call may stall, or zero for no limit.
+func (l Limits) stall(call Call) time.Duration {
+	if l.RouteTimeout == nil {
+		return 0
+	}
+	return l.RouteTimeout(call.Request, call.Path)
 }
 
 // Handler is the HTTP handler that forwards callers' requests to upstreams.
@@ -62,17 +73,21 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	limits := h.limits()
 	call, err := h.protocol.Read(r, limits)
+	if errors.Is(err, StalledError{}) {
+		h.refuseUnread(w, call.RequestID, blvalue.NotRun(blvalue.ReasonTimeout, err.Error()))
+		return
+	}
 	if err != nil {
 		h.refuseMalformed(w, call.RequestID, err)
 		return
 	}
 	holder := blserver.HolderOf(r.Context())
 	if call.Body.stream != nil && !holder.Reserve(blmemory.KindBody, bodyBytes) {
-		h.refuseBody(w, call.RequestID)
+		h.refuseUnread(w, call.RequestID, blvalue.NotRun(blvalue.ReasonOverload, "the node has no memory for the body"))
 		return
 	}
 	if call.Body.stream != nil {
-		blserver.LimitBody(r.Context(), call.Request.Timeout+writeGrace)
+		blserver.LimitBody(r.Context(), call.Request.Timeout+writeGrace, 0)
 	}
 	endLimit := limitWrites(w, call.Request.Timeout+writeGrace)
 	ctx, cancel := context.WithTimeout(r.Context(), call.Request.Timeout)
@@ -93,18 +108,12 @@
 func (h *Handler) refuseMalformed(w http.ResponseWriter, requestID string, err error) {
 	refusal := blvalue.NotRun(blvalue.ReasonMalformed, err.Error())
 	h.metrics.Refused("", refusal)
-	var tooLarge TooLargeError
-	if errors.As(err, &tooLarge) {
-		w.Header().Set("Connection", "close")
-	}
 	h.protocol.Refuse(w, requestID, refusal, 0)
 }
 
-// refuseBody refuses a request for whose body there is no memory.
-func (h *Handler) refuseBody(w http.ResponseWriter, requestID string) {
-	refusal := blvalue.NotRun(blvalue.ReasonOverload, "the node has no memory for the body")
+// refuseUnread refuses a request whose body hasn't been read.
+func (h *Handler) refuseUnread(w http.ResponseWriter, requestID string, refusal *blvalue.Refusal) {
 	h.metrics.Refused("", refusal)
-	w.Header().Set("Connection", "close")
 	h.protocol.Refuse(w, requestID, refusal, time.Second)
 }
 
--- a/io/blhttp/request.go
+++ b/io/blhttp/request.go
@@ -36,6 +36,15 @@
 	Body   Body
 }
 
+// StalledError reports a request whose body has stopped arriving before it could be passed
+// on.
+type StalledError struct{}
+
+// Error implements error.
+func (StalledError) Error() string {
+	return "the body has stopped arriving"
+}
+
 // RequestTarget returns the path and query of a request as its client sent them. An encoding
 // of the parsed URL may name another resource: it is made from the decoded path, in which an
 // encoded slash is a slash, if the client sent a character that it should have encoded.
@@ -105,17 +114,17 @@
 	if clientKey != "" && strings.Contains(target, clientKey) {
 		return Call{}, MalformedError{Reason: "the URL holds the client key"}
 	}
-	body, err := ReadBody(r, limits, timeout)
-	if err != nil {
-		return Call{}, err
-	}
-	return Call{
+	call := Call{
 		Request: blvalue.Request{
 			Service: service, Key: key, Method: r.Method, KeyDigest: KeyDigest(clientKey), Timeout: timeout,
 		},
 		Path: path, URI: target, RequestID: newRequestID(),
-		Header: blheader.FilterRequest(r.Header, clientKey), Body: body,
-	}, nil
+	}
+	if call.Body, err = ReadBody(r, limits, call); err != nil {
+		return Call{}, err
+	}
+	call.Header = blheader.FilterRequest(r.Header, clientKey)
+	return call, nil
 }
 
 func splitPath(u *url.URL) (blvalue.ServiceName, blvalue.Key, string, error) {
--- a/io/blnode/listeners.go
+++ b/io/blnode/listeners.go
@@ -110,11 +110,11 @@
 
 // callerLimits returns the limits that apply before a request is admitted.
 func (n *Node) callerLimits() blhttp.Limits {
-	limits := n.duties.admit.View().Config().Plan.Limits
-	if limits.BodyBytes == 0 {
+	plan := n.duties.admit.View().Config().Plan
+	if plan.Limits.BodyBytes == 0 {
 		return blhttp.Limits{BodyBytes: defaultMaxBodyBytes, Timeout: defaultRequestTimeout}
 	}
-	return blhttp.Limits{BodyBytes: limits.BodyBytes, Timeout: limits.RequestTimeout}
+	return blhttp.Limits{BodyBytes: plan.Limits.BodyBytes, Timeout: plan.Limits.RequestTimeout, RouteTimeout: plan.RouteTimeout}
 }
 
 const (
--- a/io/blserver/connection.go
+++ b/io/blserver/connection.go
@@ -58,6 +58,11 @@
 	// refused is set once a response has ended the connection that net/http doesn't
 	// know of.
 	refused bool
+	// body limits the reading of the body of the request that is handled, and bodyLeft is
+	// set once a request has ended whose body wasn't read to its end. The connection ends
+	// with the response.
+	body     bodyLimit
+	bodyLeft bool
 	// holder holds the shares of memory, of which headShare is for the current head.
 	holder    *blbudget.Holder
 	headShare int64
@@ -83,7 +88,7 @@
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	c.readDeadline = c.limited(deadline)
-	if c.ended {
+	if c.ended || c.bodyLeft {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(c.readDeadline) //nolint:wrapcheck // net/http reads the error
@@ -110,6 +115,7 @@
 	defer c.server.mu.Unlock()
 	if c.running {
 		c.holder.ArrivedMore()
+		c.extendBodyLimit()
 		c.ahead = c.ahead || bufferBytes == backgroundReadBytes
 		return false
 	}
@@ -173,7 +179,7 @@
 		c.server.cut++
 	}
 	// A response has ended the connection.
-	lingers := !c.closed && c.running && c.written && c.server.leaving && !c.server.aborted
+	lingers := !c.closed && c.running && c.written && (c.server.leaving || c.bodyLeft) && !c.server.aborted
 	c.closed, c.running, c.received = true, false, false
 	c.server.mu.Unlock()
 	if lingers {
@@ -236,11 +242,15 @@
 }
 
 // endRequest returns the shares of a request whose handler has ended. What is read next
-// is another head, also if the end of the last one wasn't found.
-func (c *connection) endRequest() {
+// is another head, also if the end of the last one wasn't found. After a body that wasn't
+// read to its end nothing more is read.
+func (c *connection) endRequest(body *requestBody) {
 	c.head.complete = true
 	c.headShare = 0
 	c.holder.EndRequest()
+	if body.unfinished() {
+		c.leaveBody()
+	}
 }
 
 // stateChanged marks the end of a request: its response has been written.
--- a/io/blserver/limits.go
+++ b/io/blserver/limits.go
@@ -151,19 +151,3 @@
 	}
 	return nil
 }
-
-// LimitBody lets the reading of a request's body fail after a time. A client may stop
-// sending, and the request would hold its slot until the client goes on.
-func LimitBody(ctx context.Context, limit time.Duration) {
-	limitRead(ctx, time.Now().Add(limit))
-}
-
-// EndBodyLimit ends the limit of LimitBody once the body has been read, since net/http
-// takes a failing read for the end of the connection.
-func EndBodyLimit(ctx context.Context) { limitRead(ctx, time.Time{}) }
-
-func limitRead(ctx context.Context, deadline time.Time) {
-	if c, ok := ctx.Value(connectionKey{}).(*connection); ok {
-		_ = c.SetReadDeadline(deadline)
-	}
-}
--- a/io/blserver/response.go
+++ b/io/blserver/response.go
@@ -16,25 +16,29 @@
 		return
 	}
 	c.begin()
-	defer c.endRequest()
+	r, body := withRequestBody(r)
+	defer c.endRequest(body)
 	if !c.reserveHead(headCost(r)) {
 		w.Header().Set("Connection", "close")
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	writer := &responseWriter{ResponseWriter: w, connection: c}
+	writer := &responseWriter{ResponseWriter: w, connection: c, body: body}
 	h.next.ServeHTTP(writer, r)
 	writer.beginResponse()
 }
 
 // responseWriter adds Connection: close to the head of a response that is written
 // while the server leaves, unless a further request has been read: the response to the
-// last one that has been read ends the connection.
+// last one that has been read ends the connection. So does a response that begins before
+// the body of its request has been read. net/http would read that body first, or wait for
+// somebody who reads it.
 type responseWriter struct {
 	http.ResponseWriter
 
 	connection *connection
+	body       *requestBody
 	begun      bool
 }
 
@@ -43,7 +47,8 @@
 		return
 	}
 	w.begun = true
-	if w.connection.endsWithResponse() {
+	w.connection.discardBody(w.body)
+	if w.body.unfinished() || w.connection.endsWithResponse() {
 		w.Header().Set("Connection", "close")
 	}
 }
