Requests that arrive piece by piece don't keep their place

Cause: a new connection displaced only those on which nothing had arrived, or nothing for a second. A few bytes now and then kept a place for ever, and any byte made a connection between nodes one whose request has been passed on.

Fix: the budget knows since when a request arrives and how much has arrived. A connection between nodes counts as used only while a call on it has sent a message, and as idle otherwise.

--- a/core/blmemory/holder.go
+++ b/core/blmemory/holder.go
@@ -1,6 +1,10 @@
 package blmemory
 
-import "bergamotlead/core/bltimer"
+import (
+	"time"
+
+	"bergamotlead/core/bltimer"
+)
 
 // holder is the immutable state of one connection.
 type holder struct {
@@ -11,8 +15,10 @@
 	shares   [KindCount]int64
 	// startSent is set when the buffered start has been sent once.
 	startSent bool
-	// arrivedAt is when something last arrived on the connection.
-	arrivedAt bltimer.Instant
+	// arrivedAt is when something last arrived on the connection, beganAt when its request
+	// began to arrive, and arrived the bytes since then.
+	arrivedAt, beganAt bltimer.Instant
+	arrived            int64
 }
 
 // bytes returns all that the connection holds.
@@ -32,11 +38,36 @@
 	return h
 }
 
-func (h holder) withActivity(phase Phase, arrivedAt bltimer.Instant) holder {
+func (h holder) withPhase(phase Phase, arrivedAt bltimer.Instant) holder {
 	h.phase, h.arrivedAt = phase, arrivedAt
 	return h
 }
 
+func (h holder) withActivity(a Activity) holder {
+	h.beganAt, h.arrived = a.BeganAt, a.Bytes
+	return h.withPhase(a.Phase, a.ArrivedAt)
+}
+
+// activity returns what was last seen of the connection.
+func (h holder) activity() Activity {
+	return Activity{ID: h.id, Phase: h.phase, ArrivedAt: h.arrivedAt, BeganAt: h.beganAt, Bytes: h.arrived}
+}
+
+// silent reports whether nothing has arrived for a time.
+func (h holder) silent(length time.Duration, now bltimer.Instant) bool {
+	return now.Sub(h.arrivedAt) >= length
+}
+
+// began reports whether the request began to arrive at least a time ago.
+func (h holder) began(length time.Duration, now bltimer.Instant) bool {
+	return now.Sub(h.beganAt) >= length
+}
+
+// bytesPerSecond returns the rate at which the request has arrived so far.
+func (h holder) bytesPerSecond(now bltimer.Instant) float64 {
+	return float64(h.arrived) / max(now.Sub(h.beganAt), time.Millisecond).Seconds()
+}
+
 func (h holder) withStartSent(sent bool) holder {
 	h.startSent = sent
 	return h
@@ -46,5 +77,5 @@
 func (h holder) withoutRequest(now bltimer.Instant) holder {
 	h.shares = [KindCount]int64{KindConnection: h.shares[KindConnection]}
 	h.startSent = false
-	return h.withActivity(PhaseIdle, now)
+	return h.withPhase(PhaseIdle, now)
 }
--- a/core/blmemory/limits.go
+++ b/core/blmemory/limits.go
@@ -77,8 +77,10 @@
 	Connections [listenerCount]int
 	// SilentAfter is how long nothing has arrived on a connection that is closed for
 	// the sake of others, and LastResortAfter the same once its request has been
-	// passed on.
-	SilentAfter, LastResortAfter time.Duration
+	// passed on. GraceTime is how long any other connection may take to send a request.
+	SilentAfter, LastResortAfter, GraceTime time.Duration
+	// SlowBytesPerSecond is the rate below which a request arrives slowly.
+	SlowBytesPerSecond float64
 }
 
 const (
@@ -100,6 +102,9 @@
 
 	silentAfter     = time.Second
 	lastResortAfter = 3 * time.Second
+	graceTime       = 100 * time.Millisecond
+	// slowBytesPerSecond is that of a slow modem, 128 kbit/s.
+	slowBytesPerSecond = 16 << 10
 )
 
 // NewLimits returns the limits of a process with the given memory, in MiB, and number of
@@ -119,7 +124,7 @@
 			ListenerNodes:   max(descriptors/nodesShare, 1),
 			ListenerOthers:  max(descriptors/othersShare, 1),
 		},
-		SilentAfter: silentAfter, LastResortAfter: lastResortAfter,
+		SilentAfter: silentAfter, LastResortAfter: lastResortAfter, GraceTime: graceTime, SlowBytesPerSecond: slowBytesPerSecond,
 	}
 }
 
--- a/core/blmemory/messages.go
+++ b/core/blmemory/messages.go
@@ -57,6 +57,11 @@
 	PhasePassed
 	// PhaseIdle is one that waits for the next request.
 	PhaseIdle
+	// PhaseUploading is one with a request that may have reached an upstream, and whose body
+	// is still arriving.
+	PhaseUploading
+	// PhaseEnding is one whose last response has been written.
+	PhaseEnding
 )
 
 // Reason tells why a connection is closed or a share is refused.
@@ -104,11 +109,15 @@
 	Bytes int64
 }
 
-// Activity tells what a connection is used for, and when something last arrived on it.
+// Activity tells what a connection is used for, and what has arrived on it.
 type Activity struct {
-	ID        HolderID
-	Phase     Phase
+	ID    HolderID
+	Phase Phase
+	// ArrivedAt is when something last arrived.
 	ArrivedAt bltimer.Instant
+	// BeganAt is when the current request began to arrive, and Bytes what has arrived since.
+	BeganAt bltimer.Instant
+	Bytes   int64
 }
 
 // Seen tells the activities of connections that have changed. It is needed only before a
--- a/core/blmemory/state.go
+++ b/core/blmemory/state.go
@@ -88,8 +88,8 @@
 func (s State) seen(m Seen) State {
 	for _, a := range m.Activities {
 		h, ok := s.holders.Get(a.ID)
-		if ok && (h.phase != a.Phase || h.arrivedAt != a.ArrivedAt) {
-			s.holders = s.holders.With(a.ID, h.withActivity(a.Phase, a.ArrivedAt))
+		if ok && h.activity() != a {
+			s.holders = s.holders.With(a.ID, h.withActivity(a))
 		}
 	}
 	return s
@@ -104,7 +104,7 @@
 		}
 		s, effects = next, append(effects, effect)
 	}
-	h := holder{id: m.ID, listener: m.Listener, address: m.Address, arrivedAt: now}
+	h := holder{id: m.ID, listener: m.Listener, address: m.Address, arrivedAt: now, beganAt: now}
 	return s.with(h.withShare(KindConnection, connectionBytes(m.Listener))), append(effects, Answer{Granted: true})
 }
 
--- a/core/blmemory/state_test.go
+++ b/core/blmemory/state_test.go
@@ -324,7 +324,7 @@
 	case 3:
 		r.apply(blmemory.Release{ID: id, Kind: kind, Bytes: bytes})
 	case 4:
-		r.arrived(id, blmemory.Phase(rapid.IntRange(0, 3).Draw(rt, "phase")))
+		r.arrived(id, blmemory.Phase(rapid.IntRange(0, int(blmemory.PhaseEnding)).Draw(rt, "phase")))
 	case 5:
 		r.apply(blmemory.Ended{ID: id})
 	case 6:
--- a/io/blbudget/budget.go
+++ b/io/blbudget/budget.go
@@ -70,7 +70,8 @@
 // calls closeConnection when the connection has to be closed for the sake of others.
 func (b *Budget) Open(listener blmemory.Listener, address string, closeConnection func()) *Holder {
 	h := &Holder{budget: b, id: blmemory.HolderID(b.ids.Add(1)), address: address, closeConnection: closeConnection}
-	h.arrivedAt.Store(int64(b.clock.Now()))
+	h.Enter(blmemory.PhaseNew)
+	h.beganAt.Store(h.arrivedAt.Load())
 	if !b.decide(blmemory.Open{ID: h.id, Listener: listener, Address: address}, h) {
 		b.refused(blmemory.ReasonConnections, "connection", address)
 		return nil
@@ -123,6 +124,7 @@
 	for id, h := range b.holders {
 		seen.Activities = append(seen.Activities, blmemory.Activity{
 			ID: id, Phase: blmemory.Phase(h.phase.Load()), ArrivedAt: bltimer.Instant(h.arrivedAt.Load()),
+			BeganAt: bltimer.Instant(h.beganAt.Load()), Bytes: h.arrived.Load(),
 		})
 	}
 	return seen
--- a/io/blbudget/budget_test.go
+++ b/io/blbudget/budget_test.go
@@ -46,13 +46,13 @@
 	holders := make([]*blbudget.Holder, 2)
 	for i := range holders {
 		holders[i] = s.Open(callers, "a", func() { closed[i] = true })
-		holders[i].Arrived(blmemory.PhaseReading)
+		holders[i].Enter(blmemory.PhaseReading)
 		if !holders[i].Reserve(blmemory.KindHead, s.requestBytes()/2) {
 			t.Fatalf("share %d: got refused, want granted", i)
 		}
 	}
 	s.clock.Advance(2 * time.Second)
-	holders[0].ArrivedMore()
+	holders[0].ArrivedMore(0)
 	if !s.Open(callers, "b", nil).Reserve(blmemory.KindHead, 1000) {
 		t.Error("share: got refused, want granted")
 	}
@@ -79,7 +79,7 @@
 	for _, dropped := range []bool{true, false} {
 		s := newSite()
 		h := s.Open(callers, "a", func() { t.Error("connection: got closed, want open") })
-		h.Arrived(blmemory.PhasePassed)
+		h.Enter(blmemory.PhasePassed)
 		h.Reserve(blmemory.KindStart, s.requestBytes())
 		h.KeepStart(func() bool { return dropped })
 		h.StartSent()
@@ -98,9 +98,9 @@
 		clients.Go(func() {
 			h := s.Open(callers, "a", func() {})
 			for range 20 {
-				h.Arrived(blmemory.PhaseReading)
+				h.Enter(blmemory.PhaseReading)
 				h.Reserve(blmemory.KindHead, 5000)
-				h.Passed()
+				h.Enter(blmemory.PhasePassed)
 				h.Take(blmemory.KindResponse, 5000)
 				h.EndRequest()
 			}
@@ -118,8 +118,8 @@
 // TestHolderWithoutBudget guards against a server without a budget that fails.
 func TestHolderWithoutBudget(t *testing.T) {
 	var h *blbudget.Holder
-	h.Arrived(blmemory.PhaseReading)
-	h.ArrivedMore()
+	h.Enter(blmemory.PhaseReading)
+	h.ArrivedMore(0)
 	h.Take(blmemory.KindResponse, 1)
 	h.KeepStart(nil)
 	h.StartSent()
--- a/io/blbudget/holder.go
+++ b/io/blbudget/holder.go
@@ -17,8 +17,9 @@
 	closeConnection func()
 	// phase and arrivedAt are the activity of the connection, which the decision asks for
 	// when memory is short. An ordinary request changes nothing else.
-	phase     atomic.Int32
-	arrivedAt atomic.Int64
+	phase              atomic.Int32
+	arrivedAt, beganAt atomic.Int64
+	arrived            atomic.Int64
 	// requestShares is set while there are shares that the end of the request returns.
 	requestShares atomic.Bool
 
@@ -64,31 +65,45 @@
 	h.budget.decide(blmemory.Release{ID: h.id, Kind: kind, Bytes: bytes}, nil)
 }
 
-// Arrived tells that something has arrived in a phase.
-func (h *Holder) Arrived(phase blmemory.Phase) {
+// Arrived tells that bytes have arrived in a phase. The first ones in PhaseReading begin a
+// request.
+func (h *Holder) Arrived(phase blmemory.Phase, count int) {
 	if h == nil {
 		return
 	}
-	h.phase.Store(int32(phase))
-	h.arrivedAt.Store(int64(h.budget.clock.Now()))
+	now := int64(h.budget.clock.Now())
+	if last := blmemory.Phase(h.phase.Swap(int32(phase))); phase == blmemory.PhaseReading && last != phase {
+		h.beganAt.Store(now)
+		h.arrived.Store(0)
+	}
+	h.arrivedAt.Store(now)
+	h.arrived.Add(int64(count))
 }
 
-// ArrivedMore tells that more has arrived.
-func (h *Holder) ArrivedMore() {
+// ArrivedMore tells that more bytes have arrived in the same phase.
+func (h *Holder) ArrivedMore(count int) {
 	if h != nil {
 		h.arrivedAt.Store(int64(h.budget.clock.Now()))
+		h.arrived.Add(int64(count))
 	}
 }
 
-// Passed tells that the request is passed on from now on.
-func (h *Holder) Passed() { h.Arrived(blmemory.PhasePassed) }
+// Enter tells that a phase has begun in which nothing has arrived yet.
+func (h *Holder) Enter(phase blmemory.Phase) { h.Arrived(phase, 0) }
+
+// BodyEnded tells that the body of an upload has arrived.
+func (h *Holder) BodyEnded() {
+	if h != nil {
+		h.phase.CompareAndSwap(int32(blmemory.PhaseUploading), int32(blmemory.PhasePassed))
+	}
+}
 
 // EndRequest returns all shares of a request.
 func (h *Holder) EndRequest() {
 	if h == nil {
 		return
 	}
-	h.Arrived(blmemory.PhaseIdle)
+	h.Enter(blmemory.PhaseIdle)
 	if h.requestShares.Swap(false) {
 		h.KeepStart(nil)
 		h.budget.decide(blmemory.Ended{ID: h.id}, nil)
--- a/io/blgrpc/budget.go
+++ b/io/blgrpc/budget.go
@@ -88,6 +88,8 @@
 	unread atomic.Int64
 	// share is what the connection holds for them. Only Read changes it.
 	share int64
+	// working is the number of calls that have sent a message and haven't ended.
+	working atomic.Int64
 }
 
 // Read implements net.Conn. Without memory for what has arrived it fails, which ends the
@@ -112,10 +114,29 @@
 
 // arrived notes that bytes have arrived, and reports whether there is memory for them.
 func (c *budgetConn) arrived(count int) bool {
-	c.holder.Arrived(blmemory.PhasePassed)
+	if c.working.Load() == 0 {
+		c.holder.Arrived(blmemory.PhaseReading, count)
+	}
+	if c.working.Load() > 0 {
+		c.holder.Arrived(blmemory.PhasePassed, count)
+	}
 	return c.hold(c.unread.Add(int64(count)))
 }
 
+// began notes that a call has sent its first message.
+func (c *budgetConn) began() {
+	c.working.Add(1)
+	c.holder.Enter(blmemory.PhasePassed)
+}
+
+// ended notes that such a call has ended. A connection without one may be closed: it holds
+// up nobody, and a node opens another when it needs it.
+func (c *budgetConn) ended() {
+	if c.working.Add(-1) == 0 {
+		c.holder.Enter(blmemory.PhaseIdle)
+	}
+}
+
 // hold adjusts the share to the bytes that no call has read.
 func (c *budgetConn) hold(unread int64) bool {
 	switch {
@@ -166,8 +187,18 @@
 // HandleConn implements stats.Handler.
 func (connStats) HandleConn(context.Context, stats.ConnStats) {}
 
+type callKey struct{}
+
+// callState is the state of one call. gRPC doesn't report the events of a call at once.
+type callState struct {
+	// began is set once the call has sent a message.
+	began atomic.Bool
+}
+
 // TagRPC implements stats.Handler.
-func (connStats) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+func (connStats) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context {
+	return context.WithValue(ctx, callKey{}, &callState{})
+}
 
 // HandleRPC implements stats.Handler.
 func (connStats) HandleRPC(ctx context.Context, event stats.RPCStats) {
@@ -175,12 +206,22 @@
 	if !ok {
 		return
 	}
+	call, ok := ctx.Value(callKey{}).(*callState)
+	if !ok {
+		return
+	}
 	switch e := event.(type) {
 	case *stats.InHeader:
 		c.claim(int64(e.WireLength))
 	case *stats.InPayload:
 		c.claim(int64(e.WireLength + (e.WireLength/frameBytes+1)*frameHeadBytes))
+		if !call.began.Swap(true) {
+			c.began()
+		}
 	case *stats.End:
+		if call.began.Load() {
+			c.ended()
+		}
 		c.claim(callOverheadBytes)
 	}
 }
--- a/io/blgrpc/budget_test.go
+++ b/io/blgrpc/budget_test.go
@@ -98,7 +98,7 @@
 func TestOrderWithoutMemoryIsRefused(t *testing.T) {
 	budget := newTestBudget(1)
 	other := budget.Open(blmemory.ListenerCallers, "other", func() { t.Error("other connection: got closed, want open") })
-	other.Arrived(blmemory.PhasePassed)
+	other.Enter(blmemory.PhasePassed)
 	limits := budget.View().Limits()
 	if !other.Reserve(blmemory.KindBody, limits.RequestBytes-limits.MessageBytes) {
 		t.Fatal("reserve: got refused, want granted")
--- a/io/blhttp/attempts.go
+++ b/io/blhttp/attempts.go
@@ -92,7 +92,7 @@
 func (a *activeRequest) deliver(ctx context.Context, answer blroute.Answer, writer bldeliver.ResponseWriter) bldeliver.Delivery {
 	defer enter(&a.handler.stages.delivery)()
 	sentAt := time.Now()
-	a.holder.Passed()
+	a.holder.Enter(a.call.Body.passedPhase())
 	delivery := a.handler.deliver(ctx, a.order(ctx, answer), writer)
 	_ = a.handler.route(blroute.AttemptCompleted{
 		Upstream: answer.Target.Upstream, Latency: time.Since(sentAt), Failed: upstreamFailed(delivery.Refusal), Load: delivery.Load,
--- a/io/blhttp/body.go
+++ b/io/blhttp/body.go
@@ -53,6 +53,14 @@
 	return io.MultiReader(&startReader{start: b.start, once: true}, b.stream)
 }
 
+// passedPhase returns the phase of a connection whose request with this body is passed on.
+func (b Body) passedPhase() blmemory.Phase {
+	if b.stream != nil {
+		return blmemory.PhaseUploading
+	}
+	return blmemory.PhasePassed
+}
+
 // bodyStart is the buffered start of a body, or the whole of a small one. It is dropped
 // when its memory is needed, nobody reads it, and it has been sent once.
 type bodyStart struct {
--- a/io/blhttp/body_test.go
+++ b/io/blhttp/body_test.go
@@ -55,7 +55,7 @@
 func (s bodySite) fill(t *testing.T) {
 	t.Helper()
 	h := s.budget.Open(blmemory.ListenerCallers, "other", func() {})
-	h.Arrived(blmemory.PhasePassed)
+	h.Enter(blmemory.PhasePassed)
 	limits := s.budget.View().Limits()
 	used := int64(0)
 	for kind := blmemory.KindHead; kind < blmemory.KindCount; kind++ {
--- a/io/blserver/connection.go
+++ b/io/blserver/connection.go
@@ -101,7 +101,7 @@
 		c.watch()
 	}
 	count, err := c.head.read(c.Conn, buffer, c.splitting)
-	if count > 0 && c.noteArrival(len(buffer)) {
+	if count > 0 && c.noteArrival(count, len(buffer)) {
 		if err := c.holdHead(); err != nil {
 			return 0, err
 		}
@@ -110,11 +110,11 @@
 }
 
 // noteArrival notes that something was read, and reports whether it is a part of a head.
-func (c *connection) noteArrival(bufferBytes int) bool {
+func (c *connection) noteArrival(count, bufferBytes int) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	if c.running {
-		c.holder.ArrivedMore()
+		c.holder.ArrivedMore(count)
 		c.extendBodyLimit()
 		c.ahead = c.ahead || bufferBytes == backgroundReadBytes
 		return false
@@ -125,7 +125,7 @@
 	if first {
 		c.limitHead()
 	}
-	c.holder.Arrived(blmemory.PhaseReading)
+	c.holder.Arrived(blmemory.PhaseReading, count)
 	return true
 }
 
@@ -249,6 +249,7 @@
 	c.headShare = 0
 	c.holder.EndRequest()
 	if body.unfinished() {
+		c.holder.Enter(blmemory.PhaseEnding)
 		c.leaveBody()
 	}
 }
--- a/io/blserver/limits_test.go
+++ b/io/blserver/limits_test.go
@@ -100,7 +100,7 @@
 	budget := newBudget(1)
 	limit := budget.View().Limits().RequestBytes - budget.View().Limits().MessageBytes
 	other := budget.Open(blmemory.ListenerCallers, "other", func() { t.Error("other connection: got closed, want open") })
-	other.Arrived(blmemory.PhasePassed)
+	other.Enter(blmemory.PhasePassed)
 	if !other.Reserve(blmemory.KindBody, limit) {
 		t.Fatal("reserve: got refused, want granted")
 	}
--- a/io/blserver/request_body.go
+++ b/io/blserver/request_body.go
@@ -7,12 +7,15 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"bergamotlead/io/blbudget"
 )
 
 // requestBody is the body of a request. It knows whether it has been read to its end.
 type requestBody struct {
 	io.ReadCloser
 
+	holder *blbudget.Holder
 	// begun is set once the body has been read, or may not be discarded.
 	begun, ended atomic.Bool
 }
@@ -23,17 +26,18 @@
 	count, err := b.ReadCloser.Read(buffer)
 	if errors.Is(err, io.EOF) {
 		b.ended.Store(true)
+		b.holder.BodyEnded()
 	}
 	return count, err //nolint:wrapcheck // io.EOF has to reach the reader as it is
 }
 
 // withRequestBody returns the request with a body that knows its end, and that body, or nil
 // if the request has none.
-func withRequestBody(r *http.Request) (*http.Request, *requestBody) {
+func withRequestBody(r *http.Request, holder *blbudget.Holder) (*http.Request, *requestBody) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return r, nil
 	}
-	body := &requestBody{ReadCloser: r.Body}
+	body := &requestBody{ReadCloser: r.Body, holder: holder}
 	// A read of such a body asks the client to send it.
 	body.begun.Store(r.Header.Get("Expect") != "")
 	// net/http looks at the body of its own request.
--- a/io/blserver/response.go
+++ b/io/blserver/response.go
@@ -16,7 +16,7 @@
 		return
 	}
 	c.begin()
-	r, body := withRequestBody(r)
+	r, body := withRequestBody(r, c.holder)
 	defer c.endRequest(body)
 	if !c.reserveHead(headCost(r)) {
 		w.Header().Set("Connection", "close")
--- /dev/null
+++ b/tests/uploads_test.go
@@ -0,0 +1,131 @@
+package bltests_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+)
+
+const (
+	// longTimeout is the time that clients of the crowds below say they wait.
+	longTimeout = "Bergamotlead-Timeout: 5m\r\n"
+	// slowPieceBytes of a body or message are sent each slowPiecePause.
+	slowPieceBytes = 100
+	slowPiecePause = 250 * time.Millisecond
+	slowPieces     = 10_000
+)
+
+// sendSlowPieces sends a large body in small pieces until its connection ends.
+func sendSlowPieces(c crowdClient) error {
+	head := c.startLines() + longTimeout + fmt.Sprintf("Content-Length: %d\r\n\r\n", largeBodyBytes)
+	if err := c.write(head); err != nil {
+		return err
+	}
+	return c.writeSlowly(strings.Repeat("7", slowPieceBytes))
+}
+
+// writeSlowly writes a text again and again, with pauses.
+func (c crowdClient) writeSlowly(text string) error {
+	for range slowPieces {
+		select {
+		case <-c.stop:
+			return nil
+		case <-time.After(slowPiecePause):
+		}
+		_ = c.SetWriteDeadline(time.Now().Add(crowdWriteTimeout))
+		if err := c.write(text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sendStoppedStart sends so little of a body that the request isn't passed on, and stops.
+func sendStoppedStart(c crowdClient) error {
+	const lengthBytes, sentBytes = 300_000, 10_000
+	return c.write(c.startLines() + longTimeout + fmt.Sprintf("Content-Length: %d\r\n\r\n", lengthBytes) + strings.Repeat("7", sentBytes))
+}
+
+// checkServedBeside checks that an ordinary request is served while a crowd is there whose
+// clients return for as long as the test runs, and that the host stays within its memory.
+func checkServedBeside(t *testing.T, c crowd) {
+	t.Helper()
+	f := deployLimited(t, c.descriptors)
+	host := f.Hosts[0]
+	memory := watchMemory(host.Node.PID())
+	run := f.startCrowd(c, host)
+	time.Sleep(crowdHold)
+	status, sent := f.awaitOrdinary(host)
+	if host.Node.EndsWithin(0) {
+		t.Fatalf("process: got exit code %d, want it alive", host.Node.ExitCode())
+	}
+	descriptors := openDescriptors(t, host.Node.PID())
+	memory.end(t, host.Spec.Name)
+	run.end()
+	t.Logf("%d descriptors, %d connections closed, ordinary request: %d after %d attempts", descriptors, run.closed.Load(), status, sent)
+	if descriptors > c.descriptors {
+		t.Errorf("descriptors: got %d, want at most %d", descriptors, c.descriptors)
+	}
+	if status != http.StatusOK {
+		t.Errorf("ordinary request: got %d after %d attempts, want %d", status, sent, http.StatusOK)
+	}
+}
+
+// TestOrdinaryRequestsBesideUnfinishedBodies guards against clients whose bodies don't end,
+// at the expense of all others: they kept all connections of the node or all slots of its
+// upstream for as long as they said that they wait.
+func TestOrdinaryRequestsBesideUnfinishedBodies(t *testing.T) {
+	crowds := []crowd{
+		{name: "slow_pieces", clients: 240, descriptors: fewDescriptors, returns: true, send: sendSlowPieces},
+		{name: "stopped_starts", clients: 240, descriptors: fewDescriptors, returns: true, send: sendStoppedStart},
+	}
+	for _, c := range crowds {
+		t.Run(c.name, func(t *testing.T) { checkServedBeside(t, c) })
+	}
+}
+
+// sendSlowFrames begins a connection of a node, and sends pings in small pieces.
+func sendSlowFrames(c crowdClient) error {
+	if err := c.write(http2.ClientPreface); err != nil {
+		return err
+	}
+	framer := http2.NewFramer(c, c)
+	if err := framer.WriteSettings(); err != nil {
+		return err
+	}
+	// A frame of data without a stream, of which a byte arrives now and then.
+	const head = "\x00\x40\x00\x00\x00\x00\x00\x00\x01"
+	if err := c.write(head); err != nil {
+		return err
+	}
+	return c.writeSlowly("7")
+}
+
+// TestNodesConnectBesideSlowClients guards against clients that keep all connections for
+// other nodes: a node that is started then could reach the owner of no key.
+func TestNodesConnectBesideSlowClients(t *testing.T) {
+	f := deployLimitedHosts(t, 2, fewDescriptors)
+	_, key := f.ownedBy(f.Hosts[1])
+	target := f.Hosts[1]
+	memory := watchMemory(target.Node.PID())
+	run := f.startCrowd(crowd{name: "slow_frames", clients: 200, nodes: true, returns: true, send: sendSlowFrames}, target)
+	time.Sleep(crowdHold)
+	f.Hosts[0].Node.Kill()
+	if err := f.StartNode(f.Hosts[0]); err != nil {
+		t.Fatalf("start node: %v", err)
+	}
+	status, sent := f.awaitOrdinaryTo(f.Hosts[0], key)
+	if target.Node.EndsWithin(0) {
+		t.Fatalf("process: got exit code %d, want it alive", target.Node.ExitCode())
+	}
+	memory.end(t, target.Spec.Name)
+	run.end()
+	if status != http.StatusOK {
+		t.Errorf("ordinary request: got %d after %d attempts, want %d", status, sent, http.StatusOK)
+	}
+}
