Uploads that stall give up their slot to requests that wait

Callers saw: 503 for ordinary requests for as long as clients had bodies open that had stopped, or went on byte by byte: each held a slot of its upstream, and their requests all places of its queue.

Cause: a request holds its slot from the first byte that is passed on until it ends, and a queue that was full refused whoever came next.

Fix: the node beside the upstream looks each second at the bodies that it passes on. One that it waits for and of which less than 16 KB have arrived counts as stalled, and ends while requests wait and no slot is free: first those of the client account with the most running requests. Its client gets 504, which promises nothing. Nothing ends that nobody waits for. The estimate of how long a request will wait leaves stalled uploads out. In a full queue, the account with the most requests gives up its last one, which hasn't run, to one of an account with fewer, unless that is less urgent. Ended uploads are counted (bergamotlead_uploads_ended_total) and logged.

--- a/core/bldeliver/deliver_test.go
+++ b/core/bldeliver/deliver_test.go
@@ -67,6 +67,8 @@
 	effects []bldeliver.Effect
 	ticket  bldeliver.Ticket
 	replies map[bldeliver.Ticket]blring.Reply[bldeliver.AcquireAnswer]
+	// cancel ends the next request that acquires a slot.
+	cancel func()
 }
 
 func newNode(queue int) *node {
@@ -101,7 +103,7 @@
 	n.replies[n.ticket] = blring.NewReply[bldeliver.AcquireAnswer]()
 	n.send(bldeliver.Acquire{
 		Ticket: n.ticket, Upstream: "pot_1", Service: "pot", Account: blvalue.AccountName(account), Rank: priority.Rank(),
-		Deadline: n.now.Add(wait), Reply: n.replies[n.ticket],
+		Deadline: n.now.Add(wait), Cancel: n.cancel, Reply: n.replies[n.ticket],
 	})
 	return n.ticket
 }
--- a/core/bldeliver/estimate.go
+++ b/core/bldeliver/estimate.go
@@ -46,6 +46,8 @@
 func (u UpstreamState) estimatedWait(a Acquire, now bltimer.Instant) time.Duration {
 	load := u.Load()
 	load.Waiting = 0
+	// Uploads that stall give up their slots to those that wait.
+	load.Running -= u.stalledUploads + u.endedUploads
 	for _, other := range u.queue {
 		if !u.goesBefore(a, other, now) {
 			load.Waiting++
--- a/core/bldeliver/messages.go
+++ b/core/bldeliver/messages.go
@@ -32,8 +32,11 @@
 	Deadline bltimer.Instant
 	// Goal is the time by which an answer meets the latency goal, or zero if
 	// there is none.
-	Goal  bltimer.Instant
-	Reply blring.Reply[AcquireAnswer]
+	Goal bltimer.Instant
+	// Cancel ends the request once it has a slot. It is called if its body stalls while
+	// others wait for the slot, and may be nil for a request without one.
+	Cancel func()
+	Reply  blring.Reply[AcquireAnswer]
 }
 
 // AcquireAnswer answers Acquire.
@@ -119,8 +122,10 @@
 func (ConfigChanged) deliverMessage() {}
 func (Tick) deliverMessage()          {}
 
-// Effect is an output of the delivery duty: the answer to an Acquire message.
+// Effect is an output of the delivery duty: the answer to an Acquire message, or the end
+// of an upload if its Cancel is set.
 type Effect struct {
 	Reply  blring.Reply[AcquireAnswer]
 	Answer AcquireAnswer
+	Upload EndedUpload
 }
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -18,6 +18,9 @@
 	order       uint64
 	// cold is set if the upstream was in cold start when the request was sent.
 	cold bool
+	// cancel ends the request, and upload is the state of its body.
+	cancel func()
+	upload uploadState
 }
 
 // State is the immutable state of the delivery duty.
@@ -73,6 +76,8 @@
 		return s.acquire(m, now)
 	case Release:
 		return s.release(m, now)
+	case UploadStalled:
+		return s.uploadStalled(m, now)
 	case UpstreamsSeen:
 		return s.upstreamsSeen(m, now)
 	case ConfigChanged:
@@ -122,8 +127,11 @@
 	if upstream.announcement.Upstream.Service != m.Service {
 		return s, []Effect{refuse(m, blvalue.ReasonNotOwner, "the upstream is of another service")}
 	}
+	position := -1
 	if len(upstream.queue) >= s.config.Plan.Limits.QueueLength {
-		return s, []Effect{refuse(m, blvalue.ReasonOverload, "too many requests wait for the upstream")}
+		if position = upstream.displaced(m, now); position < 0 {
+			return s, []Effect{refuse(m, blvalue.ReasonOverload, queueFull)}
+		}
 	}
 	if upstream.closed(now) {
 		return s, []Effect{refuse(m, blvalue.ReasonLeaving, "the upstream is leaving")}
@@ -139,10 +147,19 @@
 		refusal.Answer.Load = upstream.Load()
 		return s, []Effect{refusal}
 	}
+	var effects []Effect
+	if position >= 0 {
+		effects = append(effects, refuse(upstream.queue[position], blvalue.ReasonOverload, queueFull))
+		upstream = upstream.without(position)
+	}
 	upstream.queue = append(upstream.queue[:len(upstream.queue):len(upstream.queue)], m)
-	return s.admitNext(m.Upstream, upstream, now)
+	next, admitted := s.admitNext(m.Upstream, upstream, now)
+	return next, append(effects, admitted...)
 }
 
+// queueFull is the detail of the refusal of requests for which the queue has no room.
+const queueFull = "too many requests wait for the upstream"
+
 // refuseHeldBack refuses a request that no allowance covers.
 func refuseHeldBack(a Acquire, upstream UpstreamState) Effect {
 	refusal := refuse(a, blvalue.ReasonHeldBack, "a roll-out allows the upstream no more requests")
@@ -179,6 +196,7 @@
 		upstream.pacer = upstream.pacer.WithSent(now)
 		request := inFlightRequest{
 			upstream: name, account: chosen.Account, class: chosen.Class, incarnation: upstream.Incarnation(), cold: upstream.cold(now),
+			cancel: chosen.Cancel,
 		}
 		s.rollouts, request.order = s.rollouts.withSent(upstream.announcement.Upstream)
 		s.inFlight = s.inFlight.With(chosen.Ticket, request)
@@ -189,7 +207,8 @@
 		})
 	}
 	s.upstreams = s.upstreams.With(name, upstream)
-	return s, effects
+	next, ended := s.endUploads(name)
+	return next, append(effects, ended...)
 }
 
 func (s State) release(m Release, now bltimer.Instant) (State, []Effect) {
@@ -203,7 +222,7 @@
 	if !ok {
 		return s, nil
 	}
-	upstream = upstream.withRunning(request.account, -1)
+	upstream = upstream.withRunning(request.account, -1).withUpload(request.upload, uploadArriving)
 	upstream.pace = upstream.pace.WithReport(m.Report, now)
 	switch m.Result {
 	case ResultAnswered:
--- a/core/bldeliver/upstream.go
+++ b/core/bldeliver/upstream.go
@@ -19,6 +19,9 @@
 	pacer        Pacer
 	running      int
 	queue        []Acquire
+	// stalledUploads and endedUploads count the running requests whose bodies stall, and
+	// those of them that have been cancelled.
+	stalledUploads, endedUploads int
 	// runningByAccount counts the running requests of each account.
 	runningByAccount bltable.Table[blvalue.AccountName, int]
 	// classLatencies holds the moving average latency of each request class.
@@ -48,6 +51,9 @@
 // Running returns the number of requests that run at the upstream.
 func (u UpstreamState) Running() int { return u.running }
 
+// Free returns the number of free slots.
+func (u UpstreamState) Free() int { return max(u.Limit()-u.running, 0) }
+
 // Waiting returns the number of requests that wait for a slot.
 func (u UpstreamState) Waiting() int { return len(u.queue) }
 
--- a/io/blmetric/metric.go
+++ b/io/blmetric/metric.go
@@ -56,6 +56,11 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_clients_closed_total{reason=%q}`, reason)).Inc()
 }
 
+// UploadEnded counts a stalled upload that was ended for requests that waited.
+func (s *Set) UploadEnded() {
+	s.set.GetOrCreateCounter(`bergamotlead_uploads_ended_total`).Inc()
+}
+
 // ShareRefused counts a share of the memory or of the connections that was refused.
 func (s *Set) ShareRefused(reason, kind string) {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_shares_refused_total{reason=%q,kind=%q}`, reason, kind)).Inc()
--- a/io/blnode/duty_effects.go
+++ b/io/blnode/duty_effects.go
@@ -191,5 +191,10 @@
 }
 
 func (n *Node) performDeliver(effect bldeliver.Effect) {
+	if effect.Upload.Cancel != nil {
+		n.logEndedUpload(effect.Upload)
+		effect.Upload.Cancel()
+		return
+	}
 	effect.Reply.Put(effect.Answer)
 }
--- a/io/blnode/request_log.go
+++ b/io/blnode/request_log.go
@@ -51,3 +51,12 @@
 		n.logger.Warn("announcement rejected", "error", err, "left_out", suppressed)
 	}
 }
+
+// logEndedUpload counts and logs a stalled upload that gives up its slot. The number of
+// lines per second is limited.
+func (n *Node) logEndedUpload(upload bldeliver.EndedUpload) {
+	n.metrics.UploadEnded()
+	if allowed, suppressed := n.logLimiter.Allow("upload ended", time.Now()); allowed {
+		n.logger.Warn("upload ended", "reason", "stalled", "upstream", string(upload.Upstream), "account", string(upload.Account), "left_out", suppressed)
+	}
+}
--- a/io/blupstream/attempt.go
+++ b/io/blupstream/attempt.go
@@ -43,7 +43,9 @@
 func (a *attempt) run(ctx context.Context) bldeliver.Delivery {
 	startedAt := a.deliverer.clock.Now()
 	a.deadline = startedAt.Add(a.order.Timeout)
-	slot := a.acquireSlot(ctx, startedAt)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	slot := a.acquireSlot(ctx, startedAt, func() { cancel(errUploadEnded) })
 	if slot.Refusal != nil {
 		delivery := refused(slot.Refusal)
 		delivery.Retryable = true
@@ -54,9 +56,7 @@
 		a.releaseSlot(bldeliver.Release{Result: bldeliver.ResultUnused})
 		return refused(refusal)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if refusal := a.acquirePermit(ctx, cancel); refusal != nil {
+	if refusal := a.acquirePermit(ctx, func() { cancel(nil) }); refusal != nil {
 		a.releaseSlot(bldeliver.Release{Result: bldeliver.ResultUnused})
 		return refused(refusal)
 	}
@@ -84,8 +84,8 @@
 	return a.status == 0 && !now.Before(a.deadline)
 }
 
-// acquireSlot waits for a slot at the upstream.
-func (a *attempt) acquireSlot(ctx context.Context, now bltimer.Instant) bldeliver.AcquireAnswer {
+// acquireSlot waits for a slot at the upstream. The request loses it by a call of cancel.
+func (a *attempt) acquireSlot(ctx context.Context, now bltimer.Instant, cancel func()) bldeliver.AcquireAnswer {
 	reply := blring.NewReply[bldeliver.AcquireAnswer]()
 	var goal bltimer.Instant
 	if a.order.Goal > 0 {
@@ -93,7 +93,7 @@
 	}
 	err := a.deliverer.duties.Deliver(bldeliver.Acquire{
 		Ticket: a.ticket, Upstream: a.order.Target.Upstream, Service: a.order.Target.Service, Account: a.order.Account, Rank: a.order.Rank, Class: a.order.Class,
-		Deadline: a.deadline, Goal: goal, Reply: reply,
+		Deadline: a.deadline, Goal: goal, Cancel: cancel, Reply: reply,
 	})
 	if err != nil {
 		return bldeliver.AcquireAnswer{Refusal: blvalue.NotRun(blvalue.ReasonOverload, err.Error())}
--- a/io/blupstream/deadline_test.go
+++ b/io/blupstream/deadline_test.go
@@ -38,7 +38,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	if _, err := a.newRequest(ctx, bldeliver.AcquireAnswer{Address: "upstream"}); err != nil {
+	if _, err := a.newRequest(ctx, bldeliver.AcquireAnswer{Address: "upstream"}, nil); err != nil {
 		t.Fatalf("request: %v", err)
 	}
 	if want := order.Timeout; got <= 0 || got > want {
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -25,7 +25,9 @@
 }
 
 func (a *attempt) exchange(ctx context.Context, slot bldeliver.AcquireAnswer) (bldeliver.Delivery, bldeliver.Result) {
-	request, err := a.newRequest(ctx, slot)
+	body := newUpload(a.order.Body, a.reportStall)
+	defer body.stop()
+	request, err := a.newRequest(ctx, slot, body)
 	if err != nil {
 		return refused(blvalue.NotRun(blvalue.ReasonMalformed, err.Error())), bldeliver.ResultUnused
 	}
@@ -69,9 +71,6 @@
 
 // Read implements io.Reader.
 func (s singleUseBody) Read(buffer []byte) (int, error) {
-	if s.reader == nil {
-		return 0, io.EOF
-	}
 	count, err := s.reader.Read(buffer)
 	if err != nil && !errors.Is(err, io.EOF) {
 		s.failed.Store(true)
@@ -82,7 +81,7 @@
 // Close implements io.Closer.
 func (s singleUseBody) Close() error { return nil }
 
-func (a *attempt) newRequest(ctx context.Context, slot bldeliver.AcquireAnswer) (*http.Request, error) {
+func (a *attempt) newRequest(ctx context.Context, slot bldeliver.AcquireAnswer, body *upload) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
 	})
@@ -94,8 +93,8 @@
 		return nil, err
 	}
 	request.Body = http.NoBody
-	if a.order.Body != nil {
-		request.Body = singleUseBody{reader: a.order.Body, failed: &a.bodyFailed}
+	if body != nil {
+		request.Body = singleUseBody{reader: body, failed: &a.bodyFailed}
 		request.ContentLength = a.order.BodyLength
 	}
 	request.Header = make(http.Header, len(a.order.Header))
--- a/tests/uploads_test.go
+++ b/tests/uploads_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"golang.org/x/net/http2"
-
 )
 
 const (
@@ -29,6 +28,17 @@
 	return c.writeSlowly(strings.Repeat("7", slowPieceBytes))
 }
 
+// sendStartThenSlowPieces sends so much of a body at once that the request is passed on,
+// and the rest in small pieces.
+func sendStartThenSlowPieces(c crowdClient) error {
+	const atOnceBytes = 100_000
+	head := c.startLines() + longTimeout + fmt.Sprintf("Content-Length: %d\r\n\r\n", largeBodyBytes)
+	if err := c.write(head + strings.Repeat("7", atOnceBytes)); err != nil {
+		return err
+	}
+	return c.writeSlowly(strings.Repeat("7", slowPieceBytes))
+}
+
 // writeSlowly writes a text again and again, with pauses.
 func (c crowdClient) writeSlowly(text string) error {
 	for range slowPieces {
@@ -45,6 +55,12 @@
 	return nil
 }
 
+// sendStoppedUpload sends so much of a body that the request is passed on, and stops.
+func sendStoppedUpload(c crowdClient) error {
+	const lengthBytes, sentBytes = 300_000, 100_000
+	return c.write(c.startLines() + longTimeout + fmt.Sprintf("Content-Length: %d\r\n\r\n", lengthBytes) + strings.Repeat("7", sentBytes))
+}
+
 // sendStoppedStart sends so little of a body that the request isn't passed on, and stops.
 func sendStoppedStart(c crowdClient) error {
 	const lengthBytes, sentBytes = 300_000, 10_000
@@ -82,6 +98,8 @@
 func TestOrdinaryRequestsBesideUnfinishedBodies(t *testing.T) {
 	crowds := []crowd{
 		{name: "slow_pieces", clients: 240, descriptors: fewDescriptors, returns: true, send: sendSlowPieces},
+		{name: "slow_pieces_after_a_start", clients: 240, descriptors: fewDescriptors, returns: true, send: sendStartThenSlowPieces},
+		{name: "stopped_uploads", clients: 240, descriptors: crowdDescriptors, returns: true, send: sendStoppedUpload},
 		{name: "stopped_starts", clients: 240, descriptors: fewDescriptors, returns: true, send: sendStoppedStart},
 	}
 	for _, c := range crowds {
