Orders leave calls of their connection to heartbeats

Callers saw: 503 from all of a node ("this node has heard no lead for too long") while many requests with long timeouts waited at a slow upstream beside another node, the lead.

Cause: a connection between nodes carries 100 to 1,000 calls at once, and further ones wait at their sender. Orders that waited for the upstream took them all, and heartbeats to the lead waited behind them.

Fix: the node that receives orders refuses those beyond the limit less 16, as ones that haven't run.

Evidence: TestOrdersLeaveRoomForHeartbeats fails without the fix. Found by TestHeadsForASlowUpstreamStayWithinTheHosts, new here: heads of many lines and the requests sent behind them, 600 clients, at a node of 96 MB.

--- a/io/blgrpc/budget.go
+++ b/io/blgrpc/budget.go
@@ -23,6 +23,9 @@
 	// within minStreams and maxStreams. Further calls wait at their sender.
 	streamsShare           = 4
 	minStreams, maxStreams = 100, 1000
+	// controlStreams are the calls of a connection that orders leave to others, such as
+	// heartbeats: a call beyond the limit waits at its sender until another one ends.
+	controlStreams = 16
 	// messageStep is the step in which a connection takes shares for messages, and
 	// ordinaryMessageBytes what it may have unread without one.
 	messageStep          = 64 << 10
@@ -88,8 +91,9 @@
 	unread atomic.Int64
 	// share is what the connection holds for them. Only Read changes it.
 	share int64
-	// working is the number of calls that have sent a message and haven't ended.
-	working atomic.Int64
+	// working is the number of calls that have sent a message and haven't ended, and orders
+	// that of orders.
+	working, orders atomic.Int64
 }
 
 // Read implements net.Conn. Without memory for what has arrived it fails, which ends the
@@ -226,6 +230,17 @@
 	}
 }
 
+// beginOrder counts an order on its connection until end is called. It reports false if the
+// connection has as many as it may.
+func (s *Server) beginOrder(ctx context.Context) (end func(), ok bool) {
+	c, ok := ctx.Value(connKey{}).(*budgetConn)
+	if !ok {
+		return func() {}, true
+	}
+	running := c.orders.Add(1)
+	return func() { c.orders.Add(-1) }, running <= int64(streamLimit(s.budget))-controlStreams
+}
+
 // claimRest claims what may have arrived of a body that no one reads any more.
 func claimRest(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*budgetConn); ok {
--- a/io/blgrpc/budget_test.go
+++ b/io/blgrpc/budget_test.go
@@ -173,3 +173,33 @@
 		})
 	}
 }
+
+// TestOrdersLeaveRoomForHeartbeats guards against orders that wait at a slow upstream and take
+// all calls of their connection: heartbeats then waited behind them, and the node refused
+// everything since it heard no lead.
+func TestOrdersLeaveRoomForHeartbeats(t *testing.T) {
+	budget := newTestBudget(1)
+	limit := int(streamLimit(budget))
+	node := waitingNode{arrived: make(chan struct{}, 2*limit)}
+	address := serveLimited(t, node, budget)
+	client := newTestClient(t)
+	refused := make(chan bldeliver.Delivery, 2*limit)
+	for range 2 * limit {
+		o := order(address, "/", nil, 0)
+		o.Timeout = testTimeout
+		go func() { refused <- client.Deliver(t.Context(), o, discardWriter{}) }()
+	}
+	for range limit - controlStreams {
+		<-node.arrived
+	}
+	for range limit + controlStreams {
+		if got := <-refused; got.Refusal == nil || got.Refusal.Outcome != blvalue.OutcomeNotRun {
+			t.Errorf("order beyond the limit: got %+v, want a refusal of one that hasn't run", got.Refusal)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	if _, err := client.Identify(ctx, address); err != nil {
+		t.Errorf("call beside the orders: got %v, want an answer", err)
+	}
+}
--- a/io/blgrpc/server.go
+++ b/io/blgrpc/server.go
@@ -228,13 +228,16 @@
 	if head == nil {
 		return status.Error(codes.InvalidArgument, "the first frame isn't the head of an order")
 	}
+	end, ok := s.beginOrder(stream.Context())
+	defer end()
+	if !ok {
+		return sendRefusal(stream, overloaded("the connection carries too many orders"))
+	}
 	size := int64(proto.Size(head))
 	holder := holderOf(stream.Context())
 	if size > blmemory.OrdinaryBytes {
 		if !holder.Reserve(blmemory.KindHead, size) {
-			return sendRefusal(stream, bldeliver.Delivery{
-				Refusal: blvalue.NotRun(blvalue.ReasonOverload, "the node has no memory for the request"), Retryable: true,
-			})
+			return sendRefusal(stream, overloaded("the node has no memory for the request"))
 		}
 		defer holder.Release(blmemory.KindHead, size)
 	}
@@ -255,6 +258,11 @@
 	return nil
 }
 
+// overloaded returns the delivery of an order that this node has no room for.
+func overloaded(detail string) bldeliver.Delivery {
+	return bldeliver.Delivery{Refusal: blvalue.NotRun(blvalue.ReasonOverload, detail), Retryable: true}
+}
+
 func sendRefusal(stream grpc.BidiStreamingServer[blproto.DeliverRequest, blproto.DeliverReply], delivery bldeliver.Delivery) error {
 	err := stream.Send(&blproto.DeliverReply{Part: &blproto.DeliverReply_Refusal{Refusal: refusalToProto(delivery)}})
 	if err != nil {
--- a/tests/uploads_test.go
+++ b/tests/uploads_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"golang.org/x/net/http2"
+
+	"bergamotlead/core/blconfig"
+	"bergamotlead/tools/blfleet"
 )
 
 const (
@@ -17,6 +20,8 @@
 	slowPieceBytes = 100
 	slowPiecePause = 250 * time.Millisecond
 	slowPieces     = 10_000
+	// pipelinedBytes is how much a client sends of requests behind each other.
+	pipelinedBytes = 128 << 10
 )
 
 // sendSlowPieces sends a large body in small pieces until its connection ends.
@@ -147,3 +152,56 @@
 		t.Errorf("ordinary request: got %d after %d attempts, want %d", status, sent, http.StatusOK)
 	}
 }
+
+// sendManyLines returns how a client sends small requests with the given number of header
+// lines for a key, one behind the other.
+func sendManyLines(key string, lines int) func(crowdClient) error {
+	return func(c crowdClient) error {
+		var text strings.Builder
+		fmt.Fprintf(&text, "POST /pot/%s/contributions HTTP/1.1\r\nHost: pots\r\nAuthorization: Bearer %s\r\n%s", key, c.key, longTimeout)
+		for i := range lines {
+			fmt.Fprintf(&text, "x%d: %d\r\n", i, i)
+		}
+		return c.writeRepeated(text.String()+"Content-Length: 1\r\n\r\n7", pipelinedBytes)
+	}
+}
+
+// TestHeadsForASlowUpstreamStayWithinTheHosts guards against heads of many lines that wait
+// at a node whose target is slow: they and the requests sent behind them took more than the
+// memory of the host.
+func TestHeadsForASlowUpstreamStayWithinTheHosts(t *testing.T) {
+	const (
+		slowFactor  = 400
+		clients     = 600
+		descriptors = 2048
+	)
+	for _, lines := range []int{25, 60, 150, 1000} {
+		t.Run(fmt.Sprintf("%d_lines", lines), func(t *testing.T) {
+			f := deployLimitedHosts(t, 2, descriptors)
+			f.apply(f.editedDocument(func(d blconfig.Document) blconfig.Document {
+				return withValue(d, blconfig.SectionLimits, "", "queue_length", integer(clients))
+			}))
+			_, key := f.ownedBy(f.Hosts[1])
+			_, other := f.ownedBy(f.Hosts[0])
+			f.setUpstreamFaults(f.Hosts[1].Upstreams[0], map[string]any{"slow_factor": slowFactor})
+			watches := map[*blfleet.Host]*memoryWatch{}
+			for _, host := range f.Hosts {
+				watches[host] = watchMemory(host.Node.PID())
+			}
+			crowd := crowd{name: "heads", clients: clients, returns: true, send: sendManyLines(key, lines)}
+			run := f.startCrowd(crowd, f.Hosts[0])
+			time.Sleep(crowdHold)
+			status, sent := f.awaitOrdinaryTo(f.Hosts[0], other)
+			for _, host := range f.Hosts {
+				if host.Node.EndsWithin(0) {
+					t.Fatalf("process of %s: got exit code %d, want it alive", host.Spec.Name, host.Node.ExitCode())
+				}
+				watches[host].end(t, host.Spec.Name)
+			}
+			run.end()
+			if status != http.StatusOK {
+				t.Errorf("ordinary request: got %d after %d attempts, want %d", status, sent, http.StatusOK)
+			}
+		})
+	}
+}
