--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 soak: ## Run fleets under random faults: SEED, SEEDS and LENGTH
 	go run ./tools/soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) --length $(or $(LENGTH),20s)
 
-mesh-soak: ## Run fleets on the users' platform under random faults: SEED, SEEDS, LENGTH, WITHOUT, and LATER=1 for the kinds added later
+mesh-soak: ## Run fleets on the users' platform under random faults: SEED, SEEDS, LENGTH, WITHOUT, LATER=1 for the kinds added later, and UNTRUSTED=1 for clients that don't behave too
 	go test ./platform/blmesh -run '^TestSoak$$' -count=1 -v -timeout 5h
 
 measure: ## Measure the whole path between separate processes
--- a/tools/configpage/main.go
+++ b/tools/configpage/main.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"bergamotlead/core/blconfig"
+	"bergamotlead/core/blmemory"
 	"bergamotlead/io/blsettings"
 )
 
@@ -39,9 +40,28 @@
 	for _, section := range blconfig.Sections() {
 		writeSection(&page, document, section)
 	}
+	writeClientLimits(&page)
 	return page.String(), nil
 }
 
+// writeClientLimits writes the limits on clients that no option sets.
+func writeClientLimits(page *strings.Builder) {
+	l := blmemory.NewLimits(0, 0)
+	fmt.Fprintf(page, "\n## Limits on clients without an option\n\n"+
+		"The memory and descriptors of a host set most limits on its clients (`memory_mb` and `max_descriptors` of the\n"+
+		"process); [OPERATIONS.md](OPERATIONS.md#limits-on-clients) has all of them. These are fixed, and close\n"+
+		"nothing while there is room:\n\n"+
+		"| limit | value |\n| --- | --- |\n"+
+		"| bytes that a connection of a caller, and one of a node, holds unread | %d KB, %d KB |\n"+
+		"| rate below which a request or upload arrives slowly | %.0f KB/s |\n"+
+		"| silence of a request that makes room for others | %v |\n"+
+		"| the same once it has been passed on, and the age of a slow request that gives up memory | %v |\n"+
+		"| time in which a new connection may send its request | %v |\n"+
+		"| time in which a connection that was just accepted keeps its place | %v |\n",
+		blmemory.CallerUnreadBytes>>10, blmemory.NodeUnreadBytes>>10, l.SlowBytesPerSecond/(1<<10),
+		l.SilentAfter, l.LastResortAfter, l.GraceTime, l.FirstReadTime)
+}
+
 func writeSection(page *strings.Builder, document blconfig.Document, section blconfig.Section) {
 	name := section.Name
 	if section.Named {
