Uploads and phases: the end of a look, and what a response ends

By reading and under the race detector: an upload's timer could fire before it was set; a response that had begun could have been cut for the rest of a body that its upstream didn't need, by the slot or by the memory budget; and a connection with a new request could be seen for a moment with the times of the last one, and so as a slow one. The timer is set under the lock, a response ends the looks at the body and the phase of an upload, and the phase is stored after the times. The states of uploads are counted in one array.

--- a/core/bldeliver/estimate.go
+++ b/core/bldeliver/estimate.go
@@ -47,7 +47,7 @@
 	load := u.Load()
 	load.Waiting = 0
 	// Uploads that stall give up their slots to those that wait.
-	load.Running -= u.stalledUploads + u.endedUploads
+	load.Running -= u.uploads[uploadStalled] + u.uploads[uploadEnded]
 	for _, other := range u.queue {
 		if !u.goesBefore(a, other, now) {
 			load.Waiting++
--- a/core/bldeliver/state.go
+++ b/core/bldeliver/state.go
@@ -222,7 +222,7 @@
 	if !ok {
 		return s, nil
 	}
-	upstream = upstream.withRunning(request.account, -1).withUpload(request.upload, uploadArriving)
+	upstream = upstream.withUpload(request.upload, uploadArriving).withRunning(request.account, -1)
 	upstream.pace = upstream.pace.WithReport(m.Report, now)
 	switch m.Result {
 	case ResultAnswered:
--- a/core/bldeliver/uploads.go
+++ b/core/bldeliver/uploads.go
@@ -33,6 +33,7 @@
 	uploadStalled
 	// uploadEnded is a stalled one whose request has been cancelled.
 	uploadEnded
+	uploadStates
 )
 
 // uploadStalled notes whether a body has stalled, and lets it make room for waiting requests.
@@ -41,10 +42,11 @@
 	if !ok || request.upload == uploadEnded {
 		return s, nil
 	}
-	s = s.withUpload(m.Ticket, request, uploadArriving)
+	next := uploadArriving
 	if m.Stalled {
-		s = s.withUpload(m.Ticket, request, uploadStalled)
+		next = uploadStalled
 	}
+	s = s.withUpload(m.Ticket, request, next)
 	upstream, ok := s.upstreams.Get(request.upstream)
 	if !ok {
 		return s, nil
@@ -54,9 +56,8 @@
 
 // withUpload returns the state with the body of a request in another state.
 func (s State) withUpload(ticket Ticket, request inFlightRequest, upload uploadState) State {
-	last, _ := s.inFlight.Get(ticket)
 	if upstream, ok := s.upstreams.Get(request.upstream); ok {
-		s.upstreams = s.upstreams.With(request.upstream, upstream.withUpload(last.upload, upload))
+		s.upstreams = s.upstreams.With(request.upstream, upstream.withUpload(request.upload, upload))
 	}
 	request.upload = upload
 	s.inFlight = s.inFlight.With(ticket, request)
@@ -70,11 +71,11 @@
 	var effects []Effect
 	for {
 		upstream, ok := s.upstreams.Get(name)
-		if !ok || upstream.stalledUploads <= 0 || upstream.Free() > 0 || upstream.endedUploads >= len(upstream.queue) {
+		if !ok || upstream.Free() > 0 || upstream.uploads[uploadEnded] >= len(upstream.queue) {
 			return s, effects
 		}
-		ticket, request := s.longestUpload(name, upstream)
-		if request.upload != uploadStalled {
+		ticket, request, ok := s.longestUpload(name, upstream)
+		if !ok {
 			return s, effects
 		}
 		s = s.withUpload(ticket, request, uploadEnded)
@@ -84,40 +85,34 @@
 
 // longestUpload returns the stalled upload that ends first: of the account with the most
 // running requests, the one that got its slot first.
-func (s State) longestUpload(name blvalue.UpstreamName, upstream UpstreamState) (Ticket, inFlightRequest) {
+func (s State) longestUpload(name blvalue.UpstreamName, upstream UpstreamState) (Ticket, inFlightRequest, bool) {
 	var first Ticket
 	var chosen inFlightRequest
+	if upstream.uploads[uploadStalled] == 0 {
+		return first, chosen, false
+	}
+	found := false
 	for ticket, request := range s.inFlight.All() {
 		if request.upstream != name || request.upload != uploadStalled {
 			continue
 		}
 		running, _ := upstream.runningByAccount.Get(request.account)
 		most, _ := upstream.runningByAccount.Get(chosen.account)
-		if chosen.upload != uploadStalled || cmp.Or(cmp.Compare(most, running), cmp.Compare(ticket, first)) < 0 {
-			first, chosen = ticket, request
+		if !found || cmp.Or(cmp.Compare(most, running), cmp.Compare(ticket, first)) < 0 {
+			first, chosen, found = ticket, request, true
 		}
 	}
-	return first, chosen
+	return first, chosen, found
 }
 
 // withUpload returns the upstream after the body of one of its requests has changed its
 // state.
 func (u UpstreamState) withUpload(last, next uploadState) UpstreamState {
-	count := func(state uploadState) int {
-		return boolToInt(next == state) - boolToInt(last == state)
-	}
-	u.stalledUploads += count(uploadStalled)
-	u.endedUploads += count(uploadEnded)
+	u.uploads[last]--
+	u.uploads[next]++
 	return u
 }
 
-func boolToInt(value bool) int {
-	if value {
-		return 1
-	}
-	return 0
-}
-
 // displaced returns the position of the waiting request that makes room in a full queue, or
 // -1: the last one of the account with the most of them, if the new request's account has
 // fewer and the request isn't less urgent.
--- a/core/bldeliver/upstream.go
+++ b/core/bldeliver/upstream.go
@@ -19,9 +19,8 @@
 	pacer        Pacer
 	running      int
 	queue        []Acquire
-	// stalledUploads and endedUploads count the running requests whose bodies stall, and
-	// those of them that have been cancelled.
-	stalledUploads, endedUploads int
+	// uploads counts the running requests by the state of their bodies.
+	uploads [uploadStates]int
 	// runningByAccount counts the running requests of each account.
 	runningByAccount bltable.Table[blvalue.AccountName, int]
 	// classLatencies holds the moving average latency of each request class.
@@ -125,6 +124,7 @@
 
 func (u UpstreamState) withRunning(account blvalue.AccountName, delta int) UpstreamState {
 	u.running += delta
+	u.uploads[uploadArriving] += delta
 	count, _ := u.runningByAccount.Get(account)
 	if count+delta <= 0 {
 		u.runningByAccount = u.runningByAccount.Without(account)
--- a/io/blbudget/holder.go
+++ b/io/blbudget/holder.go
@@ -72,12 +72,14 @@
 		return
 	}
 	now := int64(h.budget.clock.Now())
-	if last := blmemory.Phase(h.phase.Swap(int32(phase))); phase == blmemory.PhaseReading && last != phase {
+	if phase == blmemory.PhaseReading && h.phase.Load() != int32(phase) {
 		h.beganAt.Store(now)
 		h.arrived.Store(0)
 	}
 	h.arrivedAt.Store(now)
 	h.arrived.Add(int64(count))
+	// The phase comes last: with the times of the last request, a new one would seem slow.
+	h.phase.Store(int32(phase))
 }
 
 // ArrivedMore tells that more bytes have arrived in the same phase.
--- a/io/blhttp/response_writer.go
+++ b/io/blhttp/response_writer.go
@@ -24,6 +24,7 @@
 		target[name] = values
 	}
 	w.protocol.SetResponseHeader(target, w.requestID)
+	w.holder.Enter(blmemory.PhasePassed)
 	if !w.short() {
 		w.holder.Take(blmemory.KindResponse, responseBytes)
 	}
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -41,6 +41,8 @@
 		return a.noResponse(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	// A response that has begun isn't cut for a body that the upstream doesn't need.
+	body.stop()
 	if !blvalue.IsFinalStatus(response.StatusCode) {
 		return refused(invalidStatus(response.StatusCode)), bldeliver.ResultFailed
 	}
--- a/io/blupstream/upload.go
+++ b/io/blupstream/upload.go
@@ -43,6 +43,8 @@
 		return nil
 	}
 	u := &upload{body: body, report: report}
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.timer = time.AfterFunc(uploadCheckInterval, u.check)
 	return u
 }
@@ -76,7 +78,7 @@
 	}
 }
 
-// stop ends the looks.
+// stop ends the looks, and reports that the body doesn't stall any more.
 func (u *upload) stop() {
 	if u == nil {
 		return
@@ -85,6 +87,9 @@
 	defer u.mu.Unlock()
 	u.ended = true
 	u.timer.Stop()
+	if u.stalled {
+		u.stalled = !u.report(false)
+	}
 }
 
 // reportStall tells the delivery duty that the body has stalled or goes on.
