A response that isn't read ends with the timeout of its route

Callers saw: nothing yet; by reading, callers that don't read their response and say that they wait ten minutes hold a slot of its upstream for that time, beside a timeout of their route of a second. It is the same fault as that of final answers, in the other direction: the writes had the client's own limit.

Fix: once the route is known, the writes end half a second after its timeout, at which the upstream is given up anyway.

--- a/io/blhttp/attempts.go
+++ b/io/blhttp/attempts.go
@@ -17,6 +17,7 @@
 	call      Call
 	holder    *blbudget.Holder
 	writer    bldeliver.ResponseWriter
+	writes    writeLimit
 	account   blvalue.AccountName
 	startedAt time.Time
 	// lastAnswer is the latest answer of the routing duty, and attempts is the
@@ -33,8 +34,10 @@
 	a.account = answer.Account
 	if answer.Route.Timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, a.startedAt.Add(answer.Route.Timeout))
+		deadline := a.startedAt.Add(min(answer.Route.Timeout, a.call.Request.Timeout))
+		ctx, cancel = context.WithDeadline(ctx, deadline)
 		defer cancel()
+		a.writes.set(time.Until(deadline))
 	}
 	sent := 1
 	for attempt := 1; ; attempt++ {
--- a/io/blhttp/handler.go
+++ b/io/blhttp/handler.go
@@ -89,20 +89,20 @@
 	if call.Body.stream != nil {
 		blserver.LimitBody(r.Context(), call.Request.Timeout+writeGrace, 0)
 	}
-	endLimit := limitWrites(w, call.Request.Timeout+writeGrace)
+	writes := limitWrites(w, call.Request.Timeout)
 	ctx, cancel := context.WithTimeout(r.Context(), call.Request.Timeout)
 	defer cancel()
 	ctx, release := h.ending.Limit(ctx)
 	defer release()
 	ctx, span := h.tracer.Start(ctx, "entry", r.Header.Get(blheader.TraceParent), call.RequestID)
 	a := &activeRequest{
-		handler: h, call: call, holder: holder, startedAt: time.Now(),
+		handler: h, call: call, holder: holder, writes: writes, startedAt: time.Now(),
 		writer: callerWriter{writer: w, protocol: h.protocol, requestID: call.RequestID, holder: holder},
 	}
 	delivery, retryAfter := a.run(ctx)
 	span.With("service", string(call.Request.Service)).With("account", string(a.account)).End(delivery.Refusal)
 	h.complete(w, a, delivery, retryAfter)
-	endLimit()
+	writes.end()
 }
 
 func (h *Handler) refuseMalformed(w http.ResponseWriter, requestID string, err error) {
