blserver: the end of a request doesn't write what a watch may read

The race detector met it in TestUnreadResponseEndsWithItsRoute: when a handler ends by a panic, the goroutine that watches the connection may still use the state of the head, which the end of the request wrote. It now sets a flag that the next read of a head takes. Callers have seen nothing of it.

--- a/io/blhttp/handler_test.go
+++ b/io/blhttp/handler_test.go
@@ -70,7 +70,10 @@
 	defer func() { _ = connection.Close() }()
 	_, _ = io.WriteString(connection, "GET /pot/a/total HTTP/1.1\r\nHost: pots\r\nBergamotlead-Timeout: 5m\r\n\r\n")
 	select {
-	case <-ended:
+	case err := <-ended:
+		if err == nil {
+			t.Error("response that isn't read: got all of it written, want an error")
+		}
 	case <-time.After(wait):
 		t.Error("response that isn't read: got no end of its writes, want one")
 	}
--- a/io/blserver/connection.go
+++ b/io/blserver/connection.go
@@ -245,7 +245,7 @@
 // is another head, also if the end of the last one wasn't found. After a body that wasn't
 // read to its end nothing more is read.
 func (c *connection) endRequest(body *requestBody) {
-	c.head.complete = true
+	c.head.restarts.Store(true)
 	c.headShare = 0
 	c.holder.EndRequest()
 	if body.unfinished() {
--- a/io/blserver/head_reader.go
+++ b/io/blserver/head_reader.go
@@ -19,6 +19,9 @@
 	// once it has been read to its end.
 	lines, bytes int
 	complete     bool
+	// restarts is set if what is read next is another head, also if the end of the last
+	// one wasn't found. Another goroutine than that which reads sets it.
+	restarts atomic.Bool
 }
 
 // read fills the buffer from what was held back, or else from source. If splitting then
@@ -46,7 +49,7 @@
 // headLength returns the number of bytes up to the end of a head, or all of them if
 // none ends there.
 func (h *headReader) headLength(text []byte) int {
-	if h.complete {
+	if h.restarts.Swap(false) || h.complete {
 		h.lines, h.bytes, h.complete = 0, 0, false
 	}
 	for i, letter := range text {
