--- a/tests/uploads_test.go
+++ b/tests/uploads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -205,3 +206,44 @@
 		})
 	}
 }
+
+// TestSlowUploadIsServedInCalm guards against limits that end a slow client inside its
+// deadline although nobody needs what it holds: below and above the size that is kept for a
+// second attempt, with and without a length.
+func TestSlowUploadIsServedInCalm(t *testing.T) {
+	const pieces = 8
+	f := deployLimited(t, fewDescriptors)
+	for _, atOnceBytes := range []int{1, 100_000} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d bytes at once, chunked %t", atOnceBytes, chunked), func(t *testing.T) {
+				reader, writer := io.Pipe()
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost,
+					"http://"+f.Hosts[0].CallerAddress+"/pot/slow/contributions", reader)
+				if err != nil {
+					t.Fatalf("build request: %v", err)
+				}
+				request.Header.Set("Authorization", "Bearer "+f.ClientKeys[account])
+				request.Header.Set("Bergamotlead-Timeout", "1m")
+				if !chunked {
+					request.ContentLength = int64(atOnceBytes + pieces)
+				}
+				go func() {
+					_, _ = io.WriteString(writer, strings.Repeat("7", atOnceBytes))
+					for range pieces {
+						time.Sleep(2 * slowPiecePause)
+						_, _ = io.WriteString(writer, "7")
+					}
+					_ = writer.Close()
+				}()
+				response, err := http.DefaultClient.Do(request)
+				if err != nil {
+					t.Fatalf("send request: %v", err)
+				}
+				_ = response.Body.Close()
+				if got := response.StatusCode; got != http.StatusOK {
+					t.Errorf("status: got %d, want %d", got, http.StatusOK)
+				}
+			})
+		}
+	}
+}
