tests: one check for nodes beside a crowd

Six tests sampled the memory of nodes, checked that they live, and compared the peak each in its own words. watchHosts and endWatches do it, with the same bounds; tests that looked at the samples alone now look at the peak of resident memory as well.

--- a/tests/clients_test.go
+++ b/tests/clients_test.go
@@ -13,7 +13,6 @@
 	"golang.org/x/net/http2/hpack"
 
 	"bergamotlead/io/blgrpc/blproto"
-	"bergamotlead/tools/blfleet"
 )
 
 const (
@@ -226,24 +225,11 @@
 // node to which they are passed on, or the one that passes them on.
 func TestUploadsBetweenNodesStayWithinTheHosts(t *testing.T) {
 	f := deployLimitedHosts(t, 2, crowdDescriptors)
-	watches := map[*blfleet.Host]*memoryWatch{}
-	for _, host := range f.Hosts {
-		watches[host] = watchMemory(host.Node.PID())
-	}
+	watches := watchHosts(f.Hosts...)
 	run := f.startCrowd(crowd{name: "uploads", clients: 320, send: sendWholeBody}, f.Hosts[0])
 	run.awaitSent(t)
 	status, sent := f.awaitOrdinary(f.Hosts[0])
-	for _, host := range f.Hosts {
-		if host.Node.EndsWithin(0) {
-			t.Fatalf("process of %s: got exit code %d, want it alive", host.Spec.Name, host.Node.ExitCode())
-		}
-		after := usageOf(t, host.Node.PID())
-		t.Logf("%s: at most %d MB", host.Spec.Name, after.peakMB)
-		if after.peakMB > crowdMemoryMB {
-			t.Errorf("memory of %s: got %d MB, want at most %d MB", host.Spec.Name, after.peakMB, crowdMemoryMB)
-		}
-		watches[host].end(t, host.Spec.Name)
-	}
+	endWatches(t, watches)
 	run.end()
 	if status != http.StatusOK {
 		t.Errorf("ordinary request: got %d after %d attempts, want %d", status, sent, http.StatusOK)
@@ -257,23 +243,16 @@
 	f := deployLimited(t, crowdDescriptors)
 	host := f.Hosts[0]
 	f.setUpstreamFaults(host.Upstreams[0], map[string]any{"answer_bytes": 16 << 20})
-	memory := watchMemory(host.Node.PID())
+	watches := watchHosts(host)
 	run := f.startCrowd(crowd{name: "unread", clients: callers, send: func(c crowdClient) error {
 		return c.write(c.startLines() + "Content-Length: 1\r\n\r\n1")
 	}}, host)
 	descriptors := run.awaitSent(t)
 	f.setUpstreamFaults(host.Upstreams[0], map[string]any{"answer_bytes": 0})
 	status, sent := f.awaitOrdinary(host)
-	if host.Node.EndsWithin(0) {
-		t.Fatalf("process: got exit code %d, want it alive", host.Node.ExitCode())
-	}
-	after := usageOf(t, host.Node.PID())
-	memory.end(t, host.Spec.Name)
+	endWatches(t, watches)
 	run.end()
-	t.Logf("at most %d MB, at most %d descriptors, ordinary request: %d after %d attempts", after.peakMB, descriptors, status, sent)
-	if after.peakMB > crowdMemoryMB {
-		t.Errorf("memory: got %d MB, want at most %d MB", after.peakMB, crowdMemoryMB)
-	}
+	t.Logf("at most %d descriptors, ordinary request: %d after %d attempts", descriptors, status, sent)
 	if status != http.StatusOK {
 		t.Errorf("ordinary request: got %d, want %d", status, http.StatusOK)
 	}
--- a/tests/crowd_test.go
+++ b/tests/crowd_test.go
@@ -264,22 +264,15 @@
 	f := deployLimited(t, c.descriptors)
 	host := f.Hosts[0]
 	before := usageOf(t, host.Node.PID())
-	memory := watchMemory(host.Node.PID())
+	watches := watchHosts(host)
 	run := f.startCrowd(c, host)
 	descriptors := run.awaitSent(t)
 	status, sent := f.awaitOrdinary(host)
-	if host.Node.EndsWithin(0) {
-		t.Fatalf("process: got exit code %d, want it alive", host.Node.ExitCode())
-	}
-	memory.end(t, host.Spec.Name)
+	endWatches(t, watches)
 	descriptors = max(descriptors, openDescriptors(t, host.Node.PID()))
-	after := usageOf(t, host.Node.PID())
 	run.end()
-	t.Logf("%d MB before, at most %d MB, at most %d descriptors, %d connections closed, ordinary request: %d after %d attempts",
-		before.residentMB, after.peakMB, descriptors, run.closed.Load(), status, sent)
-	if after.peakMB > crowdMemoryMB {
-		t.Errorf("memory: got %d MB, want at most %d MB", after.peakMB, crowdMemoryMB)
-	}
+	t.Logf("%d MB before, at most %d descriptors, %d connections closed, ordinary request: %d after %d attempts",
+		before.residentMB, descriptors, run.closed.Load(), status, sent)
 	if descriptors > c.descriptors {
 		t.Errorf("descriptors: got %d, want at most %d", descriptors, c.descriptors)
 	}
--- a/tests/memory_test.go
+++ b/tests/memory_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"bergamotlead/tools/blfleet"
 )
 
 // sampleInterval is how often the memory of a process is read.
@@ -62,6 +64,36 @@
 	}
 }
 
+// hostWatch samples the memory of the node of a host.
+type hostWatch struct {
+	host   *blfleet.Host
+	memory *memoryWatch
+}
+
+// watchHosts samples the memory of the nodes of hosts until endWatches.
+func watchHosts(hosts ...*blfleet.Host) []hostWatch {
+	watches := make([]hostWatch, 0, len(hosts))
+	for _, host := range hosts {
+		watches = append(watches, hostWatch{host: host, memory: watchMemory(host.Node.PID())})
+	}
+	return watches
+}
+
+// endWatches stops the sampling and checks that each node lives and stayed within the
+// memory of its host.
+func endWatches(t *testing.T, watches []hostWatch) {
+	t.Helper()
+	for _, w := range watches {
+		if w.host.Node.EndsWithin(0) {
+			t.Fatalf("process of %s: got exit code %d, want it alive", w.host.Spec.Name, w.host.Node.ExitCode())
+		}
+		if got := usageOf(t, w.host.Node.PID()).peakMB; got > crowdMemoryMB {
+			t.Errorf("peak of resident memory of %s: got %d MB, want at most %d MB", w.host.Spec.Name, got, crowdMemoryMB)
+		}
+		w.memory.end(t, w.host.Spec.Name)
+	}
+}
+
 // end stops the sampling and checks that the process stayed within its memory.
 func (w *memoryWatch) end(t *testing.T, name string) {
 	t.Helper()
--- a/tests/uploads_test.go
+++ b/tests/uploads_test.go
@@ -11,7 +11,6 @@
 	"golang.org/x/net/http2"
 
 	"bergamotlead/core/blconfig"
-	"bergamotlead/tools/blfleet"
 )
 
 const (
@@ -79,15 +78,12 @@
 	t.Helper()
 	f := deployLimited(t, c.descriptors)
 	host := f.Hosts[0]
-	memory := watchMemory(host.Node.PID())
+	watches := watchHosts(host)
 	run := f.startCrowd(c, host)
 	time.Sleep(crowdHold)
 	status, sent := f.awaitOrdinary(host)
-	if host.Node.EndsWithin(0) {
-		t.Fatalf("process: got exit code %d, want it alive", host.Node.ExitCode())
-	}
+	endWatches(t, watches)
 	descriptors := openDescriptors(t, host.Node.PID())
-	memory.end(t, host.Spec.Name)
 	run.end()
 	t.Logf("%d descriptors, %d connections closed, ordinary request: %d after %d attempts", descriptors, run.closed.Load(), status, sent)
 	if descriptors > c.descriptors {
@@ -136,7 +132,7 @@
 	f := deployLimitedHosts(t, 2, fewDescriptors)
 	_, key := f.ownedBy(f.Hosts[1])
 	target := f.Hosts[1]
-	memory := watchMemory(target.Node.PID())
+	watches := watchHosts(target)
 	run := f.startCrowd(crowd{name: "slow_frames", clients: 200, nodes: true, returns: true, send: sendSlowFrames}, target)
 	time.Sleep(crowdHold)
 	f.Hosts[0].Node.Kill()
@@ -144,10 +140,7 @@
 		t.Fatalf("start node: %v", err)
 	}
 	status, sent := f.awaitOrdinaryTo(f.Hosts[0], key)
-	if target.Node.EndsWithin(0) {
-		t.Fatalf("process: got exit code %d, want it alive", target.Node.ExitCode())
-	}
-	memory.end(t, target.Spec.Name)
+	endWatches(t, watches)
 	run.end()
 	if status != http.StatusOK {
 		t.Errorf("ordinary request: got %d after %d attempts, want %d", status, sent, http.StatusOK)
@@ -185,20 +178,12 @@
 			_, key := f.ownedBy(f.Hosts[1])
 			_, other := f.ownedBy(f.Hosts[0])
 			f.setUpstreamFaults(f.Hosts[1].Upstreams[0], map[string]any{"slow_factor": slowFactor})
-			watches := map[*blfleet.Host]*memoryWatch{}
-			for _, host := range f.Hosts {
-				watches[host] = watchMemory(host.Node.PID())
-			}
+			watches := watchHosts(f.Hosts...)
 			crowd := crowd{name: "heads", clients: clients, returns: true, send: sendManyLines(key, lines)}
 			run := f.startCrowd(crowd, f.Hosts[0])
 			time.Sleep(crowdHold)
 			status, sent := f.awaitOrdinaryTo(f.Hosts[0], other)
-			for _, host := range f.Hosts {
-				if host.Node.EndsWithin(0) {
-					t.Fatalf("process of %s: got exit code %d, want it alive", host.Spec.Name, host.Node.ExitCode())
-				}
-				watches[host].end(t, host.Spec.Name)
-			}
+			endWatches(t, watches)
 			run.end()
 			if status != http.StatusOK {
 				t.Errorf("ordinary request: got %d after %d attempts, want %d", status, sent, http.StatusOK)
