--- a/io/blgrpc/idle_test.go
+++ b/io/blgrpc/idle_test.go
@@ -10,8 +10,8 @@
 // ownProcessEnv is set in a process that runs a single test.
 const ownProcessEnv = "BLGRPC_TEST_IN_OWN_PROCESS"
 
-// inOwnProcess reports whether the test runs in a process of its own. Otherwise it runs it
-// in one and fails with it.
+// inOwnProcess reports whether the test runs in a process of its own. Otherwise it runs the
+// test in one, and fails if that fails.
 func inOwnProcess(t *testing.T) bool {
 	t.Helper()
 	if os.Getenv(ownProcessEnv) != "" {
