A reset during an upload doesn't make a response without a length whole

Callers saw a part of a response as a complete one: the upstream answered a long upload at once with a 200 without a length, sent some bytes and reset the connection while the upload was still being written.

Cause: the system reports the reset of a connection once. The goroutine that writes the request took the report, and the one that reads the response then saw an orderly end, by which a response without a length is whole. The same held at the store's transport, where an empty 200 made a lease pass for renewed and a key for absent, and in bergamotctl.

Connections to upstreams, to the store and to nodes are now those of blresponse.Dial. They remember what the system reported to a write, under a lock that is held during each call of the system, so that a read that sees an end waits for the report of the call before it. A loss makes every further read a BrokenError. EPIPE is no loss: a write gets it where the peer ended its side in order before. A request whose response broke before anything was passed on has an unknown outcome; what a caller has begun to get is cut short.

Evidence: in the tests, the writer is held where it has met the reset and has told nobody.

--- a/cmd/bergamotctl/client.go
+++ b/cmd/bergamotctl/client.go
@@ -7,10 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
 	"time"
+
+	"bergamotlead/io/blresponse"
 )
 
 // Exit codes.
@@ -20,7 +23,10 @@
 	exitUnknown  = 4
 )
 
-const callTimeout = 30 * time.Second
+const (
+	callTimeout    = 30 * time.Second
+	connectTimeout = 10 * time.Second
+)
 
 // client calls the operators' interface of a node.
 type client struct {
@@ -33,7 +39,16 @@
 func newClient(args arguments) *client {
 	return &client{
 		base: "http://" + args.Node, tokenFile: args.TokenFile, json: args.Output == "json",
-		http: &http.Client{Timeout: callTimeout},
+		http: &http.Client{Timeout: callTimeout, Transport: newTransport()},
+	}
+}
+
+func newTransport() http.RoundTripper {
+	return &http.Transport{
+		Proxy: http.ProxyFromEnvironment,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return blresponse.Dial(ctx, &net.Dialer{Timeout: connectTimeout}, network, address)
+		},
 	}
 }
 
--- a/io/blstore/transport.go
+++ b/io/blstore/transport.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bergamotlead/core/blplatform"
+	"bergamotlead/io/blresponse"
 )
 
 const (
@@ -53,7 +54,9 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return blresponse.Dial(ctx, dialer, network, address)
+		},
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
 
--- a/io/blupstream/connection.go
+++ b/io/blupstream/connection.go
@@ -13,11 +13,13 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bergamotlead/io/blresponse"
 )
 
 // connection is a connection to an upstream. It carries one request at a time.
 type connection struct {
-	net.Conn
+	*blresponse.Conn
 
 	reader  *bufio.Reader
 	limit   *io.LimitedReader
@@ -38,9 +40,7 @@
 // reset closes the connection and discards what was written and has not reached the
 // upstream's host.
 func (c *connection) reset() {
-	if conn, ok := c.Conn.(*net.TCPConn); ok {
-		_ = conn.SetLinger(0)
-	}
+	_ = c.TCP().SetLinger(0)
 	c.close()
 }
 
@@ -87,23 +87,18 @@
 // which it has seen fast reads.
 const receiveBufferBytes = 32 << 10
 
-// dialBounded returns a function that connects to an upstream, with a bounded receive
-// buffer.
-func dialBounded(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, fmt.Errorf("connect to upstream: %w", err)
-		}
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetReadBuffer(receiveBufferBytes)
-		}
-		return conn, nil
+// dialBounded connects to an upstream, with a bounded receive buffer.
+func dialBounded(ctx context.Context, dialer *net.Dialer, address string) (*blresponse.Conn, error) {
+	conn, err := blresponse.Dial(ctx, dialer, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to upstream: %w", err)
 	}
+	_ = conn.TCP().SetReadBuffer(receiveBufferBytes)
+	return conn, nil
 }
 
 func dial(ctx context.Context, address string) (*connection, error) {
-	conn, err := dialBounded(&net.Dialer{Timeout: connectTimeout})(ctx, "tcp", address)
+	conn, err := dialBounded(ctx, &net.Dialer{Timeout: connectTimeout}, address)
 	if err != nil {
 		return nil, err
 	}
--- a/io/blupstream/idle.go
+++ b/io/blupstream/idle.go
@@ -12,11 +12,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := conn.SyscallConn()
+	raw, err := c.TCP().SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -68,7 +68,10 @@
 func NewTransport() *http.Transport {
 	return &http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: transportIdleTimeout, DisableCompression: true,
-		MaxResponseHeaderBytes: maxHeaderBytes, DialContext: dialBounded(&net.Dialer{}),
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return dialBounded(ctx, &net.Dialer{}, address)
+		},
 	}
 }
 
--- /dev/null
+++ b/io/blupstream/reset_test.go
@@ -0,0 +1,143 @@
+package blupstream
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotlead/core/blvalue"
+	"bergamotlead/standin/blbroken"
+)
+
+// startBroken starts a server that sends a text and ends its connections.
+func startBroken(t *testing.T, text string, ending blbroken.Ending) *blbroken.Server {
+	t.Helper()
+	server, err := blbroken.Start(text, ending)
+	if err != nil {
+		t.Fatalf("start server: %v", err)
+	}
+	t.Cleanup(server.Close)
+	return server
+}
+
+// bothTransports are the transports by which a node reads the responses of upstreams.
+var bothTransports = map[string]func() http.RoundTripper{
+	"pool":      func() http.RoundTripper { return NewPool(idField) },
+	"transport": func() http.RoundTripper { return NewTransport() },
+}
+
+// unframedHeads are heads of responses without a length.
+var unframedHeads = map[string]string{
+	"HTTP/1.1":          "HTTP/1.1 200 OK\r\n" + idField + ": $ID\r\n\r\n",
+	"connection closes": "HTTP/1.1 200 OK\r\n" + idField + ": $ID\r\nConnection: close\r\n\r\n",
+	"HTTP/1.0":          "HTTP/1.0 200 OK\r\n" + idField + ": $ID\r\n\r\n",
+	"status 500":        "HTTP/1.1 500 Internal Server Error\r\n" + idField + ": $ID\r\n\r\n",
+}
+
+// sendUpload sends a request through transport and returns the body of its response.
+func sendUpload(t *testing.T, transport http.RoundTripper, address string) (string, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatalf("build request: %v", err)
+	}
+	request.Header.Set(idField, "id")
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		t.Fatalf("send request: %v", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+// TestResetDuringUpload guards against a response without a length that passes for whole
+// although its connection was reset. The system reports a reset once. If the writer of the
+// request gets the report, the reader of the response sees an orderly end.
+func TestResetDuringUpload(t *testing.T) {
+	for name, newTransport := range bothTransports {
+		for kind, head := range unframedHeads {
+			for _, size := range []int{0, 10, 100_000} {
+				t.Run(name+", "+kind+", "+strconv.Itoa(size)+" bytes", func(t *testing.T) {
+					server := startBroken(t, head+strings.Repeat("x", size), blbroken.EndReset)
+					body, err := sendUpload(t, blbroken.NewWriterFirst(newTransport(), server), server.Address())
+					if err == nil {
+						t.Errorf("body: got %d bytes as a whole response, want an error", len(body))
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestResetDuringUploadIsNoAnswer guards against the same response where it reaches a caller,
+// before anything has been passed on and after.
+func TestResetDuringUploadIsNoAnswer(t *testing.T) {
+	cases := []struct {
+		name    string
+		size    int
+		outcome blvalue.Outcome
+		started bool
+	}{
+		{"short response", 10, blvalue.OutcomeUnknown, false},
+		{"long response", copyBytes + 1, blvalue.OutcomePartial, true},
+	}
+	for name, newTransport := range bothTransports {
+		for _, c := range cases {
+			t.Run(name+", "+c.name, func(t *testing.T) {
+				server := startBroken(t, unframedHeads["HTTP/1.1"]+strings.Repeat("x", c.size), blbroken.EndReset)
+				delivery, _ := deliverWithin(t, 10*time.Second, blbroken.NewWriterFirst(newTransport(), server), server.Address())
+				if delivery.Refusal == nil {
+					t.Fatal("refusal: got none, want one")
+				}
+				if got, want := delivery.Refusal.Outcome, c.outcome; got != want {
+					t.Errorf("outcome: got %s, want %s", got, want)
+				}
+				if got, want := delivery.Refusal.Reason, blvalue.ReasonUpstreamFailed; got != want {
+					t.Errorf("reason: got %s, want %s", got, want)
+				}
+				if got, want := delivery.Started, c.started; got != want {
+					t.Errorf("started: got %v, want %v", got, want)
+				}
+			})
+		}
+	}
+}
+
+// TestOrderlyEndDuringUpload checks that a response without a length is whole if the server
+// ends its side in order while the request is still being written, whatever becomes of the
+// request.
+func TestOrderlyEndDuringUpload(t *testing.T) {
+	const size = 100_000
+	for name, newTransport := range bothTransports {
+		for kind, head := range unframedHeads {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				server := startBroken(t, head+strings.Repeat("x", size), blbroken.EndInOrder)
+				server.End()
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+server.Address()+"/x", endlessBody{})
+				if err != nil {
+					t.Fatalf("build request: %v", err)
+				}
+				request.ContentLength = -1
+				request.Header.Set(idField, "id")
+				response, err := newTransport().RoundTrip(request)
+				if err != nil {
+					t.Fatalf("send request: %v", err)
+				}
+				defer func() { _ = response.Body.Close() }()
+				body, err := io.ReadAll(response.Body)
+				if len(body) != size || err != nil {
+					t.Errorf("body: got %d bytes, %v, want %d bytes and no error", len(body), err, size)
+				}
+			})
+		}
+	}
+}
+
+// endlessBody is the body of a request that never ends.
+type endlessBody struct{}
+
+func (endlessBody) Read(buffer []byte) (int, error) { return len(buffer), nil }
--- a/io/blupstream/response.go
+++ b/io/blupstream/response.go
@@ -10,6 +10,7 @@
 
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blresponse"
 )
 
 // forward forwards a response to the writer. A body of up to copyBytes is read
@@ -21,9 +22,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, copyBytes+1))
 	if err != nil {
-		delivery := a.truncated(ctx)
-		delivery.Started = false
-		return delivery, bldeliver.ResultFailed
+		return a.unreadable(ctx, err), bldeliver.ResultFailed
 	}
 	if len(body) > copyBytes || len(response.Trailer) > 0 {
 		return a.stream(ctx, response, body)
@@ -79,6 +78,22 @@
 	return bldeliver.Delivery{Started: true}, bldeliver.ResultAnswered
 }
 
+// unreadable returns the delivery of a response of which nothing was passed on when
+// reading it failed.
+func (a *attempt) unreadable(ctx context.Context, err error) bldeliver.Delivery {
+	if blresponse.FaultOf(err) != "" && ctx.Err() == nil {
+		return refused(brokenResponse(err))
+	}
+	delivery := a.truncated(ctx)
+	delivery.Started = false
+	return delivery
+}
+
+// brokenResponse returns the refusal of a request whose response was broken. It may have run.
+func brokenResponse(err error) *blvalue.Refusal {
+	return blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "the upstream did not answer: "+err.Error())
+}
+
 // truncated returns the delivery of a response that was cut short.
 func (a *attempt) truncated(ctx context.Context) bldeliver.Delivery {
 	reason := blvalue.ReasonUpstreamFailed
