A response with an invalid field name is no answer

Callers got responses in whose head the name of a field held a blank, such as "Bad Name: x" or "Content-Length : 2": with the line passed on, or with another body than the upstream meant. Orders with such a response counted as carried out, the store's as whole, and connections were used again after them.

Cause: net/http takes a name with a blank as it is, in a final head, one before it and a trailer. So "Content-Length : 2" sets no length and "Transfer-Encoding : chunked" no chunks, while other readers drop the blank. Control bytes and other characters were refused already.

The check of names stands once, in blresponse, as a BrokenError with its fault. Pool and sequences read by blresponse.ReadResponse, and what uses net/http's transport (requests to native upstreams, their grants, the store, bergamotctl) goes through blresponse.Transport. net/http may give a connection to the next request before a head or a trailer has been looked at, so that request waits until it has. The answer of another node is checked as well. The store's era is taken only from a response that was read to its end.

--- a/cmd/bergamotctl/client.go
+++ b/cmd/bergamotctl/client.go
@@ -44,12 +44,12 @@
 }
 
 func newTransport() http.RoundTripper {
-	return &http.Transport{
+	return blresponse.NewTransport(&http.Transport{
 		Proxy: http.ProxyFromEnvironment,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return blresponse.Dial(ctx, &net.Dialer{Timeout: connectTimeout}, network, address)
 		},
-	}
+	})
 }
 
 // responseError reports an HTTP response with a status of 300 or above.
--- a/io/blgrpc/deliver.go
+++ b/io/blgrpc/deliver.go
@@ -16,6 +16,7 @@
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blgrpc/blproto"
+	"bergamotlead/io/blresponse"
 )
 
 // Deliver forwards an order to the node of its target and passes the answer to
@@ -129,15 +130,23 @@
 			if code := int(part.Head.GetStatus()); !blvalue.IsFinalStatus(code) {
 				return bldeliver.Delivery{Refusal: invalidAnswer(code)}
 			}
+			header := c.headers.fromProto(part.Head.GetHeader())
+			if err := blresponse.CheckFields(header); err != nil {
+				return bldeliver.Delivery{Refusal: brokenAnswer(err)}
+			}
 			started = true
 			if part.Head.GetWhole() {
-				return c.passSingleFrame(part.Head, writer)
+				return passSingleFrame(part.Head, header, writer)
 			}
-			err = writer.WriteHeader(int(part.Head.GetStatus()), c.headers.fromProto(part.Head.GetHeader()))
+			err = writer.WriteHeader(int(part.Head.GetStatus()), header)
 		case *blproto.DeliverReply_Body:
 			_, err = writer.Write(part.Body)
 		case *blproto.DeliverReply_Trailer:
-			err = writer.WriteTrailer(c.headers.fromProto(part.Trailer.GetFields()))
+			trailer := c.headers.fromProto(part.Trailer.GetFields())
+			if err := blresponse.CheckFields(trailer); err != nil {
+				return cutShort(blvalue.ReasonUpstreamFailed, "the answer was cut short: "+err.Error())
+			}
+			err = writer.WriteTrailer(trailer)
 		case *blproto.DeliverReply_Refusal:
 			return deliveryFromProto(part.Refusal)
 		case *blproto.DeliverReply_Done:
@@ -150,8 +159,7 @@
 }
 
 // passSingleFrame passes an answer that arrived as a single frame to writer.
-func (c *Client) passSingleFrame(head *blproto.AnswerHead, writer bldeliver.ResponseWriter) bldeliver.Delivery {
-	header := c.headers.fromProto(head.GetHeader())
+func passSingleFrame(head *blproto.AnswerHead, header map[string][]string, writer bldeliver.ResponseWriter) bldeliver.Delivery {
 	header[contentLengthField] = []string{strconv.Itoa(len(head.GetBody()))}
 	if err := writer.WriteHeader(int(head.GetStatus()), header); err != nil {
 		return callerDisconnected(true)
@@ -171,6 +179,19 @@
 	return blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, fmt.Sprintf("the owner's node answered with the invalid status %03d", status))
 }
 
+// brokenAnswer returns the refusal of an order whose answer is broken. The request may have
+// run.
+func brokenAnswer(err error) *blvalue.Refusal {
+	return blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "the owner's node did not answer: "+err.Error())
+}
+
+// cutShort returns the delivery of an answer of which a part has reached the caller.
+func cutShort(reason blvalue.RefusalReason, detail string) bldeliver.Delivery {
+	return bldeliver.Delivery{
+		Refusal: &blvalue.Refusal{Outcome: blvalue.OutcomePartial, Reason: reason, Detail: detail}, Started: true,
+	}
+}
+
 func callerDisconnected(started bool) bldeliver.Delivery {
 	return bldeliver.Delivery{
 		Refusal: &blvalue.Refusal{
@@ -194,12 +215,7 @@
 // certain that the order never left this node.
 func streamFailure(ctx context.Context, err error, started bool) bldeliver.Delivery {
 	if started {
-		return bldeliver.Delivery{
-			Refusal: &blvalue.Refusal{
-				Outcome: blvalue.OutcomePartial, Reason: blvalue.ReasonUnreachable, Detail: "the answer was cut short",
-			},
-			Started: true,
-		}
+		return cutShort(blvalue.ReasonUnreachable, "the answer was cut short")
 	}
 	if isConnectFailure(err) {
 		return notSent(err)
--- a/io/blresponse/conn.go
+++ b/io/blresponse/conn.go
@@ -20,6 +20,11 @@
 
 	tcp *net.TCPConn
 	raw syscall.RawConn
+
+	// exchange is locked while the response to a request on this connection may still
+	// turn out to be broken. Only Transport uses it.
+	exchange sync.Mutex
+
 	// mu is locked during each call of the system that writes: a read that sees an end
 	// waits for what the call before it reported.
 	mu sync.Mutex
--- a/io/blstore/reset_test.go
+++ b/io/blstore/reset_test.go
@@ -32,14 +32,10 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			server, err := blbroken.Start(c.text, blbroken.EndReset)
-			if err != nil {
-				t.Fatalf("start server: %v", err)
-			}
-			t.Cleanup(server.Close)
+			server := startBroken(t, c.text, blbroken.EndReset)
 			client := New(server.Address())
 			client.transport.client.Transport = blbroken.NewWriterFirst(client.transport.client.Transport, server)
-			err = c.call(client)
+			err := c.call(client)
 			if got, want := blresponse.FaultOf(err), blresponse.FaultReset; got != want {
 				t.Errorf("fault: got %q (%v), want %q", got, err, want)
 			}
--- a/io/blstore/transport.go
+++ b/io/blstore/transport.go
@@ -53,7 +53,7 @@
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
-	transport := &http.Transport{
+	transport := blresponse.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return blresponse.Dial(ctx, dialer, network, address)
 		},
@@ -61,7 +61,7 @@
 		IdleConnTimeout:     time.Minute,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 	return &Transport{base: "http://" + address, client: &http.Client{Transport: transport}, eras: eraReader{header: eraHeader}}
 }
 
@@ -205,19 +205,28 @@
 		return Response{}, nil, fmt.Errorf("call store: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	era := t.eras.read(response.Header)
-	if response.ContentLength > e.limit {
-		return Response{}, nil, TooLargeError{Limit: e.limit}
+	body, err := readBody(response, e.limit, progress)
+	if err != nil && !errors.As(err, &TooLargeError{}) {
+		// The head of a response that breaks off counts for nothing.
+		return Response{}, nil, err
+	}
+	return Response{Status: response.StatusCode, Era: t.eras.read(response.Header)}, body, err
+}
+
+// readBody reads a body of at most limit bytes. It restarts progress whenever data arrives.
+func readBody(response *http.Response, limit int64, progress *time.Timer) ([]byte, error) {
+	if response.ContentLength > limit {
+		return nil, TooLargeError{Limit: limit}
 	}
 	progress.Reset(progressTimeout)
-	body, err := io.ReadAll(progressReader{reader: io.LimitReader(response.Body, e.limit+1), progress: progress})
+	body, err := io.ReadAll(progressReader{reader: io.LimitReader(response.Body, limit+1), progress: progress})
 	if err != nil {
-		return Response{}, nil, fmt.Errorf("read answer: %w", err)
+		return nil, fmt.Errorf("read answer: %w", err)
 	}
-	if int64(len(body)) > e.limit {
-		return Response{}, nil, TooLargeError{Limit: e.limit}
+	if int64(len(body)) > limit {
+		return nil, TooLargeError{Limit: limit}
 	}
-	return Response{Status: response.StatusCode, Era: era}, body, nil
+	return body, nil
 }
 
 // progressReader restarts a timer whenever data arrives.
--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blresponse"
 )
 
 const (
@@ -65,14 +66,14 @@
 
 // NewTransport returns an HTTP transport for upstreams that answer the requests of a
 // connection in order.
-func NewTransport() *http.Transport {
-	return &http.Transport{
+func NewTransport() *blresponse.Transport {
+	return blresponse.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: transportIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return dialBounded(ctx, &net.Dialer{}, address)
 		},
-	}
+	})
 }
 
 // NewPool returns an empty pool that matches responses to requests by the header
@@ -129,12 +130,12 @@
 func (p *Pool) readResponse(c *connection, request *http.Request) (*http.Response, error) {
 	for range maxSkippedResponses {
 		c.limit.N = p.maxHeader
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := blresponse.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, err //nolint:wrapcheck // wrapped by the caller
 		}
 		c.limit.N = math.MaxInt64
-		if isInterim(response.StatusCode) {
+		if blresponse.IsInterim(response.StatusCode) {
 			continue
 		}
 		if !blvalue.IsFinalStatus(response.StatusCode) {
--- a/io/blupstream/sequence.go
+++ b/io/blupstream/sequence.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"bergamotlead/io/blresponse"
 )
 
 // confirmTimeout is how long an upstream may take to close the connection of a
@@ -65,9 +67,9 @@
 		return SequenceResponse{}, fmt.Errorf("write request: %w", err)
 	}
 	s.connection.limit.N = maxSequenceBytes
-	response, err := http.ReadResponse(s.connection.reader, request)
+	response, err := blresponse.ReadResponse(s.connection.reader, request)
 	if err != nil {
-		return SequenceResponse{}, fmt.Errorf("read response: %w", err)
+		return SequenceResponse{}, err //nolint:wrapcheck // the error says what was read
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := DiscardShort(response.Body); err != nil {
--- a/io/blupstream/status.go
+++ b/io/blupstream/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 
 	"bergamotlead/core/blvalue"
 )
@@ -17,12 +16,6 @@
 	return fmt.Sprintf("the upstream answered with the invalid status %03d", e.Status)
 }
 
-// isInterim reports whether a response precedes the final one. No request asks for
-// another protocol, so 101 is not expected.
-func isInterim(status int) bool {
-	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
-}
-
 // invalidStatus returns the refusal of a request that was answered with an invalid status.
 // It may have run.
 func invalidStatus(status int) *blvalue.Refusal {
