A response with an invalid status is no answer of the store or of a node either

The store's transport passed a response of status 000 on as an answer: a new, renewed or ended lease then counted as refused although the store may have done it, and the era of such a head counted. bergamotctl took it for success. A grant to a native upstream counted as taken. After 600 and 999 the connection of net/http's transport to an upstream was used again.

Cause: only the pool and the delivery looked at the status. The check now stands once, in blresponse.CheckHead, where responses are read; the one of another node's answer calls it too. A change by bergamotctl that may have reached a node and got no answer that can be read ends with exit code 4, unknown, as OPERATIONS.md says of unknown outcomes, and no longer with 1.

--- a/cmd/bergamotctl/client.go
+++ b/cmd/bergamotctl/client.go
@@ -63,7 +63,34 @@
 	return fmt.Sprintf("the node answered %d: %s", e.status, strings.TrimSpace(e.text))
 }
 
+// unansweredError reports a change that the node may have made without an answer that could
+// be read.
+type unansweredError struct {
+	cause error
+}
+
+// Error implements error.
+func (e unansweredError) Error() string {
+	return "unknown: " + e.cause.Error() + "; look before you try again"
+}
+
+// Unwrap returns the reason why there is no answer.
+func (e unansweredError) Unwrap() error { return e.cause }
+
+// unanswered returns the error of a call without an answer. It is an unansweredError for a
+// change that may have reached the node.
+func unanswered(method string, err error) error {
+	var operation *net.OpError
+	if method == http.MethodGet || errors.As(err, &operation) && operation.Op == "dial" {
+		return err
+	}
+	return unansweredError{cause: err}
+}
+
 func exitCode(err error) int {
+	if errors.As(err, &unansweredError{}) {
+		return exitUnknown
+	}
 	var change changeError
 	if errors.As(err, &change) {
 		return change.exitCode()
@@ -101,16 +128,16 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return fmt.Errorf("call node: %w", err)
+		return unanswered(method, fmt.Errorf("call node: %w", err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	if err != nil {
-		return fmt.Errorf("read answer: %w", err)
+		return unanswered(method, fmt.Errorf("read answer: %w", err))
 	}
 	if into != nil && strings.HasPrefix(response.Header.Get("Content-Type"), "application/json") {
 		if err := json.Unmarshal(text, into); err != nil {
-			return fmt.Errorf("decode answer: %w", err)
+			return unanswered(method, fmt.Errorf("decode answer: %w", err))
 		}
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
--- a/io/blgrpc/deliver.go
+++ b/io/blgrpc/deliver.go
@@ -127,11 +127,8 @@
 		}
 		switch part := frame.GetPart().(type) {
 		case *blproto.DeliverReply_Head:
-			if code := int(part.Head.GetStatus()); !blvalue.IsFinalStatus(code) {
-				return bldeliver.Delivery{Refusal: invalidAnswer(code)}
-			}
 			header := c.headers.fromProto(part.Head.GetHeader())
-			if err := blresponse.CheckFields(header); err != nil {
+			if err := blresponse.CheckHead(int(part.Head.GetStatus()), header); err != nil {
 				return bldeliver.Delivery{Refusal: brokenAnswer(err)}
 			}
 			started = true
@@ -173,12 +170,6 @@
 	return bldeliver.Delivery{Started: true, Load: loadFromProto(head.GetLoad())}
 }
 
-// invalidAnswer returns the refusal of an order whose answer has no valid status. The
-// request may have run.
-func invalidAnswer(status int) *blvalue.Refusal {
-	return blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, fmt.Sprintf("the owner's node answered with the invalid status %03d", status))
-}
-
 // brokenAnswer returns the refusal of an order whose answer is broken. The request may have
 // run.
 func brokenAnswer(err error) *blvalue.Refusal {
--- a/io/blresponse/body.go
+++ b/io/blresponse/body.go
@@ -25,7 +25,10 @@
 // checkResponse returns a BrokenError for a response with a broken head, of which the names
 // are a part that it announces for the trailer.
 func checkResponse(response *http.Response) error {
-	if err := CheckFields(response.Header); err != nil {
+	if IsInterim(response.StatusCode) {
+		return CheckFields(response.Header)
+	}
+	if err := CheckHead(response.StatusCode, response.Header); err != nil {
 		return err
 	}
 	return CheckFields(response.Trailer)
--- a/io/blresponse/verdict.go
+++ b/io/blresponse/verdict.go
@@ -10,6 +10,8 @@
 	"net/textproto"
 
 	"golang.org/x/net/http/httpguts"
+
+	"bergamotlead/core/blvalue"
 )
 
 // Fault is what makes a response broken.
@@ -17,6 +19,8 @@
 
 // Values of Fault.
 const (
+	// FaultStatus means that the status is not one that ends a request.
+	FaultStatus Fault = "invalid_status"
 	// FaultFieldName means that the name of a field in a head or a trailer is no token
 	// of HTTP. Another reader of the response may see another field, such as another
 	// length of the body.
@@ -70,6 +74,15 @@
 	return err
 }
 
+// CheckHead returns a BrokenError for the head of a final response that has an invalid
+// status or an invalid field.
+func CheckHead(status int, fields map[string][]string) error {
+	if !blvalue.IsFinalStatus(status) {
+		return BrokenError{Fault: FaultStatus, Detail: fmt.Sprintf("status %03d", status)}
+	}
+	return CheckFields(fields)
+}
+
 // maxQuotedBytes limits how much of a field name is quoted in an error.
 const maxQuotedBytes = 64
 
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -12,6 +12,7 @@
 	"bergamotlead/core/bldeliver"
 	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blheader"
+	"bergamotlead/io/blresponse"
 	"bergamotlead/io/bltrace"
 )
 
@@ -43,9 +44,6 @@
 	defer func() { _ = response.Body.Close() }()
 	// A response that has begun isn't cut for a body that the upstream doesn't need.
 	body.stop()
-	if !blvalue.IsFinalStatus(response.StatusCode) {
-		return refused(invalidStatus(response.StatusCode)), bldeliver.ResultFailed
-	}
 	a.report = a.deliverer.protocol.Report(response.Header)
 	if rejection := a.deliverer.protocol.Rejection(response); rejection != RejectionNone {
 		discard(response.Body, func() { _ = response.Body.Close() })
@@ -133,5 +131,8 @@
 	if !a.connected.Load() {
 		return refused(blvalue.NotRun(reason, "no connection to the upstream: "+err.Error())), result
 	}
+	if reason == blvalue.ReasonUpstreamFailed && blresponse.FaultOf(err) != "" {
+		return refused(brokenResponse(err)), result
+	}
 	return refused(blvalue.UnknownOutcome(reason, "the upstream did not answer")), result
 }
--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blresponse"
 )
 
@@ -138,9 +137,6 @@
 		if blresponse.IsInterim(response.StatusCode) {
 			continue
 		}
-		if !blvalue.IsFinalStatus(response.StatusCode) {
-			return nil, InvalidStatusError{Status: response.StatusCode}
-		}
 		if !p.mismatched(c, request, response) {
 			return response, nil
 		}
--- a/io/blupstream/status_test.go
+++ b/io/blupstream/status_test.go
@@ -4,8 +4,13 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
+	"bergamotlead/core/blgrant"
+	"bergamotlead/core/blmember"
+	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
+	"bergamotlead/standin/blbroken"
 )
 
 // statusText is a response with the given status line, whose body looks like a response to
@@ -79,3 +84,37 @@
 		})
 	}
 }
+
+// TestInvalidStatusEndsConnectionOfTransport guards against a second request on a connection
+// of net/http's transport that had a response with an invalid status.
+func TestInvalidStatusEndsConnectionOfTransport(t *testing.T) {
+	for _, status := range blbroken.InvalidStatuses() {
+		t.Run(status, func(t *testing.T) {
+			server := startBroken(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n", blbroken.KeepOpen)
+			transport := NewTransport()
+			for range 2 {
+				if delivery, _ := deliverWithin(t, faultTimeout, transport, server.Address()); delivery.Refusal == nil {
+					t.Error("refusal: got none, want one")
+				}
+			}
+			if got, want := server.Connections(), 2; got != want {
+				t.Errorf("connections: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// TestInvalidStatusIsNoAnswerToGrant guards against a response to a grant whose status ends
+// no request.
+func TestInvalidStatusIsNoAnswerToGrant(t *testing.T) {
+	for _, status := range blbroken.InvalidStatuses() {
+		t.Run(status, func(t *testing.T) {
+			server := startBroken(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n", blbroken.KeepOpen)
+			clock := bltimer.NewSystem()
+			received := NewReceivedAnnouncement(clock, blmember.Announcement{Address: server.Address()})
+			if err := NewGrantSender(clock).Send(blgrant.Grant{Until: clock.Now().Add(time.Second)}, received); err == nil {
+				t.Error("grant: got an answer, want an error")
+			}
+		})
+	}
+}
--- a/standin/blbroken/fields.go
+++ b/standin/blbroken/fields.go
@@ -36,3 +36,8 @@
 	}
 	return responses
 }
+
+// InvalidStatuses returns statuses, with their texts, that end no request.
+func InvalidStatuses() []string {
+	return []string{"000 ", "000 OK", "007 Odd", "099 Odd", "101 Switching Protocols", "600 Odd", "999 Odd", "+20 Odd"}
+}
