A response that has arrived isn't lost with the rest of the request

A caller got no answer although a whole response with a length had arrived: the upstream answered an upload early and reset the connection.

Cause: the goroutine of the pool that writes the request closed the connection when a write met its loss, and what had arrived and was not read yet was gone. Now it closes the connection only if the request itself can't be read. The reader finds the loss after what has arrived, and the length decides.

--- a/io/blupstream/connection.go
+++ b/io/blupstream/connection.go
@@ -50,6 +50,8 @@
 	connection *connection
 	request    *http.Request
 	done       chan error
+	// lost is set when the connection takes no more of the request.
+	lost bool
 }
 
 func (w *requestWriter) start() {
@@ -61,17 +63,26 @@
 }
 
 func (w *requestWriter) run() {
-	buffer := bufio.NewWriter(w.connection)
+	buffer := bufio.NewWriter(w)
 	err := w.request.Write(buffer)
 	if err == nil {
 		err = buffer.Flush()
 	}
-	if err != nil {
+	// The reader finds the end of a lost connection itself, after what has arrived: that
+	// may be a whole response.
+	if err != nil && !w.lost {
 		w.connection.close()
 	}
 	w.done <- err
 }
 
+// Write implements io.Writer.
+func (w *requestWriter) Write(part []byte) (int, error) {
+	count, err := w.connection.Write(part)
+	w.lost = w.lost || err != nil
+	return count, err //nolint:wrapcheck // wrapped by the writer of the request
+}
+
 // written reports whether the whole request has been written without an error.
 func (w *requestWriter) written() bool {
 	select {
--- a/io/blupstream/reset_test.go
+++ b/io/blupstream/reset_test.go
@@ -1,6 +1,7 @@
 package blupstream
 
 import (
+	"bufio"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,6 +10,7 @@
 	"time"
 
 	"bergamotlead/core/blvalue"
+	"bergamotlead/io/blresponse"
 	"bergamotlead/standin/blbroken"
 )
 
@@ -141,3 +143,37 @@
 type endlessBody struct{}
 
 func (endlessBody) Read(buffer []byte) (int, error) { return len(buffer), nil }
+
+// TestLostWriteLeavesResponse guards against a response that has arrived, and that is lost
+// because the rest of the request met the reset of the connection.
+func TestLostWriteLeavesResponse(t *testing.T) {
+	// More than the reader of the connection buffers.
+	whole := strings.Repeat("x", 20_000)
+	server := startBroken(t, "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n"+whole, blbroken.EndReset)
+	c, err := dial(t.Context(), server.Address())
+	if err != nil {
+		t.Fatalf("connect: %v", err)
+	}
+	defer c.close()
+	if _, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100000000\r\n\r\n"); err != nil {
+		t.Fatalf("write head: %v", err)
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		t.Fatalf("read: %v", err)
+	}
+	server.End()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+server.Address()+"/x", endlessBody{})
+	if err != nil {
+		t.Fatalf("build request: %v", err)
+	}
+	(&requestWriter{connection: c, request: request, done: make(chan error, 1)}).run()
+	response, err := blresponse.ReadResponse(bufio.NewReader(c.reader), request)
+	if err != nil {
+		t.Fatalf("response: got %v, want it", err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if len(body) != len(whole) || err != nil {
+		t.Errorf("body: got %d bytes, %v, want %d", len(body), err, len(whole))
+	}
+	_ = response.Body.Close()
+}
