A rejection or refusal that breaks off is no answer

An upstream that rejects a request says that it has not run. Callers were told so, and the request was sent elsewhere, also if the response broke off: cut by the end of the connection, by a reset, or with an invalid trailer.

Cause: the body of a rejection was read only so that its connection could be used again, and what went wrong there was dropped. One that breaks off has an unknown outcome. One that is long or slow still counts: its head is whole, and the node ends the read. The pool of orders itself now keeps a connection only after a 200, which the sender of grants did by not reading the others.

--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -46,9 +46,7 @@
 	body.stop()
 	a.report = a.deliverer.protocol.Report(response.Header)
 	if rejection := a.deliverer.protocol.Rejection(response); rejection != RejectionNone {
-		discard(response.Body, func() { _ = response.Body.Close() })
-		refusal, result := rejection.refusal()
-		return refused(refusal), result
+		return a.reject(ctx, response, rejection)
 	}
 	a.status = response.StatusCode
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -61,6 +59,19 @@
 	return a.forward(ctx, response)
 }
 
+// reject returns the delivery and the result of a request that the upstream rejected. A
+// response that breaks off rejects nothing.
+func (a *attempt) reject(
+	ctx context.Context, response *http.Response, rejection Rejection,
+) (bldeliver.Delivery, bldeliver.Result) {
+	_, err := discard(response.Body, func() { _ = response.Body.Close() })
+	if err != nil && ctx.Err() == nil {
+		return refused(brokenResponse(err)), bldeliver.ResultFailed
+	}
+	refusal, result := rejection.refusal()
+	return refused(refusal), result
+}
+
 // singleUseBody hides from the transport that the body could be sent again, so
 // that the transport never retries a request on its own.
 type singleUseBody struct {
--- a/io/blupstream/pool.go
+++ b/io/blupstream/pool.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotlead/io/blresponse"
@@ -56,6 +57,9 @@
 	// resetsUnanswered makes the pool reset the connection of a request that ends without
 	// a response, which discards what has not reached the upstream's host.
 	resetsUnanswered bool
+	// keepsFailed makes the pool use a connection again after a response with another
+	// status than 200.
+	keepsFailed bool
 	// maxHeader limits the head of a response, in bytes.
 	maxHeader int64
 
@@ -78,12 +82,13 @@
 // NewPool returns an empty pool that matches responses to requests by the header
 // field idHeader.
 func NewPool(idHeader string) *Pool {
-	return &Pool{idHeader: idHeader, maxHeader: maxHeaderBytes, idle: map[string][]*connection{}}
+	return &Pool{idHeader: idHeader, keepsFailed: true, maxHeader: maxHeaderBytes, idle: map[string][]*connection{}}
 }
 
 // NewOrderPool returns an empty pool for orders: their responses carry no ID, have short
-// heads, and bodies to be read by DiscardShort. Nothing of an order reaches the
-// upstream's host later than its request ends.
+// heads, and bodies to be read by DiscardShort. Only a connection with a response of 200
+// is used again: a copy of another would pass for the answer to a later order. Nothing of
+// an order reaches the upstream's host later than its request ends.
 func NewOrderPool() *Pool {
 	return &Pool{maxHeader: maxShortHeaderBytes, resetsUnanswered: true, idle: map[string][]*connection{}}
 }
@@ -120,11 +125,14 @@
 	}
 	response.Body = &responseBody{
 		ReadCloser: response.Body, pool: p, connection: c, address: request.URL.Host, stopCancel: stopCancel,
-		reusable: writer.written() && !response.Close, idleTimeout: idleTimeout(response.Header),
+		reusable: writer.written() && !response.Close && p.keeps(response.StatusCode), idleTimeout: idleTimeout(response.Header),
 	}
 	return response, nil
 }
 
+// keeps reports whether a connection is used again after a response with the status.
+func (p *Pool) keeps(status int) bool { return p.keepsFailed || status == http.StatusOK }
+
 // readResponse reads responses until it finds the one to this request.
 func (p *Pool) readResponse(c *connection, request *http.Request) (*http.Response, error) {
 	for range maxSkippedResponses {
@@ -143,7 +151,7 @@
 		if response.Close {
 			break
 		}
-		if !discard(response.Body, c.close) {
+		if whole, _ := discard(response.Body, c.close); !whole {
 			break
 		}
 	}
@@ -158,13 +166,20 @@
 )
 
 // discard reads a body that is not needed, so that its connection can be reused. It
-// reports whether it has read the whole body. If that takes too long, it calls
-// closeConnection, which has to end the read.
-func discard(body io.Reader, closeConnection func()) bool {
-	timer := time.AfterFunc(discardTimeout, closeConnection)
+// reports whether it has read the whole body, and returns an error if the body broke off.
+// If that takes too long, it calls closeConnection, which has to end the read.
+func discard(body io.Reader, closeConnection func()) (bool, error) {
+	var expired atomic.Bool
+	timer := time.AfterFunc(discardTimeout, func() {
+		expired.Store(true)
+		closeConnection()
+	})
 	defer timer.Stop()
 	count, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes+1))
-	return err == nil && count <= maxDiscardBytes
+	if err != nil && !expired.Load() {
+		return false, fmt.Errorf("read body: %w", err)
+	}
+	return err == nil && count <= maxDiscardBytes, nil
 }
 
 // requestID returns the ID of a request, or nothing if responses are not checked.
