A request with a broken answer isn't told as not run after another attempt

A caller was told that a request had not run although one of its attempts had got a broken answer, and may have run it: that attempt was made again, or hedged, and the other one was rejected or found no connection.

Cause: the refusal of the last attempt alone went to the caller. Now blroute.AfterAttempts decides from both: not run only if that holds for both. What is tried next is decided from each attempt's own refusal as before.

--- a/core/blroute/retry.go
+++ b/core/blroute/retry.go
@@ -134,6 +134,17 @@
 	return StepOtherUpstream
 }
 
+// AfterAttempts returns the refusal of a request whose last attempt ended with the one
+// refusal, and an earlier or concurrent one with the other. Either may be nil. The request
+// has not run only if that holds for both.
+func AfterAttempts(last, other *blvalue.Refusal) *blvalue.Refusal {
+	if last == nil || other == nil || last.Outcome != blvalue.OutcomeNotRun || other.Outcome == blvalue.OutcomeNotRun {
+		return last
+	}
+	combined := last.WithOutcome(blvalue.OutcomeUnknown).WithDetail(last.Detail + "; another attempt may have run: " + other.Detail)
+	return &combined
+}
+
 const (
 	minBackoff = 10 * time.Millisecond
 	maxBackoff = 100 * time.Millisecond
--- a/core/blroute/retry_test.go
+++ b/core/blroute/retry_test.go
@@ -114,3 +114,36 @@
 		t.Errorf("retries of the wishlist service: got %d, want the reserve of %d", got, want)
 	}
 }
+
+// TestAfterAttempts guards against a refusal that denies what another attempt may have done.
+func TestAfterAttempts(t *testing.T) {
+	notRun := blvalue.NotRun(blvalue.ReasonOverload, "too much to do")
+	unknown := blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "no answer")
+	partial := &blvalue.Refusal{Outcome: blvalue.OutcomePartial, Reason: blvalue.ReasonUpstreamFailed}
+	cases := []struct {
+		name        string
+		last, other *blvalue.Refusal
+		want        blvalue.Outcome
+	}{
+		{"only attempt", notRun, nil, blvalue.OutcomeNotRun},
+		{"both not run", notRun, notRun, blvalue.OutcomeNotRun},
+		{"other may have run", notRun, unknown, blvalue.OutcomeUnknown},
+		{"other cut short", notRun, partial, blvalue.OutcomeUnknown},
+		{"last may have run", unknown, notRun, blvalue.OutcomeUnknown},
+		{"last cut short", partial, unknown, blvalue.OutcomePartial},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := blroute.AfterAttempts(c.last, c.other)
+			if got.Outcome != c.want || got.Reason != c.last.Reason {
+				t.Errorf("refusal: got %s, want outcome %s and the reason of the last attempt", got, c.want)
+			}
+		})
+	}
+	if got := blroute.AfterAttempts(nil, unknown); got != nil {
+		t.Errorf("refusal of an answered request: got %s, want none", got)
+	}
+	if got, want := notRun.Outcome, blvalue.OutcomeNotRun; got != want {
+		t.Errorf("refusal that was passed: got %s, want it unchanged", got)
+	}
+}
--- a/core/blvalue/request.go
+++ b/core/blvalue/request.go
@@ -93,6 +93,18 @@
 	return &Refusal{Outcome: OutcomeUnknown, Reason: reason, Detail: detail}
 }
 
+// WithOutcome returns the refusal with another outcome.
+func (r Refusal) WithOutcome(outcome Outcome) Refusal {
+	r.Outcome = outcome
+	return r
+}
+
+// WithDetail returns the refusal with another detail.
+func (r Refusal) WithDetail(detail string) Refusal {
+	r.Detail = detail
+	return r
+}
+
 // String formats the refusal as outcome, reason and detail.
 func (r *Refusal) String() string {
 	return string(r.Outcome) + ": " + string(r.Reason) + ": " + r.Detail
--- a/io/blhttp/attempts.go
+++ b/io/blhttp/attempts.go
@@ -24,9 +24,18 @@
 	// number of attempts made.
 	lastAnswer blroute.Answer
 	attempts   int
+	// mayHaveRun is the refusal of an attempt that was made again and may have run, or nil.
+	mayHaveRun *blvalue.Refusal
 }
 
 func (a *activeRequest) run(ctx context.Context) (bldeliver.Delivery, time.Duration) {
+	delivery, retryAfter := a.makeAttempts(ctx)
+	delivery.Refusal = blroute.AfterAttempts(delivery.Refusal, a.mayHaveRun)
+	return delivery, retryAfter
+}
+
+// makeAttempts returns the delivery of the last attempt.
+func (a *activeRequest) makeAttempts(ctx context.Context) (bldeliver.Delivery, time.Duration) {
 	answer, err := a.admit(ctx)
 	if err != nil {
 		return bldeliver.Delivery{Refusal: refusalForError(ctx, err)}, 0
@@ -60,6 +69,9 @@
 		}
 		a.handler.metrics.Retried(delivery.Refusal.Reason)
 		a.logRetry(step, delivery)
+		if delivery.Refusal.Outcome != blvalue.OutcomeNotRun {
+			a.mayHaveRun = delivery.Refusal
+		}
 		next, err := a.findTarget(ctx, answer, blroute.Find{ChargeRetryBudget: step == blroute.StepBudgetedRetry})
 		if err != nil || next.Refusal != nil && step == blroute.StepBudgetedRetry {
 			return delivery, delivery.RetryAfter
--- a/io/blhttp/handler_test.go
+++ b/io/blhttp/handler_test.go
@@ -23,18 +23,32 @@
 // startHandler serves a handler that admits all requests to a route with a timeout, and
 // returns its address.
 func startHandler(t *testing.T, timeout time.Duration, deliver Deliverer) string {
+	t.Helper()
+	return startHandlerFor(t, blroute.Answer{
+		Route: blconfig.Route{Name: "contribute", Timeout: timeout}, Target: blroute.Target{Upstream: "pot_1", Service: "pot"},
+	}, deliver)
+}
+
+// startHandlerFor serves a handler that admits all requests with the given answer, and
+// returns its address. Further attempts get another upstream.
+func startHandlerFor(t *testing.T, answer blroute.Answer, deliver Deliverer) string {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
 	admit := func(m bladmit.Message) error {
-		m.(bladmit.Admit).Reply.Put(blroute.Answer{
-			Route: blconfig.Route{Name: "contribute", Timeout: timeout}, Target: blroute.Target{Upstream: "pot_1", Service: "pot"},
-		})
+		m.(bladmit.Admit).Reply.Put(answer)
+		return nil
+	}
+	other := answer
+	other.Target.Upstream = "pot_2"
+	route := func(m blroute.Message) error {
+		if find, ok := m.(blroute.Find); ok {
+			find.Reply.Put(other)
+		}
 		return nil
 	}
-	route := func(blroute.Message) error { return nil }
 	tracer, err := bltrace.New(t.Context(), "host_1", bltrace.Target{})
 	if err != nil {
 		t.Fatalf("tracer: %v", err)
--- a/io/blhttp/hedge.go
+++ b/io/blhttp/hedge.go
@@ -118,7 +118,7 @@
 // awaitWinner waits for the attempt that answers first, cancels the other one and
 // waits for it to end, so that no goroutine outlives the request. If the first
 // attempt to end neither succeeded nor started the response, the result is that
-// of the other one.
+// of the other one, which doesn't tell that the request has not run if the first may have.
 func (r *race) awaitWinner(first, second *hedgedAttempt, done chan attemptResult) bldeliver.Delivery {
 	result := <-done
 	if result.delivery.Refusal == nil || result.delivery.Started && r.isWinner(result.attempt) {
@@ -130,7 +130,9 @@
 	lastResult := <-done
 	first.cancel()
 	second.cancel()
-	return lastResult.delivery
+	delivery := lastResult.delivery
+	delivery.Refusal = blroute.AfterAttempts(delivery.Refusal, result.delivery.Refusal)
+	return delivery
 }
 
 func (r *race) isWinner(h *hedgedAttempt) bool {
