Logs and metrics name the fault of a broken response

An operator saw "the upstream did not answer" or "the answer was cut short", and for orders and grants only a count, without the reason.

A delivery and the answer to an order now carry the fault that the reader found, and the node writes a line "broken response" with source and fault and counts bergamotlead_broken_responses_total. The store's transport reports its own. The detail of a refusal holds the fault too. A body that ends before the end that it announced has a fault of its own, cut_short; if nothing was passed on, its outcome is now unknown like that of the other faults, no longer ran_partially_answered.

--- a/core/bldeliver/order.go
+++ b/core/bldeliver/order.go
@@ -55,6 +55,9 @@
 	// Started is set if the head of an answer was passed on. A refusal then means
 	// that the answer was truncated.
 	Started bool
+	// Fault is what made the answer broken, or empty. It is known to the node that read
+	// the answer.
+	Fault blvalue.ResponseFault
 	// Retryable is set if the refusal is certainly not_run and may be due to a
 	// change of ownership in progress. A retry then costs no upstream any work.
 	Retryable bool
--- a/core/blreconciler/messages.go
+++ b/core/blreconciler/messages.go
@@ -96,6 +96,8 @@
 	SentAt bltimer.Instant
 	// Handover is the token that the upstream returned with a partition.
 	Handover string
+	// Fault is what made the upstream's response broken, or empty.
+	Fault blvalue.ResponseFault
 }
 
 // Effect is an action requested by the reconciler duty.
--- a/io/blgrpc/deliver.go
+++ b/io/blgrpc/deliver.go
@@ -129,7 +129,7 @@
 		case *blproto.DeliverReply_Head:
 			header := c.headers.fromProto(part.Head.GetHeader())
 			if err := blresponse.CheckHead(int(part.Head.GetStatus()), header); err != nil {
-				return bldeliver.Delivery{Refusal: brokenAnswer(err)}
+				return brokenAnswer(err)
 			}
 			started = true
 			if part.Head.GetWhole() {
@@ -141,7 +141,9 @@
 		case *blproto.DeliverReply_Trailer:
 			trailer := c.headers.fromProto(part.Trailer.GetFields())
 			if err := blresponse.CheckFields(trailer); err != nil {
-				return cutShort(blvalue.ReasonUpstreamFailed, "the answer was cut short: "+err.Error())
+				delivery := cutShort(blvalue.ReasonUpstreamFailed, "the answer was cut short: "+err.Error())
+				delivery.Fault = blresponse.FaultOf(err)
+				return delivery
 			}
 			err = writer.WriteTrailer(trailer)
 		case *blproto.DeliverReply_Refusal:
@@ -170,10 +172,13 @@
 	return bldeliver.Delivery{Started: true, Load: loadFromProto(head.GetLoad())}
 }
 
-// brokenAnswer returns the refusal of an order whose answer is broken. The request may have
+// brokenAnswer returns the delivery of an order whose answer is broken. The request may have
 // run.
-func brokenAnswer(err error) *blvalue.Refusal {
-	return blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "the owner's node did not answer: "+err.Error())
+func brokenAnswer(err error) bldeliver.Delivery {
+	return bldeliver.Delivery{
+		Refusal: blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "the owner's node did not answer: "+err.Error()),
+		Fault:   blresponse.FaultOf(err),
+	}
 }
 
 // cutShort returns the delivery of an answer of which a part has reached the caller.
--- a/io/blgrpc/fields_test.go
+++ b/io/blgrpc/fields_test.go
@@ -53,6 +53,9 @@
 			if got.Refusal == nil || got.Refusal.Outcome != c.outcome || got.Started != c.started {
 				t.Errorf("got refusal %v, started %v, want outcome %s, started %v", got.Refusal, got.Started, c.outcome, c.started)
 			}
+			if got.Fault != blvalue.FaultFieldName {
+				t.Errorf("fault: got %q, want %q", got.Fault, blvalue.FaultFieldName)
+			}
 			if written := writer.status != 0; written != c.started {
 				t.Errorf("written to the caller: got %v, want %v", written, c.started)
 			}
--- a/io/blmetric/metric.go
+++ b/io/blmetric/metric.go
@@ -46,6 +46,12 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_upstream_failures_total{status="%d"}`, status)).Inc()
 }
 
+// BrokenResponse counts a broken response of an upstream to a request or to an order, of
+// another node or of the store.
+func (s *Set) BrokenResponse(source string, fault blvalue.ResponseFault) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_broken_responses_total{source=%q,fault=%q}`, source, fault)).Inc()
+}
+
 // StoreCall counts a call to the platform's store.
 func (s *Set) StoreCall(kind string) {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`bergamotlead_store_calls_total{kind=%q}`, kind)).Inc()
--- a/io/blnode/delivery.go
+++ b/io/blnode/delivery.go
@@ -34,7 +34,7 @@
 }
 
 func (n *Node) deliverForNode(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery {
-	delivery := n.deliverer.Deliver(ctx, order, writer)
+	delivery := n.deliverLocally(ctx, order, writer)
 	n.logDelivery(order, delivery)
 	return delivery
 }
@@ -43,12 +43,20 @@
 // it to the target's node otherwise.
 func (n *Node) deliverForCaller(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery {
 	if order.Target.Node.Incarnation == n.self.Incarnation {
-		return n.deliverer.Deliver(ctx, order, writer)
+		return n.deliverLocally(ctx, order, writer)
 	}
 	n.forwarding.Add(1)
 	defer n.forwarding.Add(-1)
 	ctx, span := n.tracer.Start(ctx, "hop", "", order.RequestID)
 	delivery := n.client.Deliver(ctx, order, writer)
 	span.With("node", string(order.Target.Node.Name)).End(delivery.Refusal)
+	n.recordBrokenAnswer(sourceNode, order, delivery)
+	return delivery
+}
+
+// deliverLocally delivers an order to an upstream on this node.
+func (n *Node) deliverLocally(ctx context.Context, order bldeliver.Order, writer bldeliver.ResponseWriter) bldeliver.Delivery {
+	delivery := n.deliverer.Deliver(ctx, order, writer)
+	n.recordBrokenAnswer(sourceUpstream, order, delivery)
 	return delivery
 }
--- a/io/blnode/grant_work.go
+++ b/io/blnode/grant_work.go
@@ -17,11 +17,13 @@
 type grantForwarder struct {
 	sender    *blupstream.GrantSender
 	announced map[blvalue.UpstreamName]blupstream.ReceivedAnnouncement
+	// failed is called with the error of a grant that got no answer.
+	failed func(upstream blvalue.UpstreamName, err error)
 }
 
-func newGrantForwarder(clock bltimer.Clock) *grantForwarder {
+func newGrantForwarder(clock bltimer.Clock, failed func(blvalue.UpstreamName, error)) *grantForwarder {
 	return &grantForwarder{
-		sender: blupstream.NewGrantSender(clock), announced: map[blvalue.UpstreamName]blupstream.ReceivedAnnouncement{},
+		sender: blupstream.NewGrantSender(clock), announced: map[blvalue.UpstreamName]blupstream.ReceivedAnnouncement{}, failed: failed,
 	}
 }
 
@@ -41,5 +43,7 @@
 	if !ok || !upstream.ChecksFence || upstream.Incarnation != job.grant.Incarnation {
 		return
 	}
-	_ = f.sender.Send(*job.grant, latest)
+	if err := f.sender.Send(*job.grant, latest); err != nil {
+		f.failed(upstream.Name, err)
+	}
 }
--- a/io/blnode/node.go
+++ b/io/blnode/node.go
@@ -104,6 +104,9 @@
 	n.client = blgrpc.NewClient(platform.Config.Decode, blgrpc.NewHeaderTable(platform.HeaderNames...), n.connectionReplaced)
 	n.budget = blbudget.New(MemoryLimits(settings), n.clock, n.metrics, logger)
 	n.timer = bltimer.New(n.clock)
+	if platform.ObserveStore != nil {
+		platform.ObserveStore(n.recordBrokenStore)
+	}
 	n.newWorkers()
 	n.newDuties()
 	n.deliverer = blupstream.New(blupstream.Duties{
--- a/io/blnode/platform.go
+++ b/io/blnode/platform.go
@@ -51,8 +51,11 @@
 // Platform holds the integrations and parameters that differ between the
 // platforms on which a node runs.
 type Platform struct {
-	Store  blplatform.Store
-	Config ConfigSource
+	Store blplatform.Store
+	// ObserveStore has a function called with the error of each broken response of the
+	// store. It may be nil.
+	ObserveStore func(broken func(error))
+	Config       ConfigSource
 	// AllNodesReadConfig is set if every node reads configurations itself, rather than
 	// the lead alone.
 	AllNodesReadConfig bool
@@ -96,7 +99,7 @@
 func DefaultPlatform(settings blsettings.Process, _ bltimer.Clock) Platform {
 	store := blstore.New(settings.Store)
 	return Platform{
-		Store: store, Config: documentSource{store: store}, CallerProtocol: blhttp.NativeProtocol{}, UpstreamProtocol: blupstream.NativeProtocol{},
+		Store: store, ObserveStore: store.Observe, Config: documentSource{store: store}, CallerProtocol: blhttp.NativeProtocol{}, UpstreamProtocol: blupstream.NativeProtocol{},
 		Transport:        blupstream.NewTransport(),
 		Announcements:    blupstream.AnnounceHandler,
 		Timing:           bllead.Timing{Lease: initialLease, GrantTTL: initialGrantTTL, ClockMargin: initialMargin},
--- a/io/blnode/workers.go
+++ b/io/blnode/workers.go
@@ -101,7 +101,7 @@
 		delegates:     newDelegateWorkers(delegate.perform),
 		nudge:         blduty.NewWorker("nudge", shortQueueCapacity, nudgeSender{nudge: n.client.Nudge}.perform),
 		probe:         blduty.NewWorker("probe", 1, hostProber{put: func(m blassign.Message) error { return n.duties.assign.Put(m) }}.perform),
-		upstream:      blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock).perform),
+		upstream:      blduty.NewWorker("upstream", longQueueCapacity, newGrantForwarder(n.clock, n.recordFailedGrant).perform),
 		reconciler:    blduty.NewWorker("reconciler", 1, n.sendOrders),
 		release:       blduty.NewWorker("release", 1, n.release),
 		reclaim:       blduty.NewWorker("reclaim", 1, n.reclaim),
@@ -224,6 +224,7 @@
 	startedAt := n.clock.Now()
 	answers := n.platform.Orders.Send(context.Background(), send)
 	n.logOrders(send, answers, n.clock.Now().Sub(startedAt))
+	n.recordBrokenOrders(send, answers)
 	blduty.PutBlocking[blreconciler.Message](n.duties.reconciler.Put, blreconciler.OrdersAnswered{
 		Incarnation: send.Upstream.Incarnation, Answers: answers,
 	})
--- a/io/blresponse/body.go
+++ b/io/blresponse/body.go
@@ -45,7 +45,7 @@
 func (t trailerReader) Read(buffer []byte) (int, error) {
 	count, err := t.ReadCloser.Read(buffer)
 	if !errors.Is(err, io.EOF) {
-		return count, classify(err)
+		return count, classifyBody(err)
 	}
 	if broken := CheckFields(t.response.Trailer); broken != nil {
 		return count, broken
--- a/io/blresponse/conn.go
+++ b/io/blresponse/conn.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"syscall"
+
+	"bergamotlead/core/blvalue"
 )
 
 // Conn is a TCP connection of a client that writes a request while it reads the response.
@@ -71,7 +73,7 @@
 	if c.lost == nil {
 		return err
 	}
-	return BrokenError{Fault: FaultReset, Detail: "the connection was lost: " + c.lost.Error(), Cause: c.lost}
+	return BrokenError{Fault: blvalue.FaultReset, Detail: "the connection was lost: " + c.lost.Error(), Cause: c.lost}
 }
 
 // remember keeps an error of the system that reports the loss of the connection. EPIPE
--- a/io/blresponse/conn_test.go
+++ b/io/blresponse/conn_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"bergamotlead/core/blvalue"
 	"bergamotlead/standin/blbroken"
 )
 
@@ -55,7 +56,7 @@
 	server.End()
 	writeUntilError(t, conn)
 	body, err := io.ReadAll(reader)
-	if got, want := FaultOf(err), FaultReset; got != want {
+	if got, want := FaultOf(err), blvalue.FaultReset; got != want {
 		t.Errorf("body %q: got fault %q (%v), want %q", body, got, err, want)
 	}
 }
@@ -66,7 +67,7 @@
 	server, conn, _ := connectTo(t, "", blbroken.EndReset)
 	server.End()
 	for range 2 {
-		if _, err := conn.Read(make([]byte, 1)); FaultOf(err) != FaultReset {
+		if _, err := conn.Read(make([]byte, 1)); FaultOf(err) != blvalue.FaultReset {
 			t.Errorf("read: got %v, want a reset", err)
 		}
 	}
--- a/io/blresponse/verdict.go
+++ b/io/blresponse/verdict.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/textproto"
 
@@ -14,27 +15,9 @@
 	"bergamotlead/core/blvalue"
 )
 
-// Fault is what makes a response broken.
-type Fault string
-
-// Values of Fault.
-const (
-	// FaultStatus means that the status is not one that ends a request.
-	FaultStatus Fault = "invalid_status"
-	// FaultFieldName means that the name of a field in a head or a trailer is no token
-	// of HTTP. Another reader of the response may see another field, such as another
-	// length of the body.
-	FaultFieldName Fault = "invalid_field_name"
-	// FaultHead means that a head or a trailer is malformed in another way.
-	FaultHead Fault = "malformed_head"
-	// FaultReset means that the connection was reset, or timed out, before the response
-	// was complete.
-	FaultReset Fault = "connection_reset"
-)
-
 // BrokenError reports a broken response.
 type BrokenError struct {
-	Fault  Fault
+	Fault  blvalue.ResponseFault
 	Detail string
 	// Cause is the error of the connection or of the parser, if there is one.
 	Cause error
@@ -50,7 +33,7 @@
 
 // FaultOf returns the fault of the broken response that err reports, or nothing if err
 // reports none.
-func FaultOf(err error) Fault {
+func FaultOf(err error) blvalue.ResponseFault {
 	var broken BrokenError
 	if errors.As(err, &broken) {
 		return broken.Fault
@@ -64,21 +47,30 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// classify returns a BrokenError for an error of the parser of heads and trailers, and other errors as
-// they are.
+// classify returns a BrokenError for an error of the parser of heads and trailers, and other
+// errors as they are.
 func classify(err error) error {
 	var malformed textproto.ProtocolError
 	if FaultOf(err) == "" && errors.As(err, &malformed) {
-		return BrokenError{Fault: FaultHead, Detail: malformed.Error(), Cause: err}
+		return BrokenError{Fault: blvalue.FaultHead, Detail: malformed.Error(), Cause: err}
 	}
 	return err
 }
 
+// classifyBody does the same for an error of a body, where a BrokenError also stands for an
+// end before that of the body.
+func classifyBody(err error) error {
+	if FaultOf(err) == "" && errors.Is(err, io.ErrUnexpectedEOF) {
+		return BrokenError{Fault: blvalue.FaultCut, Detail: "the body was cut short", Cause: err}
+	}
+	return classify(err)
+}
+
 // CheckHead returns a BrokenError for the head of a final response that has an invalid
 // status or an invalid field.
 func CheckHead(status int, fields map[string][]string) error {
 	if !blvalue.IsFinalStatus(status) {
-		return BrokenError{Fault: FaultStatus, Detail: fmt.Sprintf("status %03d", status)}
+		return BrokenError{Fault: blvalue.FaultStatus, Detail: fmt.Sprintf("status %03d", status)}
 	}
 	return CheckFields(fields)
 }
@@ -93,7 +85,7 @@
 	for name := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return BrokenError{
-				Fault: FaultFieldName, Detail: fmt.Sprintf("field name %q", name[:min(len(name), maxQuotedBytes)]),
+				Fault: blvalue.FaultFieldName, Detail: fmt.Sprintf("field name %q", name[:min(len(name), maxQuotedBytes)]),
 			}
 		}
 	}
--- a/io/blstore/client.go
+++ b/io/blstore/client.go
@@ -35,6 +35,11 @@
 	return c.transport.Era()
 }
 
+// Observe has broken called with the error of each broken response.
+func (c *Client) Observe(broken func(error)) {
+	c.transport.Observe(broken)
+}
+
 type entryBody struct {
 	Value    []byte `json:"value"`
 	Revision uint64 `json:"revision"`
--- a/io/blstore/reset_test.go
+++ b/io/blstore/reset_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"bergamotlead/core/blplatform"
+	"bergamotlead/core/blvalue"
 	"bergamotlead/io/blresponse"
 	"bergamotlead/standin/blbroken"
 )
@@ -36,7 +37,7 @@
 			client := New(server.Address())
 			client.transport.client.Transport = blbroken.NewWriterFirst(client.transport.client.Transport, server)
 			err := c.call(client)
-			if got, want := blresponse.FaultOf(err), blresponse.FaultReset; got != want {
+			if got, want := blresponse.FaultOf(err), blvalue.FaultReset; got != want {
 				t.Errorf("fault: got %q (%v), want %q", got, err, want)
 			}
 			wantUnknownOutcome(t, c.name, err)
--- a/io/blstore/transport.go
+++ b/io/blstore/transport.go
@@ -44,6 +44,8 @@
 	base   string
 	client *http.Client
 	eras   eraReader
+	// broken is called with the error of each broken response.
+	broken func(error)
 }
 
 // NewTransport returns a transport to the store at address, which is an IP address
@@ -62,9 +64,16 @@
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	})
-	return &Transport{base: "http://" + address, client: &http.Client{Transport: transport}, eras: eraReader{header: eraHeader}}
+	return &Transport{
+		base: "http://" + address, client: &http.Client{Transport: transport}, eras: eraReader{header: eraHeader},
+		broken: func(error) {},
+	}
 }
 
+// Observe has broken called with the error of each broken response. It must be called before
+// the first call.
+func (t *Transport) Observe(broken func(error)) { t.broken = broken }
+
 // Era returns the latest era in which the store has answered, or zero if it has not
 // named any.
 func (t *Transport) Era() blplatform.Era {
@@ -169,6 +178,9 @@
 	}
 	response, body, err := t.roundTrip(ctx, e, progress)
 	if err != nil {
+		if blresponse.FaultOf(err) != "" {
+			t.broken(err)
+		}
 		return Response{}, t.failure(ctx, err)
 	}
 	if e.result == nil || len(body) == 0 || response.Status == http.StatusServiceUnavailable {
--- a/io/blupstream/exchange.go
+++ b/io/blupstream/exchange.go
@@ -66,7 +66,7 @@
 ) (bldeliver.Delivery, bldeliver.Result) {
 	_, err := discard(response.Body, func() { _ = response.Body.Close() })
 	if err != nil && ctx.Err() == nil {
-		return refused(brokenResponse(err)), bldeliver.ResultFailed
+		return broken(err), bldeliver.ResultFailed
 	}
 	refusal, result := rejection.refusal()
 	return refused(refusal), result
@@ -143,7 +143,7 @@
 		return refused(blvalue.NotRun(reason, "no connection to the upstream: "+err.Error())), result
 	}
 	if reason == blvalue.ReasonUpstreamFailed && blresponse.FaultOf(err) != "" {
-		return refused(brokenResponse(err)), result
+		return broken(err), result
 	}
 	return refused(blvalue.UnknownOutcome(reason, "the upstream did not answer")), result
 }
--- a/io/blupstream/fields_test.go
+++ b/io/blupstream/fields_test.go
@@ -41,6 +41,9 @@
 					if got, want := delivery.Refusal.Reason, blvalue.ReasonUpstreamFailed; got != want {
 						t.Errorf("reason: got %s, want %s", got, want)
 					}
+					if got := delivery.Fault; got != blvalue.FaultFieldName && got != blvalue.FaultHead {
+						t.Errorf("fault: got %q, want that of a name or a head", got)
+					}
 					if delivery.Started || writer.status != 0 || writer.bytes != 0 {
 						t.Errorf("written to the caller: got status %d and %d bytes, want nothing", writer.status, writer.bytes)
 					}
@@ -86,6 +89,9 @@
 			if delivery.Refusal == nil || delivery.Refusal.Outcome != blvalue.OutcomePartial || !delivery.Started {
 				t.Errorf("got refusal %v, started %v, want one that is cut short", delivery.Refusal, delivery.Started)
 			}
+			if got, want := delivery.Fault, blvalue.FaultFieldName; got != want {
+				t.Errorf("fault: got %q, want %q", got, want)
+			}
 		})
 	}
 }
--- a/io/blupstream/reset_test.go
+++ b/io/blupstream/reset_test.go
@@ -101,6 +101,9 @@
 				if got, want := delivery.Refusal.Reason, blvalue.ReasonUpstreamFailed; got != want {
 					t.Errorf("reason: got %s, want %s", got, want)
 				}
+				if got, want := delivery.Fault, blvalue.FaultReset; got != want {
+					t.Errorf("fault: got %q, want %q", got, want)
+				}
 				if got, want := delivery.Started, c.started; got != want {
 					t.Errorf("started: got %v, want %v", got, want)
 				}
--- a/io/blupstream/response.go
+++ b/io/blupstream/response.go
@@ -64,7 +64,7 @@
 			break
 		}
 		if err != nil {
-			return a.truncated(ctx), bldeliver.ResultFailed
+			return a.cutShort(ctx, err), bldeliver.ResultFailed
 		}
 		var wait time.Duration
 		forwarded, wait = forwarded.withForwarded(count, a.deliverer.clock.Now())
@@ -82,16 +82,30 @@
 // reading it failed.
 func (a *attempt) unreadable(ctx context.Context, err error) bldeliver.Delivery {
 	if blresponse.FaultOf(err) != "" && ctx.Err() == nil {
-		return refused(brokenResponse(err))
+		return broken(err)
 	}
 	delivery := a.truncated(ctx)
 	delivery.Started = false
 	return delivery
 }
 
-// brokenResponse returns the refusal of a request whose response was broken. It may have run.
-func brokenResponse(err error) *blvalue.Refusal {
-	return blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "the upstream did not answer: "+err.Error())
+// broken returns the delivery of a broken response of which nothing was passed on. The
+// request may have run.
+func broken(err error) bldeliver.Delivery {
+	delivery := refused(blvalue.UnknownOutcome(blvalue.ReasonUpstreamFailed, "the upstream did not answer: "+err.Error()))
+	delivery.Fault = blresponse.FaultOf(err)
+	return delivery
+}
+
+// cutShort returns the delivery of a response of which a part was passed on when reading it
+// failed.
+func (a *attempt) cutShort(ctx context.Context, err error) bldeliver.Delivery {
+	delivery := a.truncated(ctx)
+	if fault := blresponse.FaultOf(err); fault != "" && ctx.Err() == nil {
+		delivery.Fault = fault
+		delivery.Refusal.Detail += ": " + err.Error()
+	}
+	return delivery
 }
 
 // truncated returns the delivery of a response that was cut short.
