--- a/standin/upstream/faults.go
+++ b/standin/upstream/faults.go
@@ -34,6 +34,8 @@
 	// Endless answers requests and grants with bytes without end of this kind, unless
 	// it is empty.
 	Endless string `json:"endless"`
+	// Broken answers requests with broken responses of this kind, unless it is empty.
+	Broken string `json:"broken"`
 }
 
 // coldDetectionTime is the time in which the nodes should detect an unannounced
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -66,7 +66,7 @@
 	mux.Handle("PUT /bergamotlead/grant", endlessHandler{server: s, next: s.setGrant})
 	mux.HandleFunc("GET /standin/counts", s.getCounts)
 	mux.HandleFunc("POST /standin/faults", s.setFaults)
-	mux.Handle("/", endlessHandler{server: s, next: s.serve})
+	mux.Handle("/", brokenHandler{server: s, next: endlessHandler{server: s, next: s.serve}})
 	return mux
 }
 
