--- a/cmd/bergamotctl/broken_test.go
+++ b/cmd/bergamotctl/broken_test.go
@@ -8,21 +8,10 @@
 	"bergamotlead/standin/blbroken"
 )
 
-// startBroken starts a node that sends a text.
-func startBroken(t *testing.T, text string, ending blbroken.Ending) *blbroken.Server {
-	t.Helper()
-	server, err := blbroken.Start(text, ending)
-	if err != nil {
-		t.Fatalf("start server: %v", err)
-	}
-	t.Cleanup(server.Close)
-	return server
-}
-
 // TestResetDuringCall guards against a response of a node that passes for whole although its
 // connection was reset.
 func TestResetDuringCall(t *testing.T) {
-	server := startBroken(t, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}", blbroken.EndReset)
+	server := blbroken.Start(t, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}", blbroken.EndReset)
 	c := newClient(arguments{Node: server.Address()})
 	c.http.Transport = blbroken.NewWriterFirst(transportOf(c), server)
 	if got, want := exitCode(c.call(http.MethodPost, "/config", nil, nil)), exitUnknown; got != want {
@@ -35,7 +24,7 @@
 	for _, line := range blbroken.InvalidLines() {
 		for place, text := range blbroken.WithInvalidLine(line, "Content-Type: application/json\r\n", "{}") {
 			t.Run(place+", "+strconv.Quote(line), func(t *testing.T) {
-				server := startBroken(t, text, blbroken.KeepOpen)
+				server := blbroken.Start(t, text, blbroken.KeepOpen)
 				c := newClient(arguments{Node: server.Address()})
 				for range 2 {
 					if err := c.call(http.MethodGet, "/config", nil, nil); err == nil {
@@ -55,7 +44,7 @@
 func TestInvalidStatus(t *testing.T) {
 	for _, status := range blbroken.InvalidStatuses() {
 		t.Run(status, func(t *testing.T) {
-			server := startBroken(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n", blbroken.KeepOpen)
+			server := blbroken.Start(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n", blbroken.KeepOpen)
 			c := newClient(arguments{Node: server.Address()})
 			if err := c.call(http.MethodGet, "/config", nil, nil); err == nil {
 				t.Error("call: got a whole response, want an error")
@@ -73,7 +62,7 @@
 // TestChangeWithoutConnection checks that a change that can't have reached a node isn't
 // reported as unknown.
 func TestChangeWithoutConnection(t *testing.T) {
-	server := startBroken(t, "", blbroken.KeepOpen)
+	server := blbroken.Start(t, "", blbroken.KeepOpen)
 	server.Close()
 	c := newClient(arguments{Node: server.Address()})
 	if got, want := exitCode(c.call(http.MethodPost, "/config", nil, nil)), exitFailed; got != want {
--- a/io/blresponse/conn_test.go
+++ b/io/blresponse/conn_test.go
@@ -18,11 +18,7 @@
 // head has been read, and the reader of the body.
 func connectTo(t *testing.T, body string, ending blbroken.Ending) (*blbroken.Server, *Conn, io.Reader) {
 	t.Helper()
-	server, err := blbroken.Start("HTTP/1.1 200 OK\r\n\r\n"+body, ending)
-	if err != nil {
-		t.Fatalf("start server: %v", err)
-	}
-	t.Cleanup(server.Close)
+	server := blbroken.Start(t, "HTTP/1.1 200 OK\r\n\r\n"+body, ending)
 	conn, err := Dial(t.Context(), &net.Dialer{}, "tcp", server.Address())
 	if err != nil {
 		t.Fatalf("connect: %v", err)
@@ -85,9 +81,9 @@
 	}
 }
 
-// TestReadEndsBesideWaitingWrite checks that a read which sees an orderly end doesn't wait
-// for a write that the peer doesn't take.
-func TestReadEndsBesideWaitingWrite(t *testing.T) {
+// connectPair returns both ends of a connection.
+func connectPair(t *testing.T) (*Conn, *net.TCPConn) {
+	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatalf("listen: %v", err)
@@ -101,14 +97,24 @@
 	if err != nil {
 		t.Fatalf("accept: %v", err)
 	}
-	defer func() { _ = peer.Close() }()
+	t.Cleanup(func() {
+		_ = conn.Close()
+		_ = peer.Close()
+	})
+	return conn, peer.(*net.TCPConn)
+}
+
+// TestReadEndsBesideWaitingWrite checks that a read which sees an orderly end doesn't wait
+// for a write that the peer doesn't take.
+func TestReadEndsBesideWaitingWrite(t *testing.T) {
+	conn, peer := connectPair(t)
 	written := make(chan error, 1)
 	go func() {
 		_, err := conn.Write(make([]byte, 64<<20))
 		written <- err
 	}()
 	time.Sleep(50 * time.Millisecond)
-	if err := peer.(*net.TCPConn).CloseWrite(); err != nil {
+	if err := peer.CloseWrite(); err != nil {
 		t.Fatalf("end the peer's side: %v", err)
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
@@ -123,20 +129,7 @@
 
 // TestWriteWhole checks that a write larger than the buffers of the system arrives.
 func TestWriteWhole(t *testing.T) {
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("listen: %v", err)
-	}
-	defer func() { _ = listener.Close() }()
-	conn, err := Dial(t.Context(), &net.Dialer{}, "tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatalf("connect: %v", err)
-	}
-	peer, err := listener.Accept()
-	if err != nil {
-		t.Fatalf("accept: %v", err)
-	}
-	defer func() { _ = peer.Close() }()
+	conn, peer := connectPair(t)
 	text := strings.Repeat("0123456789abcdef", 1<<20)
 	go func() {
 		_, _ = io.WriteString(conn, text)
--- a/io/blstore/fields_test.go
+++ b/io/blstore/fields_test.go
@@ -9,24 +9,13 @@
 	"bergamotlead/standin/blbroken"
 )
 
-// startBroken starts a store that sends a text.
-func startBroken(t *testing.T, text string, ending blbroken.Ending) *blbroken.Server {
-	t.Helper()
-	server, err := blbroken.Start(text, ending)
-	if err != nil {
-		t.Fatalf("start server: %v", err)
-	}
-	t.Cleanup(server.Close)
-	return server
-}
-
 // TestInvalidFieldName guards against a response of the store with a field whose name is
 // none: its body has another end than the store meant, and its connection was kept.
 func TestInvalidFieldName(t *testing.T) {
 	for _, line := range blbroken.InvalidLines() {
 		for place, text := range blbroken.WithInvalidLine(line, eraHeader+": 7\r\n", `{"revision":2}`) {
 			t.Run(place+", "+strconv.Quote(line), func(t *testing.T) {
-				server := startBroken(t, text, blbroken.KeepOpen)
+				server := blbroken.Start(t, text, blbroken.KeepOpen)
 				client := New(server.Address())
 				if _, err := client.Get(t.Context(), "key"); err == nil {
 					t.Error("read: got an entry, want an error")
--- a/io/blstore/reset_test.go
+++ b/io/blstore/reset_test.go
@@ -33,7 +33,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			server := startBroken(t, c.text, blbroken.EndReset)
+			server := blbroken.Start(t, c.text, blbroken.EndReset)
 			client := New(server.Address())
 			client.transport.client.Transport = blbroken.NewWriterFirst(client.transport.client.Transport, server)
 			err := c.call(client)
--- a/io/blstore/status_test.go
+++ b/io/blstore/status_test.go
@@ -27,7 +27,7 @@
 	for _, status := range blbroken.InvalidStatuses() {
 		for name, write := range writes {
 			t.Run(name+", "+status, func(t *testing.T) {
-				server := startBroken(t, "HTTP/1.1 "+status+"\r\n"+eraHeader+": 7\r\nContent-Length: 2\r\n\r\n{}", blbroken.KeepOpen)
+				server := blbroken.Start(t, "HTTP/1.1 "+status+"\r\n"+eraHeader+": 7\r\nContent-Length: 2\r\n\r\n{}", blbroken.KeepOpen)
 				client := New(server.Address())
 				for range 2 {
 					if err := write(client); !errors.As(err, &blplatform.UnknownOutcomeError{}) {
--- a/io/blupstream/fields_test.go
+++ b/io/blupstream/fields_test.go
@@ -5,11 +5,7 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
-	"bergamotlead/core/blgrant"
-	"bergamotlead/core/blmember"
-	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 	"bergamotlead/standin/blbroken"
 )
@@ -60,16 +56,7 @@
 		for _, line := range blbroken.InvalidLines() {
 			for place, text := range brokenResponses(line) {
 				t.Run(name+", "+place+", "+strconv.Quote(line), func(t *testing.T) {
-					server := startBroken(t, text, blbroken.KeepOpen)
-					transport := newTransport()
-					for range 2 {
-						if delivery, _ := deliverWithin(t, faultTimeout, transport, server.Address()); delivery.Refusal == nil {
-							t.Error("refusal: got none, want one")
-						}
-					}
-					if got, want := server.Connections(), 2; got != want {
-						t.Errorf("connections: got %d, want %d", got, want)
-					}
+					checkRequestsGetBroken(t, newTransport(), text)
 				})
 			}
 		}
@@ -117,18 +104,7 @@
 	for _, line := range blbroken.InvalidLines() {
 		for _, place := range []string{"head", "head without body", "interim head"} {
 			t.Run(place+", "+strconv.Quote(line), func(t *testing.T) {
-				server := startBroken(t, blbroken.WithInvalidLine(line, "", "two")[place], blbroken.KeepOpen)
-				clock := bltimer.NewSystem()
-				received := NewReceivedAnnouncement(clock, blmember.Announcement{Address: server.Address()})
-				sender := NewGrantSender(clock)
-				for range 2 {
-					if err := sender.Send(blgrant.Grant{Until: clock.Now().Add(time.Second)}, received); err == nil {
-						t.Error("grant: got an answer, want an error")
-					}
-				}
-				if got, want := server.Connections(), 2; got != want {
-					t.Errorf("connections: got %d, want %d", got, want)
-				}
+				checkGrantsGetBroken(t, blbroken.WithInvalidLine(line, "", "two")[place])
 			})
 		}
 	}
--- a/io/blupstream/rejection_test.go
+++ b/io/blupstream/rejection_test.go
@@ -30,7 +30,7 @@
 	for name, newTransport := range bothTransports {
 		for _, c := range cases {
 			t.Run(name+", "+c.name, func(t *testing.T) {
-				server := startBroken(t, c.text, c.ending)
+				server := blbroken.Start(t, c.text, c.ending)
 				transport := newTransport()
 				if c.ending == blbroken.EndReset {
 					transport = blbroken.NewWriterFirst(transport, server)
--- a/io/blupstream/reset_test.go
+++ b/io/blupstream/reset_test.go
@@ -14,23 +14,6 @@
 	"bergamotlead/standin/blbroken"
 )
 
-// startBroken starts a server that sends a text and ends its connections.
-func startBroken(t *testing.T, text string, ending blbroken.Ending) *blbroken.Server {
-	t.Helper()
-	server, err := blbroken.Start(text, ending)
-	if err != nil {
-		t.Fatalf("start server: %v", err)
-	}
-	t.Cleanup(server.Close)
-	return server
-}
-
-// bothTransports are the transports by which a node reads the responses of upstreams.
-var bothTransports = map[string]func() http.RoundTripper{
-	"pool":      func() http.RoundTripper { return NewPool(idField) },
-	"transport": func() http.RoundTripper { return NewTransport() },
-}
-
 // unframedHeads are heads of responses without a length.
 var unframedHeads = map[string]string{
 	"HTTP/1.1":          "HTTP/1.1 200 OK\r\n" + idField + ": $ID\r\n\r\n",
@@ -64,7 +47,7 @@
 		for kind, head := range unframedHeads {
 			for _, size := range []int{0, 10, 100_000} {
 				t.Run(name+", "+kind+", "+strconv.Itoa(size)+" bytes", func(t *testing.T) {
-					server := startBroken(t, head+strings.Repeat("x", size), blbroken.EndReset)
+					server := blbroken.Start(t, head+strings.Repeat("x", size), blbroken.EndReset)
 					body, err := sendUpload(t, blbroken.NewWriterFirst(newTransport(), server), server.Address())
 					if err == nil {
 						t.Errorf("body: got %d bytes as a whole response, want an error", len(body))
@@ -90,7 +73,7 @@
 	for name, newTransport := range bothTransports {
 		for _, c := range cases {
 			t.Run(name+", "+c.name, func(t *testing.T) {
-				server := startBroken(t, unframedHeads["HTTP/1.1"]+strings.Repeat("x", c.size), blbroken.EndReset)
+				server := blbroken.Start(t, unframedHeads["HTTP/1.1"]+strings.Repeat("x", c.size), blbroken.EndReset)
 				delivery, _ := deliverWithin(t, 10*time.Second, blbroken.NewWriterFirst(newTransport(), server), server.Address())
 				if delivery.Refusal == nil {
 					t.Fatal("refusal: got none, want one")
@@ -120,7 +103,7 @@
 	for name, newTransport := range bothTransports {
 		for kind, head := range unframedHeads {
 			t.Run(name+", "+kind, func(t *testing.T) {
-				server := startBroken(t, head+strings.Repeat("x", size), blbroken.EndInOrder)
+				server := blbroken.Start(t, head+strings.Repeat("x", size), blbroken.EndInOrder)
 				server.End()
 				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+server.Address()+"/x", endlessBody{})
 				if err != nil {
@@ -142,17 +125,12 @@
 	}
 }
 
-// endlessBody is the body of a request that never ends.
-type endlessBody struct{}
-
-func (endlessBody) Read(buffer []byte) (int, error) { return len(buffer), nil }
-
 // TestLostWriteLeavesResponse guards against a response that has arrived, and that is lost
 // because the rest of the request met the reset of the connection.
 func TestLostWriteLeavesResponse(t *testing.T) {
 	// More than the reader of the connection buffers.
 	whole := strings.Repeat("x", 20_000)
-	server := startBroken(t, "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n"+whole, blbroken.EndReset)
+	server := blbroken.Start(t, "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n"+whole, blbroken.EndReset)
 	c, err := dial(t.Context(), server.Address())
 	if err != nil {
 		t.Fatalf("connect: %v", err)
--- a/io/blupstream/status_test.go
+++ b/io/blupstream/status_test.go
@@ -4,11 +4,7 @@
 	"net/http"
 	"strconv"
 	"testing"
-	"time"
 
-	"bergamotlead/core/blgrant"
-	"bergamotlead/core/blmember"
-	"bergamotlead/core/bltimer"
 	"bergamotlead/core/blvalue"
 	"bergamotlead/standin/blbroken"
 )
@@ -90,16 +86,7 @@
 func TestInvalidStatusEndsConnectionOfTransport(t *testing.T) {
 	for _, status := range blbroken.InvalidStatuses() {
 		t.Run(status, func(t *testing.T) {
-			server := startBroken(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n", blbroken.KeepOpen)
-			transport := NewTransport()
-			for range 2 {
-				if delivery, _ := deliverWithin(t, faultTimeout, transport, server.Address()); delivery.Refusal == nil {
-					t.Error("refusal: got none, want one")
-				}
-			}
-			if got, want := server.Connections(), 2; got != want {
-				t.Errorf("connections: got %d, want %d", got, want)
-			}
+			checkRequestsGetBroken(t, NewTransport(), "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
 		})
 	}
 }
@@ -109,12 +96,7 @@
 func TestInvalidStatusIsNoAnswerToGrant(t *testing.T) {
 	for _, status := range blbroken.InvalidStatuses() {
 		t.Run(status, func(t *testing.T) {
-			server := startBroken(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n", blbroken.KeepOpen)
-			clock := bltimer.NewSystem()
-			received := NewReceivedAnnouncement(clock, blmember.Announcement{Address: server.Address()})
-			if err := NewGrantSender(clock).Send(blgrant.Grant{Until: clock.Now().Add(time.Second)}, received); err == nil {
-				t.Error("grant: got an answer, want an error")
-			}
+			checkGrantsGetBroken(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
 		})
 	}
 }
--- a/standin/blbroken/server.go
+++ b/standin/blbroken/server.go
@@ -4,13 +4,12 @@
 
 import (
 	"bufio"
-	"context"
-	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
+	"testing"
 )
 
 // Ending is how a server ends a connection after its response.
@@ -35,27 +34,54 @@
 	text     string
 	ending   Ending
 	// end is closed when connections may end.
-	end         chan struct{}
-	ended       sync.Once
-	connections atomic.Int64
+	end   chan struct{}
+	ended sync.Once
+
+	mu sync.Mutex
+	// requests counts the requests of each connection.
+	requests []int
 }
 
-// Start starts a server on loopback. Its connections end after the call of End.
-func Start(text string, ending Ending) (*Server, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+// Start starts a server on loopback for the time of a test. Its connections end after the
+// call of End.
+func Start(t testing.TB, text string, ending Ending) *Server {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		t.Fatalf("listen: %v", err)
 	}
 	s := &Server{listener: listener, text: text, ending: ending, end: make(chan struct{})}
+	t.Cleanup(s.Close)
 	go s.run()
-	return s, nil
+	return s
 }
 
 // Address returns the server's IP address and port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Connections returns the number of connections so far.
-func (s *Server) Connections() int { return int(s.connections.Load()) }
+func (s *Server) Connections() int { return len(s.Requests()) }
+
+// Requests returns the number of requests of each connection so far.
+func (s *Server) Requests() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.requests)
+}
+
+// addConnection returns the position of a new connection in requests.
+func (s *Server) addConnection() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = append(s.requests, 0)
+	return len(s.requests) - 1
+}
+
+func (s *Server) addRequest(connection int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests[connection]++
+}
 
 // End lets the connections end.
 func (s *Server) End() { s.ended.Do(func() { close(s.end) }) }
@@ -72,8 +98,7 @@
 		if err != nil {
 			return
 		}
-		s.connections.Add(1)
-		go (&connection{server: s, conn: conn}).run()
+		go (&connection{server: s, conn: conn, position: s.addConnection()}).run()
 	}
 }
 
@@ -81,6 +106,8 @@
 type connection struct {
 	server *Server
 	conn   net.Conn
+	// position is that of the connection in the order of all.
+	position int
 }
 
 // run answers one request. What follows a response on a connection that is kept open is
@@ -93,6 +120,7 @@
 		if err != nil {
 			return
 		}
+		c.server.addRequest(c.position)
 		text := strings.ReplaceAll(c.server.text, "$ID", request.Header.Get("Request-Id"))
 		if _, err := c.conn.Write([]byte(text)); err != nil {
 			return
