--- a/io/blresponse/transport.go
+++ b/io/blresponse/transport.go
@@ -50,18 +50,14 @@
 		e.end(false)
 		return response, nil
 	}
-	if response.Body == http.NoBody {
-		e.end(false)
-		return response, nil
-	}
 	response.Body = &exchangeBody{
 		ReadCloser: trailerReader{ReadCloser: response.Body, response: response}, exchange: e,
 	}
 	return response, nil
 }
 
-// exchange is a request on a connection. http.Transport may give the connection to the
-// next request before the response has been checked, so that request waits here.
+// exchange is a request on a connection. http.Transport may give the connection to the next
+// request before the response to this one has been checked, so the next one waits in begin.
 type exchange struct {
 	// headBytes is what is left for interim responses, in bytes.
 	headBytes int64
@@ -99,11 +95,14 @@
 	conn.exchange.Unlock()
 }
 
+// errInterimTooLong reports interim responses with more bytes than a head may have.
+var errInterimTooLong = errors.New("interim responses exceed the limit of a head")
+
 // interimHeadBytes is the size of the head of an interim response without fields.
 const interimHeadBytes = int64(len("HTTP/1.1 103 Early Hints\r\n\r\n"))
 
-// checkInterim returns an error for an interim response that is broken, or one too many:
-// http.Transport doesn't limit those that are looked at.
+// checkInterim returns an error for an interim response that is broken, or too many of them:
+// http.Transport doesn't limit those that a trace gets.
 func (e *exchange) checkInterim(_ int, fields textproto.MIMEHeader) error {
 	e.headBytes -= interimHeadBytes
 	for name, values := range fields {
@@ -117,9 +116,6 @@
 	return CheckFields(fields)
 }
 
-// errInterimTooLong reports more interim responses than a head may have bytes.
-var errInterimTooLong = errors.New("interim responses exceed the limit of a head")
-
 // exchangeBody ends its exchange with the body.
 type exchangeBody struct {
 	io.ReadCloser
