--- a/io/blupstream/rejection_test.go
+++ b/io/blupstream/rejection_test.go
@@ -48,3 +48,21 @@
 		}
 	}
 }
+
+// TestCutResponseHasItsFault checks that a response which ends before its length has its
+// fault, and the outcome of an answer that was truncated.
+func TestCutResponseHasItsFault(t *testing.T) {
+	for name, newTransport := range bothTransports {
+		t.Run(name, func(t *testing.T) {
+			server := blbroken.Start(t, "HTTP/1.1 200 OK\r\n"+idField+": $ID\r\nContent-Length: 9\r\n\r\npart", blbroken.EndInOrder)
+			server.End()
+			delivery, writer := deliverWithin(t, faultTimeout, newTransport(), server.Address())
+			if delivery.Refusal == nil || delivery.Refusal.Outcome != blvalue.OutcomePartial || delivery.Fault != blvalue.FaultCut {
+				t.Errorf("got refusal %v, fault %q, want a truncated answer that was cut short", delivery.Refusal, delivery.Fault)
+			}
+			if delivery.Started || writer.status != 0 {
+				t.Errorf("written to the caller: got status %d, want nothing", writer.status)
+			}
+		})
+	}
+}
--- a/io/blupstream/response.go
+++ b/io/blupstream/response.go
@@ -81,10 +81,11 @@
 // unreadable returns the delivery of a response of which nothing was passed on when
 // reading it failed.
 func (a *attempt) unreadable(ctx context.Context, err error) bldeliver.Delivery {
-	if blresponse.FaultOf(err) != "" && ctx.Err() == nil {
+	fault := blresponse.FaultOf(err)
+	if fault != "" && fault != blvalue.FaultCut && ctx.Err() == nil {
 		return broken(err)
 	}
-	delivery := a.truncated(ctx)
+	delivery := a.cutShort(ctx, err)
 	delivery.Started = false
 	return delivery
 }
