Tests of broken answers to orders let the order arrive first

The stand-in answered when it had read the head of a grant, which leaves before its body. A grant whose response is broken before any of its body has left ends with its connection closed, so that unsent is right.

--- a/standin/blbroken/server.go
+++ b/standin/blbroken/server.go
@@ -27,12 +27,14 @@
 	KeepOpen Ending = "open"
 )
 
-// Server answers the first request of each connection with a text, of which it reads the
-// head only.
+// Server answers the first request of each connection with a text, or each request if it
+// keeps its connections open.
 type Server struct {
 	listener net.Listener
 	text     string
 	ending   Ending
+	// readsBodies is set if a request is read to its end before the answer.
+	readsBodies bool
 	// end is closed when connections may end.
 	end   chan struct{}
 	ended sync.Once
@@ -42,15 +44,26 @@
 	requests []int
 }
 
-// Start starts a server on loopback for the time of a test. Its connections end after the
-// call of End.
+// Start starts a server on loopback for the time of a test, which answers when it has read
+// the head of a request. Its connections end after the call of End.
 func Start(t testing.TB, text string, ending Ending) *Server {
+	t.Helper()
+	return start(t, &Server{text: text, ending: ending})
+}
+
+// StartReading is Start for a server that reads a request to its end before it answers.
+func StartReading(t testing.TB, text string, ending Ending) *Server {
+	t.Helper()
+	return start(t, &Server{text: text, ending: ending, readsBodies: true})
+}
+
+func start(t testing.TB, s *Server) *Server {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
-	s := &Server{listener: listener, text: text, ending: ending, end: make(chan struct{})}
+	s.listener, s.end = listener, make(chan struct{})
 	t.Cleanup(s.Close)
 	go s.run()
 	return s
@@ -121,6 +134,9 @@
 			return
 		}
 		c.server.addRequest(c.position)
+		if c.server.readsBodies {
+			_, _ = drain(request.Body)
+		}
 		text := strings.ReplaceAll(c.server.text, "$ID", request.Header.Get("Request-Id"))
 		if _, err := c.conn.Write([]byte(text)); err != nil {
 			return
